--- /dev/null
+++ b/src/main/java/willowdoor/BenchLink.java
@@ -0,0 +1,330 @@
+package willowdoor;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import java.io.BufferedOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import willowdoor.GatewayApi.Action;
+import willowdoor.GatewayApi.Add;
+import willowdoor.GatewayApi.Allowed;
+import willowdoor.GatewayApi.BackendEntry;
+import willowdoor.GatewayApi.Cancel;
+import willowdoor.GatewayApi.ClientLeft;
+import willowdoor.GatewayApi.Counted;
+import willowdoor.GatewayApi.Event;
+import willowdoor.GatewayApi.Fail;
+import willowdoor.GatewayApi.FollowRoster;
+import willowdoor.GatewayApi.Group;
+import willowdoor.GatewayApi.Load;
+import willowdoor.GatewayApi.Outcome;
+import willowdoor.GatewayApi.Phase;
+import willowdoor.GatewayApi.Plan;
+import willowdoor.GatewayApi.Refuse;
+import willowdoor.GatewayApi.Repeat;
+import willowdoor.GatewayApi.Request;
+import willowdoor.GatewayApi.RequestClass;
+import willowdoor.GatewayApi.Roster;
+import willowdoor.GatewayApi.RosterForm;
+import willowdoor.GatewayApi.Rules;
+import willowdoor.GatewayApi.Send;
+import willowdoor.GatewayApi.Settings;
+import willowdoor.GatewayApi.Status;
+import willowdoor.GatewayApi.StreamBegan;
+import willowdoor.GatewayApi.WakeAt;
+import willowdoor.GatewayApi.Woken;
+
+/** Turns the bench's wire into events of {@link GatewayApi} and the actions back into the wire; no more. */
+final class BenchLink {
+
+  private static final Map<String, Status> STATUSES = Map.of("OK", Status.OK, "INTERNAL", Status.ERROR,
+      "RESOURCE_EXHAUSTED", Status.REJECTED, "DEADLINE_EXCEEDED", Status.TIMED_OUT,
+      "UNAVAILABLE", Status.UNREACHABLE, "ABORTED", Status.RESET, "CANCELLED", Status.CANCELLED,
+      "TOO_LATE", Status.NOT_SENT);
+
+  private final JsonParser in;
+  private final JsonGenerator out;
+  private final Map<Integer, QuotaPolicy> policies = new HashMap<>();
+  private final Map<Integer, List<BackendEntry>> lists = new HashMap<>();
+
+  BenchLink(InputStream input, OutputStream output) throws IOException {
+    JsonFactory factory = new JsonFactory();
+    in = factory.createParser(input);
+    out = factory.createGenerator(new BufferedOutputStream(output, 1 << 16));
+    out.setRootValueSeparator(null);
+    out.disable(JsonGenerator.Feature.FLUSH_PASSED_TO_STREAM);
+  }
+
+  /** Answers batches until the input ends. */
+  void run() throws IOException {
+    double now = 0;
+    long number = 0;
+    boolean faulty = false;
+    while (in.nextToken() != null) {
+      Map<String, Object> message = object();
+      String name = text(message, "m");
+      switch (name) {
+        case "Mark" -> {
+          now = number(message, "ClockMs");
+          number = (long) number(message, "n");
+        }
+        case "List" -> lists.put((int) number(message, "Bank"), entries(message));
+        case "Go" -> {
+          acknowledge(number);
+          faulty = false;
+        }
+        default -> {
+          if (message.containsKey("DoorId") && !faulty) {
+            faulty = !deliver((int) number(message, "DoorId"), name, message, now);
+          }
+        }
+      }
+    }
+  }
+
+  private boolean deliver(int door, String name, Map<String, Object> message, double now) throws IOException {
+    try {
+      for (Action action : actions(door, name, message, now)) {
+        write(door, action);
+      }
+      return true;
+    } catch (RuntimeException e) {
+      begin("Fault", door);
+      out.writeStringField("Line", String.valueOf(e.getMessage() == null ? e : e.getMessage()));
+      end();
+      return false;
+    }
+  }
+
+  private List<Action> actions(int door, String name, Map<String, Object> message, double now) {
+    if (name.equals("Attach")) {
+      long seed = (long) number(message, "RandomSeed");
+      QuotaPolicy policy = new QuotaPolicy(settings(child(message, "Setup")), seed);
+      policies.put(door, policy);
+      return policy.start(now);
+    }
+    if (name.equals("Halt")) {
+      policies.remove(door);
+      return List.of();
+    }
+    QuotaPolicy policy = policies.get(door);
+    Event event = event(name, message);
+    return policy == null || event == null ? List.of() : policy.on(now, event);
+  }
+
+  private Event event(String name, Map<String, Object> m) {
+    return switch (name) {
+      case "Discovery" -> new Roster(switch (text(m, "Form")) {
+        case "changes" -> RosterForm.CHANGES;
+        case "all" -> RosterForm.COMPLETE;
+        case "remembered" -> RosterForm.REMEMBERED;
+        default -> RosterForm.FAILED;
+      }, lists.getOrDefault((int) number(m, "Bank"), List.of()));
+      case "Req" -> new Request(text(m, "Tid"), text(m, "Kind"), text(m, "Package"),
+          (long) number(m, "Customer"), (int) number(m, "EntryPoints"), number(m, "CostUnits"),
+          number(m, "GiveUpAtMs"));
+      case "Accepted" -> new StreamBegan(text(m, "Tid"), (int) number(m, "SendNo"));
+      case "Result" -> new Outcome(text(m, "Tid"), (int) number(m, "SendNo"), (long) number(m, "Backend"),
+          STATUSES.getOrDefault(text(m, "StateCode"), Status.ERROR), number(m, "LatencyMs"), flag(m, "Last"),
+          number(m, "FinalUnits"), load(child(m, "Load")));
+      case "Gone" -> new ClientLeft(text(m, "Tid"));
+      case "Reckoned" -> new Counted(text(m, "Book"),
+          STATUSES.getOrDefault(text(m, "StateCode"), Status.ERROR), number(m, "Value"),
+          number(m, "LatencyMs"));
+      case "Elapsed" -> new Woken(text(m, "Label"));
+      default -> null;
+    };
+  }
+
+  private static Load load(Map<String, Object> values) {
+    if (values.isEmpty()) {
+      return null;
+    }
+    return new Load(number(values, "concurrent", Double.NaN) + number(values, "depth", 0),
+        number(values, "mean_ms", Double.NaN));
+  }
+
+  private static List<BackendEntry> entries(Map<String, Object> message) {
+    List<BackendEntry> entries = new ArrayList<>();
+    for (Map<String, Object> e : children(message, "Items")) {
+      entries.add(new BackendEntry((long) number(e, "Backend"), text(e, "RegionPart"),
+          (int) number(e, "Stripe"),
+          switch (text(e, "Lifecycle")) {
+            case "DRAINING" -> Phase.DRAINING;
+            case "DELETED" -> Phase.REMOVED;
+            default -> Phase.SERVING;
+          }, number(e, "CapacityHint", 1), number(e, "LaunchedMs")));
+    }
+    return entries;
+  }
+
+  private static Settings settings(Map<String, Object> s) {
+    Map<String, Object> bounds = child(s, "Bounds");
+    Map<String, Object> extra = child(s, "Extra");
+    Map<String, Object> rules = child(s, "Rules");
+    List<RequestClass> classes = new ArrayList<>();
+    for (Map<String, Object> c : children(s, "Profiles")) {
+      classes.add(new RequestClass(text(c, "Name"), number(c, "Value", 1), number(c, "LateValue"),
+          number(c, "AimMs"), number(c, "DeadlineMs"), switch (text(c, "Repeat")) {
+            case "pure" -> Repeat.SAFE;
+            case "token" -> Repeat.KEYED;
+            default -> Repeat.UNSAFE;
+          }, switch (text(c, "Group")) {
+            case "all" -> Group.ALL;
+            case "zone" -> Group.ZONE;
+            default -> Group.CELL;
+          }, number(c, "RepeatWindowMs"), flag(c, "Stream")));
+    }
+    List<Plan> plans = new ArrayList<>();
+    for (Map<String, Object> p : children(s, "Tariffs")) {
+      plans.add(new Plan(text(p, "Name"), number(p, "Refill"), number(p, "PeakUnits"),
+          (int) number(p, "Open"), number(p, "WorthFactor", 1), number(p, "BeyondEarns"),
+          number(p, "OverrunCost"),
+          number(p, "CeilingRate"), number(p, "CeilingBurst"), number(p, "HardSlack")));
+    }
+    String weights = text(s, "WeightKind");
+    return new Settings((int) number(s, "Balancers", 1), (int) number(s, "SelfIndex"), text(s, "MyZone"),
+        number(extra, "MaxUnits", 1), number(child(s, "Prices"), "CrossZone"),
+        weights.equals("nominal") || weights.equals("rough"), classes, plans,
+        new Allowed(flag(extra, "Counter"), number(extra, "CountLimitMs"), flag(bounds, "Cancel"),
+            flag(bounds, "MayDuplicate"), (int) number(bounds, "MaxAttempts", 1),
+            (int) number(bounds, "MaxOpen", Integer.MAX_VALUE), flag(bounds, "RetryAfter"),
+            number(bounds, "MaxRetryAfterMs"), text(s, "Discovery").equals("ask")),
+        new Rules(number(rules, "AnswerSlackMs"), number(rules, "ColdFrom", 1), number(rules, "ColdMs"),
+            number(rules, "TipMultiple", 1), number(rules, "TipAfterMs", 1)));
+  }
+
+  private void write(int door, Action action) throws IOException {
+    if (action instanceof Send a) {
+      begin("Relay", door);
+      out.writeStringField("Tid", a.request());
+      out.writeNumberField("Backend", a.backend());
+      out.writeNumberField("TimeoutMs", a.timeoutMs());
+    } else if (action instanceof Refuse a) {
+      begin("Deny", door);
+      out.writeStringField("Tid", a.request());
+      if (a.holdOffMs() > 0) {
+        out.writeNumberField("HoldOffMs", a.holdOffMs());
+      }
+    } else if (action instanceof Fail a) {
+      begin("Lose", door);
+      out.writeStringField("Tid", a.request());
+    } else if (action instanceof Cancel a) {
+      begin("UndoSend", door);
+      out.writeStringField("Tid", a.request());
+      out.writeNumberField("SendNo", a.attempt());
+    } else if (action instanceof Add a) {
+      begin("PostAmount", door);
+      out.writeStringField("Book", a.name());
+      out.writeNumberField("Qty", a.amount());
+      out.writeNumberField("TtlMs", a.ttlMs());
+    } else if (action instanceof WakeAt a) {
+      begin("After", door);
+      out.writeNumberField("InstantMs", a.atMs());
+      out.writeStringField("Label", a.label());
+    } else if (action instanceof FollowRoster) {
+      begin("Track", door);
+      out.writeBooleanField("Active", true);
+    }
+    end();
+  }
+
+  private void begin(String name, int door) throws IOException {
+    out.writeStartObject();
+    out.writeStringField("m", name);
+    out.writeNumberField("DoorId", door);
+  }
+
+  private void end() throws IOException {
+    out.writeEndObject();
+    out.writeRaw('\n');
+  }
+
+  private void acknowledge(long number) throws IOException {
+    out.writeStartObject();
+    out.writeStringField("m", "Ack");
+    out.writeNumberField("n", number);
+    end();
+    out.enable(JsonGenerator.Feature.FLUSH_PASSED_TO_STREAM);
+    out.flush();
+    out.disable(JsonGenerator.Feature.FLUSH_PASSED_TO_STREAM);
+  }
+
+  /** Reads the object at the parser's place; anything else is malformed. */
+  private Map<String, Object> object() throws IOException {
+    if (in.currentToken() != JsonToken.START_OBJECT) {
+      throw new IOException("expected an object, found " + in.currentToken());
+    }
+    Map<String, Object> fields = new HashMap<>();
+    while (in.nextToken() == JsonToken.FIELD_NAME) {
+      String field = in.currentName();
+      in.nextToken();
+      fields.put(field, value());
+    }
+    if (in.currentToken() != JsonToken.END_OBJECT) {
+      throw new IOException("input ends inside a message");
+    }
+    return fields;
+  }
+
+  private Object value() throws IOException {
+    return switch (in.currentToken()) {
+      case START_OBJECT -> object();
+      case START_ARRAY -> {
+        List<Object> items = new ArrayList<>();
+        while (in.nextToken() != JsonToken.END_ARRAY) {
+          items.add(value());
+        }
+        yield items;
+      }
+      case VALUE_STRING -> in.getText();
+      case VALUE_NUMBER_INT -> in.getNumberType() == JsonParser.NumberType.BIG_INTEGER
+          ? (Object) in.getBigIntegerValue() : (Object) in.getLongValue();
+      case VALUE_NUMBER_FLOAT -> in.getDoubleValue();
+      case VALUE_TRUE -> Boolean.TRUE;
+      case VALUE_FALSE -> Boolean.FALSE;
+      default -> null;
+    };
+  }
+
+  private static String text(Map<String, Object> fields, String name) {
+    return fields.get(name) instanceof String s ? s : "";
+  }
+
+  private static double number(Map<String, Object> fields, String name) {
+    return number(fields, name, 0);
+  }
+
+  private static double number(Map<String, Object> fields, String name, double absent) {
+    return fields.get(name) instanceof Number n ? n.doubleValue() : absent;
+  }
+
+  private static boolean flag(Map<String, Object> fields, String name) {
+    return Boolean.TRUE.equals(fields.get(name));
+  }
+
+  @SuppressWarnings("unchecked")
+  private static Map<String, Object> child(Map<String, Object> fields, String name) {
+    return fields.get(name) instanceof Map<?, ?> m ? (Map<String, Object>) m : Map.of();
+  }
+
+  @SuppressWarnings("unchecked")
+  private static List<Map<String, Object>> children(Map<String, Object> fields, String name) {
+    List<Map<String, Object>> found = new ArrayList<>();
+    if (fields.get(name) instanceof List<?> items) {
+      for (Object item : items) {
+        if (item instanceof Map<?, ?> m) {
+          found.add((Map<String, Object>) m);
+        }
+      }
+    }
+    return found;
+  }
+}
--- /dev/null
+++ b/src/main/java/willowdoor/GatewayApi.java
@@ -0,0 +1,104 @@
+package willowdoor;
+
+import java.util.List;
+
+/**
+ * What passes between a gateway and its decision module, {@link QuotaPolicy}: the settings at the start, then
+ * events in, actions out. Times are milliseconds on a clock that only moves forward. Nothing is decided here.
+ */
+public final class GatewayApi {
+
+  private GatewayApi() {
+  }
+
+  /** May a request run again: freely, within a group of backends that drops its repeats, or never. */
+  public enum Repeat { SAFE, KEYED, UNSAFE }
+
+  /** The backends that drop a keyed request's repeats: all, those of one zone, or those of one cell. */
+  public enum Group { ALL, ZONE, CELL }
+
+  /** How an attempt or a call ended. */
+  public enum Status {
+    OK, ERROR, REJECTED, TIMED_OUT, UNREACHABLE, RESET, CANCELLED, NOT_SENT;
+
+    /** True when this ending shows that the attempt never ran, or the call added nothing. */
+    public boolean provesNotRun() {
+      return this == REJECTED || this == UNREACHABLE || this == NOT_SENT;
+    }
+  }
+
+  public enum Phase { SERVING, DRAINING, REMOVED }
+
+  /** A roster holds only what changed, all backends, all as seen in an earlier life, or is a failure. */
+  public enum RosterForm { CHANGES, COMPLETE, REMEMBERED, FAILED }
+
+  /** One class of requests: worth, time wanted, time allowed, and whether it may run again. */
+  public record RequestClass(String name, double value, double lateValue, double aimMs, double deadlineMs,
+      Repeat repeat, Group group, double repeatWindowMs, boolean stream) { }
+
+  /** One plan; a rate, open limit or ceiling rate of 0 means that there is none. */
+  public record Plan(String name, double rate, double burst, int openLimit, double worthFactor,
+      double beyondEarns, double beyondCost, double ceilingRate, double ceilingBurst, double ceilingSlack) { }
+
+  /** What a gateway may use and do. */
+  public record Allowed(boolean sharedCount, double countLimitMs, boolean cancel, boolean duplicates,
+      int attempts, int open, boolean holdOff, double maxHoldOffMs, boolean rosterOnRequest) { }
+
+  /** Figures of the rules. */
+  public record Rules(double answerSlackMs, double coldFrom, double coldMs, double tipMultiple,
+      double tipAfterMs) { }
+
+  public record Settings(int gateways, int self, String zone, double maxUnits, double crossZonePrice,
+      boolean sizesTold, List<RequestClass> classes, List<Plan> plans, Allowed allowed, Rules rules) { }
+
+  /** One backend of a roster; startedMs is 0 when it started long ago. */
+  public record BackendEntry(long id, String zone, int cell, Phase phase, double size, double startedMs) { }
+
+  /** A load report; a value that was not reported is NaN. */
+  public record Load(double inFlight, double serviceMs) { }
+
+  /** What a gateway tells its module. */
+  public sealed interface Event { }
+
+  public record Roster(RosterForm form, List<BackendEntry> entries) implements Event { }
+
+  public record Request(String id, String className, String planName, long customer, int entryPoints,
+      double units, double giveUpMs) implements Event { }
+
+  /** A streamed answer has begun. */
+  public record StreamBegan(String request, int attempt) implements Event { }
+
+  /** How an attempt ended; trueUnits is 0 when unknown, load is null when no report came. */
+  public record Outcome(String request, int attempt, long backend, Status status, double latencyMs,
+      boolean over, double trueUnits, Load load) implements Event { }
+
+  /** The request is over: its client has left. */
+  public record ClientLeft(String request) implements Event { }
+
+  /** The end of a call to the counter; total is valid with OK. */
+  public record Counted(String name, Status status, double total, double latencyMs) implements Event { }
+
+  public record Woken(String label) implements Event { }
+
+  /** What a module has its gateway do. */
+  public sealed interface Action { }
+
+  /** Start an attempt; the n-th Send of a request, from 0, is its attempt n. */
+  public record Send(String request, long backend, double timeoutMs) implements Action { }
+
+  /** Final answer: refused, trying again is harmless; holdOffMs of 0 gives no advice. */
+  public record Refuse(String request, double holdOffMs) implements Action { }
+
+  /** Final answer: failed, nothing promised. */
+  public record Fail(String request) implements Action { }
+
+  public record Cancel(String request, int attempt) implements Action { }
+
+  /** Add to a named count; a new name starts at 0 and is forgotten after ttlMs. */
+  public record Add(String name, double amount, double ttlMs) implements Action { }
+
+  public record WakeAt(double atMs, String label) implements Action { }
+
+  /** Ask for changes of the roster from now on. */
+  public record FollowRoster() implements Action { }
+}
--- /dev/null
+++ b/src/main/java/willowdoor/GatewayState.java
@@ -0,0 +1,186 @@
+package willowdoor;
+
+import willowdoor.GatewayApi.Phase;
+import willowdoor.GatewayApi.Plan;
+import willowdoor.GatewayApi.Request;
+import willowdoor.GatewayApi.RequestClass;
+import willowdoor.GatewayApi.Rules;
+
+/** What {@link QuotaPolicy} remembers, without any decision: all of those are in the module. */
+final class GatewayState {
+
+  private GatewayState() {
+  }
+
+  /** The finaliser of SplitMix64: spreads numbers evenly, and alike at every start. */
+  static long mix(long number) {
+    long z = (number ^ (number >>> 30)) * 0xBF58476D1CE4E5B9L;
+    z = (z ^ (z >>> 27)) * 0x94D049BB133111EBL;
+    return z ^ (z >>> 31);
+  }
+
+  /** A mean that forgets: by samples where they come often, by time where they are rare. */
+  static final class Mean {
+    private final double weight;
+    private final double lifeMs;
+    private double at;
+    double value;
+
+    Mean(double weight, double lifeMs, double now) {
+      this.weight = weight;
+      this.lifeMs = lifeMs;
+      this.at = now;
+    }
+
+    void add(double sample, double now) {
+      value += Math.max(weight, 1 - Math.exp((at - now) / lifeMs)) * (sample - value);
+      at = now;
+    }
+
+    /** The mean, less as it ages without samples. */
+    double fresh(double now) {
+      return value * Math.exp((at - now) / lifeMs);
+    }
+  }
+
+  /** One customer as this gateway sees it. */
+  static class AccountState {
+    final long customer;
+    final Plan plan;
+    /** Through how many gateways its requests may come. */
+    final int gateways;
+    /** Shift and length of its counts' windows; plain: one burst a window, no bucket followed. */
+    double phase;
+    double windowMs;
+    boolean plain;
+    /** Units in the bucket as estimated, and when. */
+    double level;
+    double levelAt;
+    /** Spending of others taken for granted since the last answer. */
+    double assumed;
+    /** Units a second of the others and of this gateway, and this gateway's units since the last answer. */
+    double othersRate;
+    double ownRate;
+    double ownSince;
+    double syncedAt = Double.NaN;
+    /** Units to go with the next add, that an unanswered call may have added, and in calls under way. */
+    double owed;
+    double maybe;
+    double flying;
+    /** The window last answered for, and its total then. */
+    long window = Long.MIN_VALUE;
+    double seen;
+    /** The ceiling: what counted sends may use together, and this gateway's own part. */
+    double counted;
+    double own;
+    /** What this gateway may send on unasked. */
+    double part;
+    int out;
+
+    AccountState(long customer, Plan plan, int gateways, double now) {
+      this.customer = customer;
+      this.plan = plan;
+      this.gateways = gateways;
+      levelAt = now;
+    }
+
+    long windowNow(double now) {
+      return (long) Math.floor((now + phase) / windowMs);
+    }
+
+    double windowStart(double now) {
+      return windowNow(now) * windowMs - phase;
+    }
+
+    String name(long ofWindow) {
+      return Long.toString(customer, 36) + ":" + ofWindow;
+    }
+  }
+
+  /** One backend as this gateway sees it. */
+  static class BackendState {
+    final long id;
+    String zone;
+    Phase phase;
+    int cell;
+    /** Size as told, and relative to the mean. */
+    double told;
+    double size;
+    /** When it started, as told, and as taken to be. */
+    double toldStart;
+    double startedMs;
+    /** Failures of its zone and of its cell, shared by their backends. */
+    Mean zoneFailing;
+    Mean cellFailing;
+    double service = Double.NaN;
+    double failing;
+    int rests;
+    boolean trial;
+    double restUntil = Double.NEGATIVE_INFINITY;
+    double fullUntil = Double.NEGATIVE_INFINITY;
+    double answeredAt;
+    /** Requests held as last reported, of them from here, and when. */
+    double reported = Double.NaN;
+    double reportedOwn;
+    double reportedAt;
+    double coldTokens;
+    double coldAt;
+
+    BackendState(long id, double now) {
+      this.id = id;
+      answeredAt = now;
+      coldAt = now;
+    }
+
+    /** The failing share of its zone or of its cell, whichever is more. */
+    double nearFailing(double now) {
+      return Math.max(zoneFailing.fresh(now), cellFailing.fresh(now));
+    }
+
+    /** Its place in the order of one gateway, which differs from the orders of others. */
+    long rank(long gateway) {
+      return mix(id + (gateway << 32));
+    }
+
+    boolean cold(Rules rules, double now) {
+      return startedMs > 0 && now - startedMs < rules.coldMs();
+    }
+
+    /** The part of its capacity that the rules promise by now. */
+    double warmShare(Rules rules, double now) {
+      return Math.min(1, rules.coldFrom() + (1 - rules.coldFrom()) * (now - startedMs) / rules.coldMs());
+    }
+  }
+
+  /** One request taken and not yet finally answered. */
+  static class JobState {
+    final Request request;
+    final RequestClass type;
+    final double takenAt;
+    /** Waits for the counter; its call is unanswered; its units are, or may be, in the shared count. */
+    boolean waiting;
+    boolean called;
+    boolean added;
+    /** Units that its call adds. */
+    double asked;
+    boolean inQuota;
+    boolean held;
+    boolean streaming;
+    boolean mayHaveRun;
+    boolean abandoned;
+    /** Its last attempt found no connection. */
+    boolean unreached;
+    double keyedUntil = Double.POSITIVE_INFINITY;
+    int attempts;
+
+    JobState(Request request, RequestClass type, double now) {
+      this.request = request;
+      this.type = type;
+      this.takenAt = now;
+    }
+
+    double aim() {
+      return type.aimMs() > 0 ? type.aimMs() : Math.max(1, request.giveUpMs() - takenAt);
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/willowdoor/Fixtures.java
@@ -0,0 +1,153 @@
+package willowdoor;
+
+import java.util.ArrayList;
+import java.util.List;
+import willowdoor.GatewayApi.Action;
+import willowdoor.GatewayApi.Add;
+import willowdoor.GatewayApi.Allowed;
+import willowdoor.GatewayApi.BackendEntry;
+import willowdoor.GatewayApi.Counted;
+import willowdoor.GatewayApi.Event;
+import willowdoor.GatewayApi.Group;
+import willowdoor.GatewayApi.Load;
+import willowdoor.GatewayApi.Outcome;
+import willowdoor.GatewayApi.Phase;
+import willowdoor.GatewayApi.Plan;
+import willowdoor.GatewayApi.Repeat;
+import willowdoor.GatewayApi.Request;
+import willowdoor.GatewayApi.RequestClass;
+import willowdoor.GatewayApi.Roster;
+import willowdoor.GatewayApi.RosterForm;
+import willowdoor.GatewayApi.Rules;
+import willowdoor.GatewayApi.Send;
+import willowdoor.GatewayApi.Settings;
+import willowdoor.GatewayApi.Status;
+import willowdoor.GatewayApi.WakeAt;
+import willowdoor.GatewayApi.Woken;
+
+/** A gateway under test: its module, a clock, and all that the module asked for. */
+final class Fixtures {
+
+  static final Plan RATED = new Plan("rated", 2, 10, 0, 1, 0, 1, 0, 0, 0);
+  static final Plan CEILED = new Plan("ceiled", 2, 10, 0, 1, 0, 1, 4, 20, 2);
+  static final Plan WIDE = new Plan("wide", 40, 100, 0, 1, 0, 1, 80, 200, 20);
+  static final Plan BROAD = new Plan("broad", 40, 100, 0, 1, 0, 1, 0, 0, 0);
+  static final Plan FREE = new Plan("free", 0, 0, 0, 1, 0, 1, 0, 0, 0);
+  static final Plan NARROW = new Plan("narrow", 0, 0, 2, 1, 0, 1, 0, 0, 0);
+
+  final QuotaPolicy policy;
+  final List<Action> all = new ArrayList<>();
+  List<Action> last = List.of();
+  double now;
+  private int next;
+
+  Fixtures(Settings settings) {
+    this(settings, 1_000_000);
+  }
+
+  Fixtures(Settings settings, double startMs) {
+    now = startMs;
+    policy = new QuotaPolicy(settings, 7 + settings.self());
+    take(policy.start(now));
+  }
+
+  static Settings settings(boolean counter, int gateways, boolean ask) {
+    return settings(counter, gateways, ask, 0);
+  }
+
+  static Settings settings(boolean counter, int gateways, boolean ask, int self) {
+    List<RequestClass> classes = List.of(
+        new RequestClass("safe", 1, 0, 1000, 4000, Repeat.SAFE, Group.ALL, 0, false),
+        new RequestClass("unsafe", 1, 0, 1000, 4000, Repeat.UNSAFE, Group.ALL, 0, false),
+        new RequestClass("cell", 1, 0, 1000, 4000, Repeat.KEYED, Group.CELL, 3000, false),
+        new RequestClass("zone", 1, 0, 1000, 4000, Repeat.KEYED, Group.ZONE, 3000, false),
+        new RequestClass("stream", 1, 0, 1000, 4000, Repeat.SAFE, Group.ALL, 0, true));
+    return new Settings(gateways, self, "a", 4, 0, false, classes,
+        List.of(RATED, CEILED, FREE, NARROW, WIDE, BROAD),
+        new Allowed(counter, 30, true, false, 4, 1000, true, 2000, ask), new Rules(8, 0.2, 10_000, 3, 2000));
+  }
+
+  static Fixtures counted() {
+    return new Fixtures(settings(true, 2, false)).backends(4);
+  }
+
+  Fixtures backends(int n) {
+    List<BackendEntry> entries = new ArrayList<>();
+    for (int i = 0; i < n; i++) {
+      entries.add(new BackendEntry(i, i % 2 == 0 ? "a" : "b", i, Phase.SERVING, 1, 0));
+    }
+    return on(new Roster(RosterForm.REMEMBERED, entries));
+  }
+
+  Fixtures on(Event event) {
+    take(policy.on(now, event));
+    return this;
+  }
+
+  private void take(List<Action> actions) {
+    last = actions;
+    all.addAll(actions);
+  }
+
+  Fixtures pass(double ms) {
+    now += ms;
+    return this;
+  }
+
+  /** Lets time go by with the module's own timer running. */
+  Fixtures run(double ms) {
+    List<Action> seen = new ArrayList<>();
+    for (double end = now + ms; now < end;) {
+      now = Math.min(end, now + 25);
+      on(new Woken("tick"));
+      seen.addAll(last);
+    }
+    seen.removeIf(a -> a instanceof WakeAt);
+    last = seen;
+    return this;
+  }
+
+  String request(String className, String plan, double units) {
+    String id = "r" + next++;
+    on(new Request(id, className, plan, 42, 2, units, now + 4000));
+    return id;
+  }
+
+  Fixtures total(double total) {
+    return on(new Counted(lastAdd().name(), Status.OK, total, 2));
+  }
+
+  Fixtures callFails(Status status) {
+    return on(new Counted(lastAdd().name(), status, 0, 30));
+  }
+
+  Fixtures outcome(Send send, int attempt, Status status, boolean over) {
+    return on(new Outcome(send.request(), attempt, send.backend(), status, 50, over, 0, null));
+  }
+
+  Fixtures report(Send send, int attempt, double inFlight) {
+    return on(new Outcome(send.request(), attempt, send.backend(), Status.OK, 50, true, 0,
+        new Load(inFlight, 50)));
+  }
+
+  Add lastAdd() {
+    return find(all, Add.class);
+  }
+
+  <T extends Action> T only(Class<T> type) {
+    return find(last, type);
+  }
+
+  <T extends Action> boolean did(Class<T> type) {
+    return last.stream().anyMatch(type::isInstance);
+  }
+
+  private static <T extends Action> T find(List<Action> actions, Class<T> type) {
+    for (int i = actions.size() - 1; i >= 0; i--) {
+      if (type.isInstance(actions.get(i))) {
+        return type.cast(actions.get(i));
+      }
+    }
+    throw new AssertionError("no " + type.getSimpleName() + " in " + actions);
+  }
+}
