--- a/src/main/java/willowdoor/BenchLink.java
+++ b/src/main/java/willowdoor/BenchLink.java
@@ -1,9 +1,14 @@
 package willowdoor;
 
+import static willowdoor.JsonFields.child;
+import static willowdoor.JsonFields.children;
+import static willowdoor.JsonFields.flag;
+import static willowdoor.JsonFields.number;
+import static willowdoor.JsonFields.text;
+
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonParser;
-import com.fasterxml.jackson.core.JsonToken;
 import java.io.BufferedOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
@@ -14,7 +19,6 @@
 import java.util.Map;
 import willowdoor.GatewayApi.Action;
 import willowdoor.GatewayApi.Add;
-import willowdoor.GatewayApi.Allowed;
 import willowdoor.GatewayApi.BackendEntry;
 import willowdoor.GatewayApi.Cancel;
 import willowdoor.GatewayApi.ClientLeft;
@@ -22,20 +26,14 @@
 import willowdoor.GatewayApi.Event;
 import willowdoor.GatewayApi.Fail;
 import willowdoor.GatewayApi.FollowRoster;
-import willowdoor.GatewayApi.Group;
 import willowdoor.GatewayApi.Load;
 import willowdoor.GatewayApi.Outcome;
 import willowdoor.GatewayApi.Phase;
-import willowdoor.GatewayApi.Plan;
 import willowdoor.GatewayApi.Refuse;
-import willowdoor.GatewayApi.Repeat;
 import willowdoor.GatewayApi.Request;
-import willowdoor.GatewayApi.RequestClass;
 import willowdoor.GatewayApi.Roster;
 import willowdoor.GatewayApi.RosterForm;
-import willowdoor.GatewayApi.Rules;
 import willowdoor.GatewayApi.Send;
-import willowdoor.GatewayApi.Settings;
 import willowdoor.GatewayApi.Status;
 import willowdoor.GatewayApi.StreamBegan;
 import willowdoor.GatewayApi.WakeAt;
@@ -68,7 +66,7 @@
     long number = 0;
     boolean faulty = false;
     while (in.nextToken() != null) {
-      Map<String, Object> message = object();
+      Map<String, Object> message = JsonFields.object(in);
       String name = text(message, "m");
       switch (name) {
         case "Mark" -> {
@@ -106,7 +104,7 @@
   private List<Action> actions(int door, String name, Map<String, Object> message, double now) {
     if (name.equals("Attach")) {
       long seed = (long) number(message, "RandomSeed");
-      QuotaPolicy policy = new QuotaPolicy(settings(child(message, "Setup")), seed);
+      QuotaPolicy policy = new QuotaPolicy(WireSettings.read(child(message, "Setup")), seed);
       policies.put(door, policy);
       return policy.start(now);
     }
@@ -165,42 +163,6 @@
     return entries;
   }
 
-  private static Settings settings(Map<String, Object> s) {
-    Map<String, Object> bounds = child(s, "Bounds");
-    Map<String, Object> extra = child(s, "Extra");
-    Map<String, Object> rules = child(s, "Rules");
-    List<RequestClass> classes = new ArrayList<>();
-    for (Map<String, Object> c : children(s, "Profiles")) {
-      classes.add(new RequestClass(text(c, "Name"), number(c, "Value", 1), number(c, "LateValue"),
-          number(c, "AimMs"), number(c, "DeadlineMs"), switch (text(c, "Repeat")) {
-            case "pure" -> Repeat.SAFE;
-            case "token" -> Repeat.KEYED;
-            default -> Repeat.UNSAFE;
-          }, switch (text(c, "Group")) {
-            case "all" -> Group.ALL;
-            case "zone" -> Group.ZONE;
-            default -> Group.CELL;
-          }, number(c, "RepeatWindowMs"), flag(c, "Stream")));
-    }
-    List<Plan> plans = new ArrayList<>();
-    for (Map<String, Object> p : children(s, "Tariffs")) {
-      plans.add(new Plan(text(p, "Name"), number(p, "Refill"), number(p, "PeakUnits"),
-          (int) number(p, "Open"), number(p, "WorthFactor", 1), number(p, "BeyondEarns"),
-          number(p, "OverrunCost"),
-          number(p, "CeilingRate"), number(p, "CeilingBurst"), number(p, "HardSlack")));
-    }
-    String weights = text(s, "WeightKind");
-    return new Settings((int) number(s, "Balancers", 1), (int) number(s, "SelfIndex"), text(s, "MyZone"),
-        number(extra, "MaxUnits", 1), number(child(s, "Prices"), "CrossZone"),
-        weights.equals("nominal") || weights.equals("rough"), classes, plans,
-        new Allowed(flag(extra, "Counter"), number(extra, "CountLimitMs"), flag(bounds, "Cancel"),
-            flag(bounds, "MayDuplicate"), (int) number(bounds, "MaxAttempts", 1),
-            (int) number(bounds, "MaxOpen", Integer.MAX_VALUE), flag(bounds, "RetryAfter"),
-            number(bounds, "MaxRetryAfterMs"), text(s, "Discovery").equals("ask")),
-        new Rules(number(rules, "AnswerSlackMs"), number(rules, "ColdFrom", 1), number(rules, "ColdMs"),
-            number(rules, "TipMultiple", 1), number(rules, "TipAfterMs", 1)));
-  }
-
   private void write(int door, Action action) throws IOException {
     if (action instanceof Send a) {
       begin("Relay", door);
@@ -256,75 +218,4 @@
     out.flush();
     out.disable(JsonGenerator.Feature.FLUSH_PASSED_TO_STREAM);
   }
-
-  /** Reads the object at the parser's place; anything else is malformed. */
-  private Map<String, Object> object() throws IOException {
-    if (in.currentToken() != JsonToken.START_OBJECT) {
-      throw new IOException("expected an object, found " + in.currentToken());
-    }
-    Map<String, Object> fields = new HashMap<>();
-    while (in.nextToken() == JsonToken.FIELD_NAME) {
-      String field = in.currentName();
-      in.nextToken();
-      fields.put(field, value());
-    }
-    if (in.currentToken() != JsonToken.END_OBJECT) {
-      throw new IOException("input ends inside a message");
-    }
-    return fields;
-  }
-
-  private Object value() throws IOException {
-    return switch (in.currentToken()) {
-      case START_OBJECT -> object();
-      case START_ARRAY -> {
-        List<Object> items = new ArrayList<>();
-        while (in.nextToken() != JsonToken.END_ARRAY) {
-          items.add(value());
-        }
-        yield items;
-      }
-      case VALUE_STRING -> in.getText();
-      case VALUE_NUMBER_INT -> in.getNumberType() == JsonParser.NumberType.BIG_INTEGER
-          ? (Object) in.getBigIntegerValue() : (Object) in.getLongValue();
-      case VALUE_NUMBER_FLOAT -> in.getDoubleValue();
-      case VALUE_TRUE -> Boolean.TRUE;
-      case VALUE_FALSE -> Boolean.FALSE;
-      default -> null;
-    };
-  }
-
-  private static String text(Map<String, Object> fields, String name) {
-    return fields.get(name) instanceof String s ? s : "";
-  }
-
-  private static double number(Map<String, Object> fields, String name) {
-    return number(fields, name, 0);
-  }
-
-  private static double number(Map<String, Object> fields, String name, double absent) {
-    return fields.get(name) instanceof Number n ? n.doubleValue() : absent;
-  }
-
-  private static boolean flag(Map<String, Object> fields, String name) {
-    return Boolean.TRUE.equals(fields.get(name));
-  }
-
-  @SuppressWarnings("unchecked")
-  private static Map<String, Object> child(Map<String, Object> fields, String name) {
-    return fields.get(name) instanceof Map<?, ?> m ? (Map<String, Object>) m : Map.of();
-  }
-
-  @SuppressWarnings("unchecked")
-  private static List<Map<String, Object>> children(Map<String, Object> fields, String name) {
-    List<Map<String, Object>> found = new ArrayList<>();
-    if (fields.get(name) instanceof List<?> items) {
-      for (Object item : items) {
-        if (item instanceof Map<?, ?> m) {
-          found.add((Map<String, Object>) m);
-        }
-      }
-    }
-    return found;
-  }
 }
--- a/src/main/java/willowdoor/Main.java
+++ b/src/main/java/willowdoor/Main.java
@@ -1,23 +1,28 @@
 package willowdoor;
 
 import java.io.IOException;
+import willowdoor.net.FrontDoor;
 
-/** Runs the module on the bench's wire, over standard input and output. */
+/** Runs the module as a real front door, or on the bench's wire over standard input and output. */
 public final class Main {
 
   private Main() {
   }
 
-  public static void main(String[] args) {
-    if (args.length != 1 || !args[0].equals("benchlink")) {
-      System.err.println("usage: java -jar willowdoor.jar benchlink");
-      System.exit(2);
-    }
+  public static void main(String[] args) throws InterruptedException {
+    String mode = args.length == 1 ? args[0] : "";
     try {
-      new BenchLink(System.in, System.out).run();
+      switch (mode) {
+        case "serve" -> FrontDoor.serve();
+        case "benchlink" -> new BenchLink(System.in, System.out).run();
+        default -> {
+          System.err.println("usage: java -jar willowdoor.jar serve|benchlink");
+          System.exit(2);
+        }
+      }
     } catch (IOException | RuntimeException e) {
       String reason = String.valueOf(e.getMessage()).lines().findFirst().orElse("");
-      System.err.println("willowdoor: bad input: " + reason);
+      System.err.println("willowdoor: " + (mode.equals("serve") ? "cannot serve: " : "bad input: ") + reason);
       System.exit(1);
     }
   }
--- /dev/null
+++ b/src/main/java/willowdoor/WireSettings.java
@@ -0,0 +1,61 @@
+package willowdoor;
+
+import static willowdoor.JsonFields.child;
+import static willowdoor.JsonFields.children;
+import static willowdoor.JsonFields.flag;
+import static willowdoor.JsonFields.number;
+import static willowdoor.JsonFields.text;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import willowdoor.GatewayApi.Allowed;
+import willowdoor.GatewayApi.Group;
+import willowdoor.GatewayApi.Plan;
+import willowdoor.GatewayApi.Repeat;
+import willowdoor.GatewayApi.RequestClass;
+import willowdoor.GatewayApi.Rules;
+import willowdoor.GatewayApi.Settings;
+
+/** The settings object as the wire names it; the bench's adapter and the real front door read the same one. */
+public final class WireSettings {
+
+  private WireSettings() {
+  }
+
+  public static Settings read(Map<String, Object> s) {
+    Map<String, Object> bounds = child(s, "Bounds");
+    Map<String, Object> extra = child(s, "Extra");
+    Map<String, Object> rules = child(s, "Rules");
+    List<RequestClass> classes = new ArrayList<>();
+    for (Map<String, Object> c : children(s, "Profiles")) {
+      classes.add(new RequestClass(text(c, "Name"), number(c, "Value", 1), number(c, "LateValue"),
+          number(c, "AimMs"), number(c, "DeadlineMs"), switch (text(c, "Repeat")) {
+            case "pure" -> Repeat.SAFE;
+            case "token" -> Repeat.KEYED;
+            default -> Repeat.UNSAFE;
+          }, switch (text(c, "Group")) {
+            case "all" -> Group.ALL;
+            case "zone" -> Group.ZONE;
+            default -> Group.CELL;
+          }, number(c, "RepeatWindowMs"), flag(c, "Stream")));
+    }
+    List<Plan> plans = new ArrayList<>();
+    for (Map<String, Object> p : children(s, "Tariffs")) {
+      plans.add(new Plan(text(p, "Name"), number(p, "Refill"), number(p, "PeakUnits"),
+          (int) number(p, "Open"), number(p, "WorthFactor", 1), number(p, "BeyondEarns"),
+          number(p, "OverrunCost"),
+          number(p, "CeilingRate"), number(p, "CeilingBurst"), number(p, "HardSlack")));
+    }
+    String weights = text(s, "WeightKind");
+    return new Settings((int) number(s, "Balancers", 1), (int) number(s, "SelfIndex"), text(s, "MyZone"),
+        number(extra, "MaxUnits", 1), number(child(s, "Prices"), "CrossZone"),
+        weights.equals("nominal") || weights.equals("rough"), classes, plans,
+        new Allowed(flag(extra, "Counter"), number(extra, "CountLimitMs"), flag(bounds, "Cancel"),
+            flag(bounds, "MayDuplicate"), (int) number(bounds, "MaxAttempts", 1),
+            (int) number(bounds, "MaxOpen", Integer.MAX_VALUE), flag(bounds, "RetryAfter"),
+            number(bounds, "MaxRetryAfterMs"), text(s, "Discovery").equals("ask")),
+        new Rules(number(rules, "AnswerSlackMs"), number(rules, "ColdFrom", 1), number(rules, "ColdMs"),
+            number(rules, "TipMultiple", 1), number(rules, "TipAfterMs", 1)));
+  }
+}
--- /dev/null
+++ b/src/main/java/willowdoor/net/Attempt.java
@@ -0,0 +1,66 @@
+package willowdoor.net;
+
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.util.concurrent.Future;
+import willowdoor.GatewayApi.Status;
+
+/** One attempt of a request at one backend, from the module's send to its one outcome. */
+abstract class Attempt {
+
+  final FullHttpRequest message;
+  final double timeoutMs;
+  /** Null while the attempt has no connection yet. */
+  BackendConnection connection;
+  /** True once the request's last byte went to the kernel: from then on the backend may have run it. */
+  boolean written;
+  /** Fires when the attempt's time is up. */
+  Future<?> timer;
+  private boolean ended;
+
+  Attempt(FullHttpRequest message, double timeoutMs) {
+    this.message = message;
+    this.timeoutMs = timeoutMs;
+  }
+
+  final boolean ended() {
+    return ended;
+  }
+
+  /** How a broken connection ends this attempt: whether it may have run is told by the write alone. */
+  final Status broken() {
+    return written ? Status.RESET : Status.UNREACHABLE;
+  }
+
+  /** How running out of time ends this attempt. */
+  final Status overdue() {
+    return written ? Status.TIMED_OUT : Status.UNREACHABLE;
+  }
+
+  /** Ends the attempt; later endings are ignored, so that the module gets exactly one outcome. */
+  final void end(Status status, FullHttpResponse answer) {
+    if (ended) {
+      return;
+    }
+    ended = true;
+    if (timer != null) {
+      timer.cancel(false);
+    }
+    onEnd(status, answer);
+  }
+
+  /** Stops waiting. The connection is given up with it, as an answer may still come on it. */
+  final void abandon(Status status) {
+    if (ended) {
+      return;
+    }
+    BackendConnection used = connection;
+    end(status, null);
+    if (used != null) {
+      used.close();
+    }
+  }
+
+  /** The answer is only lent, and null unless the status is OK. */
+  abstract void onEnd(Status status, FullHttpResponse answer);
+}
--- /dev/null
+++ b/src/main/java/willowdoor/net/BackendPool.java
@@ -0,0 +1,180 @@
+package willowdoor.net;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import willowdoor.GatewayApi.BackendEntry;
+import willowdoor.GatewayApi.Phase;
+import willowdoor.GatewayApi.Status;
+
+/** The connections to the backends, and the attempts on them. It picks no backend and repeats nothing. */
+final class BackendPool {
+
+  static final int MOST_BODY = 64 * 1024;
+  /** All connections to backends, idle ones too: their part of the descriptors that a process may hold. */
+  static final int MOST_CONNECTIONS = 440;
+  /** An idle connection is retired at this share of the backends' own limit, well before they close it. */
+  private static final double RETIRE_AT = 0.6;
+  private static final long SWEEP_MS = 500;
+
+  /** One backend's place and connections. */
+  static final class Backend {
+    private InetSocketAddress place;
+    private double startedMs;
+    /** The last one in was used last, and is used next: the others grow old and are retired. */
+    private final ArrayDeque<BackendConnection> idle = new ArrayDeque<>();
+    private final Set<Attempt> connecting = new HashSet<>();
+  }
+
+  private final EventLoop loop;
+  private final Clock clock;
+  private final Bootstrap bootstrap;
+  private final double idleLimitMs;
+  private final Map<Long, Backend> backends = new HashMap<>();
+  private int connections;
+
+  BackendPool(EventLoop loop, Clock clock, double connectLimitMs, double idleLimitMs) {
+    this.loop = loop;
+    this.clock = clock;
+    this.idleLimitMs = idleLimitMs * RETIRE_AT;
+    bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+        .option(ChannelOption.TCP_NODELAY, true)
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.ceil(connectLimitMs));
+    loop.scheduleWithFixedDelay(this::retireIdle, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+  }
+
+  /** Takes the places that discovery tells; backends that drain or are gone lose their unused connections. */
+  void onRoster(RosterNews news) {
+    Set<Long> named = new HashSet<>();
+    for (BackendEntry e : news.entries()) {
+      named.add(e.id());
+      if (e.phase() != Phase.SERVING) {
+        remove(e.id());
+        continue;
+      }
+      Backend b = backends.computeIfAbsent(e.id(), id -> new Backend());
+      InetSocketAddress place = news.places().get(e.id());
+      if (!place.equals(b.place) || b.startedMs != e.startedMs()) {
+        List.copyOf(b.idle).forEach(BackendConnection::close);
+        b.place = place;
+        b.startedMs = e.startedMs();
+      }
+    }
+    if (news.full()) {
+      List.copyOf(backends.keySet()).stream().filter(id -> !named.contains(id)).forEach(this::remove);
+    }
+  }
+
+  /** Guards the rule on drains: an attempt that still waits for its connection is not written any more. */
+  private void remove(long id) {
+    Backend b = backends.remove(id);
+    if (b != null) {
+      List.copyOf(b.idle).forEach(BackendConnection::close);
+      List.copyOf(b.connecting).forEach(a -> a.abandon(Status.UNREACHABLE));
+    }
+  }
+
+  boolean knowsAny() {
+    return !backends.isEmpty();
+  }
+
+  /** Starts an attempt on an idle connection, or on a new one. */
+  void start(long id, Attempt attempt) {
+    Backend b = backends.get(id);
+    if (b == null) {
+      attempt.end(Status.UNREACHABLE, null);
+      return;
+    }
+    long timeout = Math.max(0, (long) (attempt.timeoutMs * 1000));
+    attempt.timer = loop.schedule(() -> attempt.abandon(attempt.overdue()), timeout, TimeUnit.MICROSECONDS);
+    BackendConnection c = b.idle.pollLast();
+    while (c != null && !c.usable()) {
+      c = b.idle.pollLast();
+    }
+    if (c != null) {
+      c.carry(attempt, request(b, attempt));
+    } else if (connections >= MOST_CONNECTIONS && !dropIdle()) {
+      attempt.end(Status.UNREACHABLE, null);
+    } else {
+      connect(b, attempt);
+    }
+  }
+
+  private void connect(Backend b, Attempt attempt) {
+    connections++;
+    b.connecting.add(attempt);
+    BackendConnection c = new BackendConnection(this, b);
+    ChannelFuture connected = bootstrap.clone().handler(new ChannelInitializer<Channel>() {
+      @Override
+      protected void initChannel(Channel channel) {
+        channel.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(MOST_BODY), c);
+      }
+    }).connect(b.place);
+    connected.addListener((ChannelFuture f) -> {
+      b.connecting.remove(attempt);
+      // Guards against writing what has timed out, was cancelled or must not reach a drained backend.
+      if (attempt.ended()) {
+        f.channel().close();
+      } else if (f.isSuccess()) {
+        c.carry(attempt, request(b, attempt));
+      } else {
+        attempt.end(Status.UNREACHABLE, null);
+      }
+    });
+    connected.channel().closeFuture().addListener(f -> connections--);
+  }
+
+  private static FullHttpRequest request(Backend b, Attempt attempt) {
+    FullHttpRequest request = attempt.message.retainedDuplicate();
+    request.headers().set(Headers.TIMEOUT_MS, Long.toString((long) Math.ceil(attempt.timeoutMs)));
+    return request;
+  }
+
+  void release(BackendConnection c) {
+    if (backends.containsValue(c.backend)) {
+      c.idleSince = clock.now();
+      c.backend.idle.addLast(c);
+    } else {
+      c.close();
+    }
+  }
+
+  void closed(BackendConnection c) {
+    c.backend.idle.remove(c);
+  }
+
+  private void retireIdle() {
+    double before = clock.now() - idleLimitMs;
+    for (Backend b : backends.values()) {
+      while (!b.idle.isEmpty() && b.idle.peekFirst().idleSince < before) {
+        b.idle.pollFirst().close();
+      }
+    }
+  }
+
+  private boolean dropIdle() {
+    for (Backend b : backends.values()) {
+      BackendConnection c = b.idle.pollFirst();
+      if (c != null) {
+        c.close();
+        return true;
+      }
+    }
+    return false;
+  }
+}
--- /dev/null
+++ b/src/main/java/willowdoor/net/ClientConnection.java
@@ -0,0 +1,246 @@
+package willowdoor.net;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.TooLongHttpContentException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Locale;
+import java.util.concurrent.TimeUnit;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+import willowdoor.GatewayApi.Request;
+
+/** One client's connection: a request at a time, each with the one final answer. */
+final class ClientConnection extends SimpleChannelInboundHandler<FullHttpRequest> {
+
+  private static final Logger LOG = Logger.getLogger(ClientConnection.class.getName());
+  /** How long a connection that is ended over bad input stays half open, so that the answer is read. */
+  private static final long LINGER_MS = 500;
+
+  private final ClientServer server;
+  private Channel channel;
+  /** The request that is being worked on, and whether its connection is kept after it. */
+  private String current;
+  private boolean keepAlive;
+  private boolean ending;
+  /** Requests written behind it, which wait their turn; nothing more is read meanwhile. */
+  private final ArrayDeque<FullHttpRequest> behind = new ArrayDeque<>(0);
+
+  ClientConnection(ClientServer server) {
+    super(false);
+    this.server = server;
+  }
+
+  @Override
+  public void handlerAdded(ChannelHandlerContext ctx) {
+    channel = ctx.channel();
+    server.opened(this);
+  }
+
+  @Override
+  protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest message) {
+    if (ending) {
+      message.release();
+    } else if (current != null) {
+      behind.add(message);
+      channel.config().setAutoRead(false);
+    } else {
+      handle(message);
+    }
+  }
+
+  private void handle(FullHttpRequest message) {
+    try {
+      keepAlive = HttpUtil.isKeepAlive(message);
+      if (message.decoderResult().isFailure()) {
+        endWith(HttpResponseStatus.BAD_REQUEST, "malformed request");
+      } else if (message.uri().equals("/up")) {
+        up(message);
+      } else if (server.full()) {
+        refused(0);
+      } else {
+        take(message);
+      }
+    } finally {
+      message.release();
+    }
+  }
+
+  private void up(FullHttpRequest message) {
+    boolean get = message.method().equals(HttpMethod.GET);
+    answer(!get ? HttpResponseStatus.METHOD_NOT_ALLOWED
+        : server.ready() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE);
+  }
+
+  private void take(FullHttpRequest message) {
+    Request request;
+    try {
+      request = server.read(message);
+    } catch (RequestReader.BadRequest e) {
+      answer(HttpResponseStatus.BAD_REQUEST, e.getMessage());
+      return;
+    }
+    FullHttpRequest onward = onward(message);
+    current = request.id();
+    server.driver().take(request, onward, new ModuleDriver.Client() {
+      @Override
+      public void served(FullHttpResponse answer) {
+        current = null;
+        ClientConnection.this.served(answer);
+      }
+
+      @Override
+      public void refused(double holdOffMs) {
+        current = null;
+        ClientConnection.this.refused(holdOffMs);
+      }
+
+      @Override
+      public void failed() {
+        current = null;
+        answer(HttpResponseStatus.BAD_GATEWAY);
+      }
+    });
+    onward.release();
+  }
+
+  /** What goes on to a backend: the request line, the body and the headers that are passed on, unchanged. */
+  private static FullHttpRequest onward(FullHttpRequest message) {
+    HttpHeaders from = message.headers();
+    DefaultFullHttpRequest onward = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, message.method(),
+        message.uri(), message.content().retain());
+    for (CharSequence name : new CharSequence[] {HttpHeaderNames.HOST, Headers.REQUEST_ID,
+        Headers.REQUEST_CLASS, Headers.IDEMPOTENCY_KEY, HttpHeaderNames.CONTENT_TYPE}) {
+      String value = from.get(name);
+      if (value != null) {
+        onward.headers().set(name, value);
+      }
+    }
+    if (message.content().isReadable() || message.method().equals(HttpMethod.POST)) {
+      onward.headers().set(HttpHeaderNames.CONTENT_LENGTH, message.content().readableBytes());
+    }
+    return onward;
+  }
+
+  private void served(FullHttpResponse from) {
+    DefaultFullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK,
+        from.content().retain());
+    String type = from.headers().get(HttpHeaderNames.CONTENT_TYPE);
+    if (type != null) {
+      answer.headers().set(HttpHeaderNames.CONTENT_TYPE, type);
+    }
+    write(answer);
+  }
+
+  private void refused(double holdOffMs) {
+    FullHttpResponse answer = empty(holdOffMs > 0 ? HttpResponseStatus.TOO_MANY_REQUESTS
+        : HttpResponseStatus.SERVICE_UNAVAILABLE);
+    if (holdOffMs > 0) {
+      answer.headers().set(HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.3f", holdOffMs / 1000));
+    }
+    write(answer);
+  }
+
+  private void answer(HttpResponseStatus status) {
+    write(empty(status));
+  }
+
+  private void answer(HttpResponseStatus status, String reason) {
+    ByteBuf text = Unpooled.copiedBuffer(reason + "\n", StandardCharsets.US_ASCII);
+    write(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, text));
+  }
+
+  private static FullHttpResponse empty(HttpResponseStatus status) {
+    return new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
+  }
+
+  private void write(FullHttpResponse answer) {
+    answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, answer.content().readableBytes());
+    boolean keep = keepAlive && !server.draining();
+    if (!keep) {
+      ending = true;
+      answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+    }
+    channel.writeAndFlush(answer).addListener(keep ? ChannelFutureListener.CLOSE_ON_FAILURE
+        : ChannelFutureListener.CLOSE);
+    FullHttpRequest next = behind.poll();
+    if (ending) {
+      dropBehind();
+    }
+    if (next != null && !ending) {
+      channel.config().setAutoRead(behind.isEmpty());
+      // Not at once: answers that come at once would nest as deep as the requests behind each other.
+      channel.eventLoop().execute(() -> handle(next));
+    } else if (next != null) {
+      next.release();
+    }
+  }
+
+  /** Answers what cannot be read any further, and lets the client read that before the connection ends. */
+  void endWith(HttpResponseStatus status, String reason) {
+    if (ending) {
+      return;
+    }
+    ending = true;
+    dropBehind();
+    ByteBuf text = Unpooled.copiedBuffer(reason + "\n", StandardCharsets.US_ASCII);
+    FullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, text);
+    answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, text.readableBytes());
+    answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+    channel.writeAndFlush(answer).addListener(f -> ((SocketChannel) channel).shutdownOutput());
+    channel.eventLoop().schedule(() -> channel.close(), LINGER_MS, TimeUnit.MILLISECONDS);
+  }
+
+  /** Ends the connection if no request is on it; one that is answered while draining ends by itself. */
+  void closeIfIdle() {
+    if (current == null && !ending) {
+      ending = true;
+      channel.close();
+    }
+  }
+
+  private void dropBehind() {
+    behind.forEach(FullHttpRequest::release);
+    behind.clear();
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext ctx) {
+    ending = true;
+    dropBehind();
+    server.closed(this);
+    if (current != null) {
+      server.driver().clientLeft(current);
+      current = null;
+    }
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+    if (cause instanceof TooLongHttpContentException) {
+      endWith(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body is too large");
+      return;
+    }
+    if (cause instanceof RuntimeException) {
+      LOG.log(Level.SEVERE, "request failed", cause);
+    }
+    ctx.close();
+  }
+}
--- /dev/null
+++ b/src/main/java/willowdoor/net/CounterClient.java
@@ -0,0 +1,268 @@
+package willowdoor.net;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.LineBasedFrameDecoder;
+import java.math.BigDecimal;
+import java.math.RoundingMode;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import willowdoor.GatewayApi.Counted;
+import willowdoor.GatewayApi.Status;
+
+/**
+ * Calls to the counter, pipelined on a few kept connections. A call goes to the connection with the fewest
+ * answers owed, so that one slow part of the counter holds up only what already waits behind it; calls for
+ * one name keep their order.
+ */
+final class CounterClient {
+
+  private static final int CONNECTIONS = 12;
+  /** Answers that one connection may owe; beyond that a call is turned away here. */
+  private static final int MOST_OWED = 256;
+  private static final int MOST_LINE = 256;
+  private static final long SWEEP_MS = 100;
+  /** A connection that owes an answer for so long is taken for dead: far longer than any line of calls. */
+  private static final double SILENT_MS = 600;
+  /** An idle connection is pinged this often: it stays open, and a dead one shows. */
+  private static final double PING_MS = 3_000;
+  private static final double LEAST_BACKOFF_MS = 50;
+  private static final double MOST_BACKOFF_MS = 400;
+
+  /** One call, or a ping where the name is null; it keeps its place when it is given up. */
+  private static final class Call {
+    final String name;
+    final double startedAt;
+    Link link;
+    boolean written;
+    boolean done;
+
+    Call(String name, double startedAt) {
+      this.name = name;
+      this.startedAt = startedAt;
+    }
+  }
+
+  private final EventLoop loop;
+  private final Clock clock;
+  private final double limitMs;
+  private final Consumer<Counted> listener;
+  private final Bootstrap bootstrap;
+  private final Link[] links = new Link[CONNECTIONS];
+  /** Calls in the order of their starts, and so of their limits. */
+  private final ArrayDeque<Call> pending = new ArrayDeque<>();
+  private final Map<String, Call> lastOfName = new HashMap<>();
+  private boolean watching;
+
+  CounterClient(EventLoop loop, Clock clock, InetSocketAddress counter, double limitMs,
+      Consumer<Counted> listener) {
+    this.loop = loop;
+    this.clock = clock;
+    this.limitMs = limitMs;
+    this.listener = listener;
+    bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class).remoteAddress(counter)
+        .option(ChannelOption.TCP_NODELAY, true)
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 250);
+  }
+
+  void start() {
+    for (int i = 0; i < CONNECTIONS; i++) {
+      links[i] = new Link();
+      links[i].connect();
+    }
+    loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+  }
+
+  void add(String name, double amount, double ttlMs) {
+    Call call = new Call(name, clock.now());
+    Call before = lastOfName.get(name);
+    Link link = before != null ? before.link : leastOwing();
+    if (link == null || !link.open() || link.owed.size() >= MOST_OWED) {
+      listener.accept(new Counted(name, Status.UNREACHABLE, 0, 0));
+      return;
+    }
+    lastOfName.put(name, call);
+    pending.add(call);
+    link.send(call, "incr " + name + ' ' + plain(amount) + ' ' + Math.max(1, (long) ttlMs) + "\r\n");
+    watchLimit();
+  }
+
+  /** Decimal digits without an exponent, which the counter does not read. */
+  static String plain(double amount) {
+    if (amount == Math.rint(amount) && Math.abs(amount) < 1e9) {
+      return Long.toString((long) amount);
+    }
+    return BigDecimal.valueOf(amount).setScale(6, RoundingMode.HALF_UP).toPlainString();
+  }
+
+  private Link leastOwing() {
+    Link best = null;
+    for (Link l : links) {
+      if (l.open() && (best == null || l.owed.size() < best.owed.size())) {
+        best = l;
+      }
+    }
+    return best;
+  }
+
+  private void finish(Call call, Status status, double total) {
+    if (call.done) {
+      return;
+    }
+    call.done = true;
+    lastOfName.remove(call.name, call);
+    if (call.name != null) {
+      listener.accept(new Counted(call.name, status, total, clock.now() - call.startedAt));
+    }
+  }
+
+  /** One timer for all calls: their limits come in the order of their starts. */
+  private void watchLimit() {
+    if (!watching && !pending.isEmpty()) {
+      watching = true;
+      double left = pending.peekFirst().startedAt + limitMs - clock.now();
+      loop.schedule(this::giveUpOverdue, (long) Math.ceil(Math.max(0, left) * 1000), TimeUnit.MICROSECONDS);
+    }
+  }
+
+  private void giveUpOverdue() {
+    watching = false;
+    double now = clock.now();
+    for (Call c = pending.peekFirst(); c != null && (c.done || c.startedAt + limitMs <= now);
+        c = pending.peekFirst()) {
+      finish(pending.pollFirst(), Status.TIMED_OUT, 0);
+    }
+    watchLimit();
+  }
+
+  private void sweep() {
+    double now = clock.now();
+    for (Link l : links) {
+      l.check(now);
+    }
+  }
+
+  /** One kept connection and the answers that it owes, in order. */
+  private final class Link extends ChannelInitializer<Channel> {
+    private final ArrayDeque<Call> owed = new ArrayDeque<>();
+    private Channel channel;
+    private double heardAt;
+    private double backoffMs = LEAST_BACKOFF_MS;
+
+    boolean open() {
+      return channel != null && channel.isActive();
+    }
+
+    void connect() {
+      bootstrap.clone().handler(this).connect().addListener((ChannelFuture f) -> {
+        if (f.isSuccess()) {
+          channel = f.channel();
+          heardAt = clock.now();
+        } else {
+          later();
+        }
+      });
+    }
+
+    private void later() {
+      double wait = backoffMs * (0.5 + ThreadLocalRandom.current().nextDouble());
+      backoffMs = Math.min(MOST_BACKOFF_MS, 2 * backoffMs);
+      loop.schedule(this::connect, (long) wait, TimeUnit.MILLISECONDS);
+    }
+
+    void send(Call call, String line) {
+      call.link = this;
+      owed.add(call);
+      ByteBuf bytes = channel.alloc().buffer(line.length());
+      bytes.writeCharSequence(line, StandardCharsets.US_ASCII);
+      channel.writeAndFlush(bytes).addListener(f -> call.written = f.isSuccess());
+    }
+
+    /** Replaces the connection when it is silent: a vanished machine resets nothing. */
+    void check(double now) {
+      if (!open()) {
+        return;
+      }
+      if (owed.isEmpty()) {
+        if (now - heardAt > PING_MS) {
+          send(new Call(null, now), "ping\r\n");
+        }
+      } else if (now - Math.max(heardAt, owed.peekFirst().startedAt) > SILENT_MS) {
+        channel.close();
+      }
+    }
+
+    @Override
+    protected void initChannel(Channel ch) {
+      ch.pipeline().addLast(new LineBasedFrameDecoder(MOST_LINE), new SimpleChannelInboundHandler<ByteBuf>() {
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, ByteBuf line) {
+          answered(line.toString(StandardCharsets.US_ASCII));
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+          lost();
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+          ctx.close();
+        }
+      });
+    }
+
+    private void answered(String line) {
+      heardAt = clock.now();
+      Call call = owed.poll();
+      if (call != null && line.startsWith("ok ") && call.name != null) {
+        double total;
+        try {
+          total = Double.parseDouble(line.substring(3));
+        } catch (NumberFormatException e) {
+          total = Double.NaN;
+        }
+        if (Double.isFinite(total)) {
+          backoffMs = LEAST_BACKOFF_MS;
+          finish(call, Status.OK, total);
+          return;
+        }
+      } else if (call != null && (line.equals("busy") || line.equals("error"))) {
+        finish(call, Status.REJECTED, 0);
+        return;
+      } else if (call != null && line.equals("pong") && call.name == null) {
+        backoffMs = LEAST_BACKOFF_MS;
+        return;
+      }
+      // Junk: answers and calls are out of step, and nothing that follows can be trusted.
+      if (call != null) {
+        owed.addFirst(call);
+      }
+      channel.close();
+    }
+
+    /** What was not written whole added nothing; anything else may have been added. */
+    private void lost() {
+      channel = null;
+      while (!owed.isEmpty()) {
+        Call call = owed.poll();
+        finish(call, call.written ? Status.RESET : Status.UNREACHABLE, 0);
+      }
+      later();
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/willowdoor/net/FrontDoor.java
@@ -0,0 +1,89 @@
+package willowdoor.net;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import willowdoor.QuotaPolicy;
+
+/** One real front door: its wiring, its start and its planned end. */
+public final class FrontDoor {
+
+  /** After SIGTERM new connections go on coming for up to 0.4 s. */
+  private static final long ACCEPT_MS = 550;
+  /** SIGKILL comes no sooner than 3.7 s after SIGTERM where deadlines are long: all is answered by then. */
+  private static final long ANSWER_MS = 3_300;
+  private static final long POLL_MS = 10;
+
+  private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final EventLoop loop = group.next();
+  private final Clock clock = new Clock();
+  private final CountDownLatch drained = new CountDownLatch(1);
+  private ModuleDriver driver;
+  private ClientServer clients;
+
+  private FrontDoor() {
+  }
+
+  /** Reads the configuration that the environment names, and serves until the process is told to end. */
+  public static void serve() throws IOException, InterruptedException {
+    String file = System.getenv("GW_CONFIG");
+    if (file == null) {
+      throw new IOException("GW_CONFIG is not set");
+    }
+    start(Config.read(Path.of(file)));
+  }
+
+  static FrontDoor start(Config config) throws IOException, InterruptedException {
+    FrontDoor door = new FrontDoor();
+    try {
+      door.loop.submit(() -> door.wire(config)).sync();
+      door.clients.listen(door.group, config.listen()).sync();
+    } catch (RuntimeException e) {
+      door.group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+      throw e;
+    } catch (Exception e) {
+      door.group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+      throw new IOException("cannot listen on " + config.listen() + ": " + e.getMessage(), e);
+    }
+    door.loop.execute(door.clients::serve);
+    Runtime.getRuntime().addShutdownHook(new Thread(door::drain, "drain"));
+    return door;
+  }
+
+  private void wire(Config config) {
+    BackendPool backends = new BackendPool(loop, clock, config.connectLimitMs(), config.idleLimitMs());
+    QuotaPolicy policy = new QuotaPolicy(config.settings(), config.seed());
+    driver = new ModuleDriver(loop, clock, policy, backends);
+    clients = new ClientServer(clock, driver, backends, new RequestReader(config.settings()));
+    CounterClient counter = new CounterClient(loop, clock, config.counter(),
+        config.settings().allowed().countLimitMs(), driver::onCounted);
+    counter.start();
+    driver.start(counter, config.known());
+    new DiscoveryClient(loop, config.discovery(), config.known().version(), driver::onRoster).start();
+  }
+
+  /** The planned end: accept a little longer, answer all that was taken, then let the process go. */
+  void drain() {
+    loop.execute(clients::beginDrain);
+    loop.schedule(clients::stopAccepting, ACCEPT_MS, TimeUnit.MILLISECONDS);
+    loop.scheduleWithFixedDelay(() -> {
+      if (clients.idle()) {
+        drained.countDown();
+      }
+    }, ACCEPT_MS + POLL_MS, POLL_MS, TimeUnit.MILLISECONDS);
+    try {
+      if (!drained.await(ANSWER_MS, TimeUnit.MILLISECONDS)) {
+        loop.submit(driver::failAll).sync();
+        drained.await(ACCEPT_MS / 2, TimeUnit.MILLISECONDS);
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+  }
+}
--- /dev/null
+++ b/src/main/java/willowdoor/net/ModuleDriver.java
@@ -0,0 +1,289 @@
+package willowdoor.net;
+
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.util.concurrent.Future;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+import willowdoor.GatewayApi.Action;
+import willowdoor.GatewayApi.Add;
+import willowdoor.GatewayApi.Cancel;
+import willowdoor.GatewayApi.ClientLeft;
+import willowdoor.GatewayApi.Counted;
+import willowdoor.GatewayApi.Event;
+import willowdoor.GatewayApi.Fail;
+import willowdoor.GatewayApi.Outcome;
+import willowdoor.GatewayApi.Refuse;
+import willowdoor.GatewayApi.Request;
+import willowdoor.GatewayApi.Roster;
+import willowdoor.GatewayApi.RosterForm;
+import willowdoor.GatewayApi.Send;
+import willowdoor.GatewayApi.Status;
+import willowdoor.GatewayApi.WakeAt;
+import willowdoor.GatewayApi.Woken;
+import willowdoor.QuotaPolicy;
+
+/**
+ * Takes events to the module and its actions to the sockets; the only caller of the module. Holds the table
+ * of requests taken and attempts out. All on the event loop's thread.
+ */
+final class ModuleDriver {
+
+  private static final Logger LOG = Logger.getLogger(ModuleDriver.class.getName());
+  /** The last moment for a final answer, ahead of the client's own: later than any answer of the module. */
+  private static final double LAST_CALL_MS = 6;
+  /** A module that failed on its wake-up is woken again after this. */
+  private static final long WAKE_AGAIN_MS = 100;
+
+  /** Who waits for the one final answer. */
+  interface Client {
+    void served(FullHttpResponse answer);
+
+    void refused(double holdOffMs);
+
+    void failed();
+  }
+
+  /** One request from its taking until it is answered and none of its attempts is out. */
+  private final class Live {
+    final Request request;
+    final FullHttpRequest message;
+    final Client client;
+    final List<Attempt> attempts = new ArrayList<>(1);
+    Future<?> lastCall;
+    boolean finished;
+    int out;
+
+    Live(Request request, FullHttpRequest message, Client client) {
+      this.request = request;
+      this.message = message;
+      this.client = client;
+    }
+
+    /** Marks the final answer; true for the first caller only. */
+    boolean finish() {
+      if (finished) {
+        return false;
+      }
+      finished = true;
+      lastCall.cancel(false);
+      return true;
+    }
+
+    /** A request stays in the table while an attempt of it is out: the module still gets that outcome. */
+    void forgetIfDone() {
+      if (finished && out == 0 && live.remove(request.id(), this)) {
+        message.release();
+      }
+    }
+  }
+
+  private final EventLoop loop;
+  private final Clock clock;
+  private final QuotaPolicy policy;
+  private final BackendPool backends;
+  private CounterClient counter;
+  private final Map<String, Live> live = new HashMap<>();
+  private final ArrayDeque<Event> inbox = new ArrayDeque<>();
+  private boolean delivering;
+
+  ModuleDriver(EventLoop loop, Clock clock, QuotaPolicy policy, BackendPool backends) {
+    this.loop = loop;
+    this.clock = clock;
+    this.policy = policy;
+    this.backends = backends;
+  }
+
+  void start(CounterClient counter, RosterNews known) {
+    this.counter = counter;
+    policy.start(clock.now()).forEach(this::execute);
+    backends.onRoster(known);
+    deliver(new Roster(RosterForm.REMEMBERED, known.entries()));
+  }
+
+  int held() {
+    return live.size();
+  }
+
+  boolean holds(String id) {
+    return live.containsKey(id);
+  }
+
+  /** Takes a request; the message is kept until no attempt needs it. */
+  void take(Request request, FullHttpRequest message, Client client) {
+    Live r = new Live(request, message.retain(), client);
+    live.put(request.id(), r);
+    double left = Math.max(0, request.giveUpMs() - LAST_CALL_MS - clock.now());
+    r.lastCall = loop.schedule(() -> fail(r), (long) (left * 1000), TimeUnit.MICROSECONDS);
+    deliver(request);
+  }
+
+  void clientLeft(String id) {
+    Live r = live.get(id);
+    if (r != null && r.finish()) {
+      deliver(new ClientLeft(id));
+      r.forgetIfDone();
+    }
+  }
+
+  void onCounted(Counted counted) {
+    deliver(counted);
+  }
+
+  void onRoster(RosterNews news) {
+    backends.onRoster(news);
+    deliver(new Roster(news.full() ? RosterForm.COMPLETE : RosterForm.CHANGES, news.entries()));
+  }
+
+  /** Fails all that is still unanswered: the process is about to end. */
+  void failAll() {
+    List.copyOf(live.values()).forEach(this::fail);
+  }
+
+  /** The net under the module: a request that it left unanswered fails while its client still listens. */
+  private void fail(Live r) {
+    if (r.finish()) {
+      r.client.failed();
+      deliver(new ClientLeft(r.request.id()));
+      r.forgetIfDone();
+    }
+  }
+
+  /** Events that come up while an event is worked on wait for their turn: the module is not re-entered. */
+  private void deliver(Event event) {
+    inbox.add(event);
+    if (delivering) {
+      return;
+    }
+    delivering = true;
+    try {
+      for (Event e = inbox.poll(); e != null; e = inbox.poll()) {
+        step(e);
+      }
+    } finally {
+      delivering = false;
+    }
+  }
+
+  private void step(Event event) {
+    List<Action> actions;
+    try {
+      actions = policy.on(clock.now(), event);
+    } catch (RuntimeException e) {
+      LOG.log(Level.SEVERE, "the module failed on " + event, e);
+      recover(event);
+      return;
+    }
+    for (Action action : actions) {
+      try {
+        execute(action);
+      } catch (RuntimeException e) {
+        LOG.log(Level.SEVERE, "could not do " + action, e);
+      }
+    }
+  }
+
+  /** A fault in the module costs the request it came up with, never the process. */
+  private void recover(Event event) {
+    if (event instanceof Request e) {
+      failId(e.id());
+    } else if (event instanceof Outcome e) {
+      failId(e.request());
+    } else if (event instanceof Woken) {
+      loop.schedule(() -> deliver(event), WAKE_AGAIN_MS, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private void failId(String id) {
+    Live r = live.get(id);
+    if (r != null) {
+      fail(r);
+    }
+  }
+
+  private void execute(Action action) {
+    if (action instanceof Send a) {
+      send(a);
+    } else if (action instanceof Add a) {
+      counter.add(a.name(), a.amount(), a.ttlMs());
+    } else if (action instanceof WakeAt a) {
+      wake(a);
+    } else if (action instanceof Refuse a) {
+      Live r = live.get(a.request());
+      if (r != null && r.finish()) {
+        r.client.refused(a.holdOffMs());
+        r.forgetIfDone();
+      }
+    } else if (action instanceof Fail a) {
+      Live r = live.get(a.request());
+      if (r != null && r.finish()) {
+        r.client.failed();
+        r.forgetIfDone();
+      }
+    } else if (action instanceof Cancel a) {
+      Live r = live.get(a.request());
+      if (r != null && a.attempt() < r.attempts.size()) {
+        r.attempts.get(a.attempt()).abandon(Status.CANCELLED);
+      }
+    }
+    // FollowRoster needs nothing: the list is watched from the start.
+  }
+
+  /** Never early: the module lets a wake-up pass that comes before its time, and then none would follow. */
+  private void wake(WakeAt a) {
+    double wait = Math.max(0, a.atMs() - clock.now());
+    loop.schedule(() -> deliver(new Woken(a.label())), (long) Math.ceil(wait * 1000) + 1,
+        TimeUnit.MICROSECONDS);
+  }
+
+  private void send(Send a) {
+    Live r = live.get(a.request());
+    if (r == null || r.finished) {
+      int attempt = r == null ? 0 : r.attempts.size();
+      deliver(new Outcome(a.request(), attempt, a.backend(), Status.NOT_SENT, 0, true, 0, null));
+      return;
+    }
+    int number = r.attempts.size();
+    double sentAt = clock.now();
+    double timeout = a.timeoutMs() > 0 ? a.timeoutMs() : r.request.giveUpMs() - sentAt;
+    Attempt attempt = new Attempt(r.message, timeout) {
+      @Override
+      void onEnd(Status status, FullHttpResponse answer) {
+        attemptEnded(r, number, a.backend(), status, clock.now() - sentAt, answer);
+      }
+    };
+    r.attempts.add(attempt);
+    r.out++;
+    backends.start(a.backend(), attempt);
+  }
+
+  private void attemptEnded(Live r, int number, long backend, Status status, double latencyMs,
+      FullHttpResponse answer) {
+    r.out--;
+    double units = 0;
+    if (answer != null) {
+      units = units(answer.headers().get(Headers.UNITS_CHARGED));
+      if (r.finish()) {
+        r.client.served(answer);
+      }
+    }
+    deliver(new Outcome(r.request.id(), number, backend, status, latencyMs, r.finished, units, null));
+    r.forgetIfDone();
+  }
+
+  private static double units(String header) {
+    try {
+      double units = header == null ? 0 : Double.parseDouble(header);
+      return Double.isFinite(units) && units > 0 ? units : 0;
+    } catch (NumberFormatException e) {
+      return 0;
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/willowdoor/net/RosterNews.java
@@ -0,0 +1,80 @@
+package willowdoor.net;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import io.netty.util.NetUtil;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import willowdoor.GatewayApi.BackendEntry;
+import willowdoor.GatewayApi.Phase;
+import willowdoor.JsonFields;
+
+/** One message of discovery: the entries for the module, and where each backend listens, seen from here. */
+record RosterNews(long version, boolean full, List<BackendEntry> entries,
+    Map<Long, InetSocketAddress> places) {
+
+  private static final JsonFactory JSON = new JsonFactory();
+  private static final int MOST_BACKENDS = 10_000;
+
+  static RosterNews parse(byte[] line) throws IOException {
+    try (JsonParser in = JSON.createParser(line)) {
+      in.nextToken();
+      return of(JsonFields.object(in));
+    }
+  }
+
+  static RosterNews of(Map<String, Object> message) throws IOException {
+    List<Map<String, Object>> servers = JsonFields.children(message, "servers");
+    if (servers.size() > MOST_BACKENDS) {
+      throw new IOException("a list of " + servers.size() + " backends");
+    }
+    List<BackendEntry> entries = new ArrayList<>();
+    Map<Long, InetSocketAddress> places = new HashMap<>();
+    for (Map<String, Object> s : servers) {
+      long id = number(JsonFields.text(s, "id"));
+      Phase phase = switch (JsonFields.text(s, "state")) {
+        case "active" -> Phase.SERVING;
+        case "left" -> Phase.REMOVED;
+        default -> Phase.DRAINING;
+      };
+      InetSocketAddress address = address(JsonFields.text(s, "addr"));
+      if (address != null) {
+        places.put(id, address);
+      } else if (phase == Phase.SERVING) {
+        throw new IOException("a backend without an address: " + s.get("id"));
+      }
+      entries.add(new BackendEntry(id, JsonFields.text(s, "zone"), (int) JsonFields.number(s, "cell"), phase,
+          JsonFields.number(s, "weight", 1), JsonFields.number(s, "started_ms")));
+    }
+    return new RosterNews((long) JsonFields.number(message, "version"),
+        Boolean.TRUE.equals(message.get("full")), entries, places);
+  }
+
+  /** A backend's name as the number that the module knows it by: FNV-1a, alike at every front door. */
+  private static long number(String id) {
+    long hash = 0xcbf29ce484222325L;
+    for (byte b : id.getBytes(StandardCharsets.UTF_8)) {
+      hash = (hash ^ b & 0xff) * 0x100000001b3L;
+    }
+    return hash >>> 1;
+  }
+
+  /** A numeric address and port, or null; names are not looked up, as there is no DNS. */
+  static InetSocketAddress address(String text) {
+    int colon = text.lastIndexOf(':');
+    byte[] ip = colon < 0 ? null : NetUtil.createByteArrayFromIpAddressString(text.substring(0, colon));
+    try {
+      int port = ip == null ? -1 : Integer.parseInt(text.substring(colon + 1));
+      return port < 0 || port > 65_535 ? null : new InetSocketAddress(InetAddress.getByAddress(ip), port);
+    } catch (NumberFormatException | UnknownHostException e) {
+      return null;
+    }
+  }
+}
