--- a/src/main/java/willowdoor/WireSettings.java
+++ b/src/main/java/willowdoor/WireSettings.java
@@ -17,7 +17,7 @@
 import willowdoor.GatewayApi.Rules;
 import willowdoor.GatewayApi.Settings;
 
-/** The settings object as the wire names it; the bench's adapter and the real front door read the same one. */
+/** The settings object as the wire names it; the adapter and the real front door read the same one. */
 public final class WireSettings {
 
   private WireSettings() {
