--- a/src/main/java/willowdoor/net/BackendPool.java
+++ b/src/main/java/willowdoor/net/BackendPool.java
@@ -102,10 +102,7 @@
     }
     long timeout = Math.max(0, (long) (attempt.timeoutMs * 1000));
     attempt.timer = loop.schedule(() -> attempt.abandon(attempt.overdue()), timeout, TimeUnit.MICROSECONDS);
-    BackendConnection c = b.idle.pollLast();
-    while (c != null && !c.usable()) {
-      c = b.idle.pollLast();
-    }
+    BackendConnection c = idle(b);
     if (c != null) {
       c.carry(attempt, request(b, attempt));
     } else if (connections >= MOST_CONNECTIONS && !dropIdle()) {
@@ -115,6 +112,17 @@
     }
   }
 
+  /** The connection used last, unless it stood idle so long that the backend may be closing it. */
+  private BackendConnection idle(Backend b) {
+    double before = clock.now() - idleLimitMs;
+    BackendConnection c = b.idle.pollLast();
+    while (c != null && (!c.usable() || c.idleSince < before)) {
+      c.close();
+      c = b.idle.pollLast();
+    }
+    return c;
+  }
+
   private void connect(Backend b, Attempt attempt) {
     connections++;
     b.connecting.add(attempt);
--- a/src/main/java/willowdoor/net/ClientConnection.java
+++ b/src/main/java/willowdoor/net/ClientConnection.java
@@ -36,6 +36,8 @@
 
   private final ClientServer server;
   private Channel channel;
+  /** One connection too many: its first request is refused, and it ends. */
+  private boolean over;
   /** The request that is being worked on, and whether its connection is kept after it. */
   private String current;
   private boolean keepAlive;
@@ -51,7 +53,7 @@
   @Override
   public void handlerAdded(ChannelHandlerContext ctx) {
     channel = ctx.channel();
-    server.opened(this);
+    over = server.opened(this);
   }
 
   @Override
@@ -73,16 +75,31 @@
         endWith(HttpResponseStatus.BAD_REQUEST, "malformed request");
       } else if (message.uri().equals("/up")) {
         up(message);
-      } else if (server.full()) {
+      } else if (over || server.full()) {
+        keepAlive &= !over;
         refused(0);
       } else {
         take(message);
       }
+    } catch (RuntimeException e) {
+      faulty(e);
     } finally {
       message.release();
     }
   }
 
+  /** A fault of ours costs this request, not the connection or the process; its cause goes to the log. */
+  private void faulty(RuntimeException cause) {
+    LOG.log(Level.SEVERE, "request failed", cause);
+    if (current != null) {
+      server.driver().clientLeft(current);
+      current = null;
+      answer(HttpResponseStatus.INTERNAL_SERVER_ERROR);
+    } else {
+      channel.close();
+    }
+  }
+
   private void up(FullHttpRequest message) {
     boolean get = message.method().equals(HttpMethod.GET);
     answer(!get ? HttpResponseStatus.METHOD_NOT_ALLOWED
--- a/src/main/java/willowdoor/net/ClientServer.java
+++ b/src/main/java/willowdoor/net/ClientServer.java
@@ -22,8 +22,11 @@
 /** Accepts clients, and tells their connections what all of them share. */
 final class ClientServer {
 
-  private static final int MOST_CONNECTIONS = 480;
+  private static final int MOST_CONNECTIONS = 420;
+  /** Connections over the bound that are still told so. */
+  private static final int SPARE_CONNECTIONS = 60;
   private static final int MOST_HELD = 400;
+  private static final int MOST_HELD_BYTES = 8 << 20;
   private static final int MOST_LINE = 8_192;
   private static final int MOST_HEADERS = 16_384;
   private static final int MOST_BODY = 64 * 1024;
@@ -100,13 +103,18 @@
     return draining;
   }
 
-  /** Over these bounds requests are refused, so that the process stays within its memory and descriptors. */
+  /** Over these bounds requests are refused, so that the process stays within its memory. */
   boolean full() {
-    return driver.held() >= MOST_HELD || connections.size() > MOST_CONNECTIONS;
+    return driver.held() >= MOST_HELD || driver.heldBytes() >= MOST_HELD_BYTES;
   }
 
-  void opened(ClientConnection connection) {
+  /** True when the connection is one too many; far beyond that it ends at once, as descriptors run out. */
+  boolean opened(ClientConnection connection) {
     connections.add(connection);
+    if (connections.size() > MOST_CONNECTIONS + SPARE_CONNECTIONS) {
+      connection.closeIfIdle();
+    }
+    return connections.size() > MOST_CONNECTIONS;
   }
 
   void closed(ClientConnection connection) {
--- a/src/main/java/willowdoor/net/CounterClient.java
+++ b/src/main/java/willowdoor/net/CounterClient.java
@@ -36,8 +36,8 @@
   private static final int MOST_OWED = 256;
   private static final int MOST_LINE = 256;
   private static final long SWEEP_MS = 100;
-  /** A connection that owes an answer for so long is taken for dead: far longer than any line of calls. */
-  private static final double SILENT_MS = 600;
+  /** A connection silent for so many limits of a call, though it owes an answer, is taken for dead. */
+  private static final double SILENT_LIMITS = 12;
   /** An idle connection is pinged this often: it stays open, and a dead one shows. */
   private static final double PING_MS = 3_000;
   private static final double LEAST_BACKOFF_MS = 50;
@@ -201,7 +201,7 @@
         if (now - heardAt > PING_MS) {
           send(new Call(null, now), "ping\r\n");
         }
-      } else if (now - Math.max(heardAt, owed.peekFirst().startedAt) > SILENT_MS) {
+      } else if (now - Math.max(heardAt, owed.peekFirst().startedAt) > SILENT_LIMITS * limitMs) {
         channel.close();
       }
     }
--- a/src/main/java/willowdoor/net/FrontDoor.java
+++ b/src/main/java/willowdoor/net/FrontDoor.java
@@ -1,10 +1,12 @@
 package willowdoor.net;
 
+import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
+import java.net.SocketAddress;
 import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -25,6 +27,7 @@
   private final CountDownLatch drained = new CountDownLatch(1);
   private ModuleDriver driver;
   private ClientServer clients;
+  private Channel listening;
 
   private FrontDoor() {
   }
@@ -35,14 +38,15 @@
     if (file == null) {
       throw new IOException("GW_CONFIG is not set");
     }
-    start(Config.read(Path.of(file)));
+    FrontDoor door = start(Config.read(Path.of(file)));
+    Runtime.getRuntime().addShutdownHook(new Thread(door::drain, "drain"));
   }
 
   static FrontDoor start(Config config) throws IOException, InterruptedException {
     FrontDoor door = new FrontDoor();
     try {
       door.loop.submit(() -> door.wire(config)).sync();
-      door.clients.listen(door.group, config.listen()).sync();
+      door.listening = door.clients.listen(door.group, config.listen()).sync().channel();
     } catch (RuntimeException e) {
       door.group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
       throw e;
@@ -51,10 +55,13 @@
       throw new IOException("cannot listen on " + config.listen() + ": " + e.getMessage(), e);
     }
     door.loop.execute(door.clients::serve);
-    Runtime.getRuntime().addShutdownHook(new Thread(door::drain, "drain"));
     return door;
   }
 
+  SocketAddress address() {
+    return listening.localAddress();
+  }
+
   private void wire(Config config) {
     BackendPool backends = new BackendPool(loop, clock, config.connectLimitMs(), config.idleLimitMs());
     QuotaPolicy policy = new QuotaPolicy(config.settings(), config.seed());
@@ -84,6 +91,10 @@
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
+    stop();
+  }
+
+  void stop() {
     group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
   }
 }
--- a/src/main/java/willowdoor/net/ModuleDriver.java
+++ b/src/main/java/willowdoor/net/ModuleDriver.java
@@ -80,6 +80,7 @@
     /** A request stays in the table while an attempt of it is out: the module still gets that outcome. */
     void forgetIfDone() {
       if (finished && out == 0 && live.remove(request.id(), this)) {
+        heldBytes -= message.content().readableBytes();
         message.release();
       }
     }
@@ -92,6 +93,7 @@
   private CounterClient counter;
   private final Map<String, Live> live = new HashMap<>();
   private final ArrayDeque<Event> inbox = new ArrayDeque<>();
+  private int heldBytes;
   private boolean delivering;
 
   ModuleDriver(EventLoop loop, Clock clock, QuotaPolicy policy, BackendPool backends) {
@@ -112,6 +114,11 @@
     return live.size();
   }
 
+  /** Bytes of the bodies held. */
+  int heldBytes() {
+    return heldBytes;
+  }
+
   boolean holds(String id) {
     return live.containsKey(id);
   }
@@ -120,6 +127,7 @@
   void take(Request request, FullHttpRequest message, Client client) {
     Live r = new Live(request, message.retain(), client);
     live.put(request.id(), r);
+    heldBytes += message.content().readableBytes();
     double left = Math.max(0, request.giveUpMs() - LAST_CALL_MS - clock.now());
     r.lastCall = loop.schedule(() -> fail(r), (long) (left * 1000), TimeUnit.MICROSECONDS);
     deliver(request);
--- /dev/null
+++ b/src/test/java/willowdoor/net/CounterClientTest.java
@@ -0,0 +1,139 @@
+package willowdoor.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.net.InetSocketAddress;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import willowdoor.GatewayApi.Counted;
+import willowdoor.GatewayApi.Status;
+
+/** The counter's client against a scripted counter. */
+@Timeout(30)
+class CounterClientTest {
+
+  private final Peers peers = new Peers();
+  private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final BlockingQueue<Counted> ends = new LinkedBlockingQueue<>();
+  private CounterClient client;
+
+  @AfterEach
+  void close() throws Exception {
+    group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).sync();
+    peers.close();
+  }
+
+  /** Calls until one gets through, as the connections come up on their own. */
+  private void start(double limitMs) throws Exception {
+    client = new CounterClient(group.next(), new Clock(),
+        new InetSocketAddress("127.0.0.1", peers.counter.getLocalPort()), limitMs, ends::add);
+    group.next().submit(client::start).sync();
+    do {
+      add("up", 0);
+    } while (Peers.next(ends).status() == Status.UNREACHABLE);
+    peers.atCounter.clear();
+  }
+
+  private void add(String name, double amount) {
+    group.next().execute(() -> client.add(name, amount, 4000));
+  }
+
+  @Test
+  void writesPlainNumbersAndReadsTotals() throws Exception {
+    start(5_000);
+    add("a", 2);
+    assertEquals("incr a 2 4000", Peers.next(peers.atCounter));
+    assertEquals(new Counted("a", Status.OK, 2, 0).total(), Peers.next(ends).total());
+    add("a", -0.0000125);
+    assertEquals("incr a -0.000013 4000", Peers.next(peers.atCounter));
+    Peers.next(ends);
+    peers.counting = line -> "busy";
+    add("a", 1);
+    assertEquals(Status.REJECTED, Peers.next(ends).status());
+  }
+
+  /** A call that its part holds up delays no call for another name. */
+  @Test
+  void oneSlowNameDoesNotHoldUpOthers() throws Exception {
+    CountDownLatch go = new CountDownLatch(1);
+    peers.counting = line -> {
+      if (line.contains("slow")) {
+        await(go);
+      }
+      return peers.count(line);
+    };
+    start(5_000);
+    add("slow", 1);
+    add("fast", 1);
+    assertEquals("fast", Peers.next(ends).name());
+    go.countDown();
+    assertEquals("slow", Peers.next(ends).name());
+  }
+
+  /** The late answer to a call that was given up is not taken for that of the call behind it. */
+  @Test
+  void aCallGivenUpKeepsItsPlace() throws Exception {
+    start(1_500);
+    CountDownLatch go = new CountDownLatch(1);
+    peers.counting = line -> {
+      if (line.contains(" 5 ")) {
+        await(go);
+      }
+      return peers.count(line);
+    };
+    for (int i = 0; i < 12; i++) {
+      add("n" + i, 5);
+    }
+    for (int i = 0; i < 12; i++) {
+      assertEquals(Status.TIMED_OUT, Peers.next(ends).status());
+    }
+    add("x", 1);
+    go.countDown();
+    Counted next = Peers.next(ends);
+    assertEquals(Status.OK, next.status());
+    assertEquals(1, next.total());
+  }
+
+  @Test
+  void junkEndsTheConnectionAndMayHaveBeenAdded() throws Exception {
+    start(5_000);
+    peers.counting = line -> "what?";
+    add("a", 1);
+    assertEquals(Status.RESET, Peers.next(ends).status());
+    peers.counting = peers::count;
+    add("b", 1);
+    assertEquals(Status.OK, Peers.next(ends).status());
+  }
+
+  /** A silent connection is replaced: calls get through again though no old one was ever answered. */
+  @Test
+  void silentConnectionsAreReplaced() throws Exception {
+    start(50);
+    peers.counting = line -> null;
+    for (int i = 0; i < 24; i++) {
+      add("n" + i, 1);
+      assertNotEquals(Status.OK, Peers.next(ends).status());
+    }
+    peers.counting = peers::count;
+    do {
+      add("back", 0);
+    } while (Peers.next(ends).status() != Status.OK);
+  }
+
+  private static void await(CountDownLatch latch) {
+    try {
+      latch.await(10, TimeUnit.SECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/willowdoor/net/DiscoveryTest.java
@@ -0,0 +1,90 @@
+package willowdoor.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.ServerSocket;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import willowdoor.net.Peers.Client;
+
+/** The list of backends: how changes arrive, and what follows from them. */
+@Timeout(40)
+class DiscoveryTest {
+
+  private final Peers peers = new Peers();
+
+  @AfterEach
+  void close() throws Exception {
+    peers.close();
+  }
+
+  private ServerSocket namedBackend(String name) {
+    return peers.listen(50, (in, out, socket) -> {
+      while (true) {
+        Peers.read(in);
+        Peers.write(out, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n" + name);
+      }
+    });
+  }
+
+  private void askUntil(String name) throws IOException {
+    Client client = peers.client();
+    int n = 0;
+    while (!client.ask(Peers.get("to-" + name + n++, 3000)).text().equals(name)) {
+      Thread.onSpinWait();
+    }
+  }
+
+  @Test
+  void takesChangesThatAreSplitAcrossChunks() throws Exception {
+    int first = namedBackend("1").getLocalPort();
+    int second = namedBackend("2").getLocalPort();
+    peers.start(peers.config(Peers.entry("s-1", first, "active")));
+    assertEquals("GET /discovery/hosts?stream=1&index=7 HTTP/1.1", Peers.next(peers.watches));
+    askUntil("1");
+    String line = Peers.list(8, false, Peers.entry("s-1", first, "leaving"),
+        Peers.entry("s-2", second, "active")) + "\n";
+    peers.tell("\n" + line.substring(0, 30));
+    peers.tell(line.substring(30, 90));
+    peers.tell(line.substring(90) + "\n");
+    askUntil("2");
+    Client client = peers.client();
+    for (int i = 0; i < 20; i++) {
+      assertEquals("2", client.ask(Peers.get("r" + i, 3000)).text());
+    }
+  }
+
+  @Test
+  void junkEndsTheWatchAndTheNextGoesOnFromTheLastVersion() throws Exception {
+    peers.start();
+    Peers.next(peers.watches);
+    peers.tell(Peers.list(9, false) + "\n");
+    peers.tell("{\"version\":10,\"servers\":[{\"id\":\n");
+    assertTrue(Peers.next(peers.watches).contains("index=9 "));
+    assertEquals(200, peers.client().ask(Peers.get("r1", 3000)).status());
+  }
+
+  /** A machine that vanished resets nothing: the watch is replaced for its silence alone. */
+  @Test
+  void aSilentWatchIsReplaced() throws Exception {
+    peers.start();
+    Peers.next(peers.watches);
+    assertTrue(Peers.next(peers.watches).contains("index=7 "));
+  }
+
+  @Test
+  void saysWhatIsWrongWithAConfiguration() throws IOException {
+    String good = peers.config();
+    assertEquals(50, Peers.parse(good).settings().allowed().countLimitMs());
+    for (String[] bad : new String[][] {{"127.0.0.1:0", "somewhere:80", "listen"},
+        {"8c1f30d27a5be964", "seed", "seed"}, {"\"Profiles\"", "\"Other\"", "classes"}}) {
+      String message = assertThrows(IOException.class, () -> Peers.parse(good.replace(bad[0], bad[1])))
+          .getMessage();
+      assertTrue(message.contains(bad[2]), message);
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/willowdoor/net/FrontDoorTest.java
@@ -0,0 +1,278 @@
+package willowdoor.net;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import willowdoor.net.Peers.Client;
+import willowdoor.net.Peers.Message;
+
+/** The real front door between small peers on loopback. */
+@Timeout(30)
+class FrontDoorTest {
+
+  private final Peers peers = new Peers();
+
+  @AfterEach
+  void close() throws Exception {
+    peers.close();
+  }
+
+  @Test
+  void passesRequestAndAnswerOnUnchanged() throws Exception {
+    peers.start();
+    String body = "x".repeat(60_000) + "\u00e9\0\r\n";
+    peers.answer = (request, out) -> Peers.write(out,
+        "HTTP/1.1 200 OK\r\nContent-Length: " + request.body().length + "\r\n\r\n" + request.text());
+    Message answer = peers.client().ask(Peers.post("r1", body));
+    Message sent = Peers.next(peers.atBackend);
+    assertEquals("POST /buy/9 HTTP/1.1", sent.firstLine());
+    assertEquals("r1", sent.header("Request-Id"));
+    assertEquals("key-r1", sent.header("Idempotency-Key"));
+    assertTrue(Integer.parseInt(sent.header("Request-Timeout-Ms")) <= 3000);
+    assertArrayEquals(body.getBytes(StandardCharsets.ISO_8859_1), sent.body());
+    assertEquals(200, answer.status());
+    assertArrayEquals(sent.body(), answer.body());
+  }
+
+  @Test
+  void keepsClientAndBackendConnections() throws Exception {
+    AtomicInteger connections = new AtomicInteger();
+    int port = peers.listen(50, (in, out, socket) -> {
+      connections.incrementAndGet();
+      while (true) {
+        peers.atBackend.add(Peers.read(in));
+        Peers.write(out, Peers.OK);
+      }
+    }).getLocalPort();
+    peers.start(peers.config(Peers.entry("s-1", port, "active")));
+    Client client = peers.client();
+    for (int i = 0; i < 5; i++) {
+      assertEquals("fine", client.ask(Peers.get("r" + i, 3000)).text());
+      assertEquals("GET /quote/17?a=%20b&c HTTP/1.1", Peers.next(peers.atBackend).firstLine());
+    }
+    assertEquals(1, connections.get());
+  }
+
+  @Test
+  void answersRequestsWrittenBehindEachOtherInTheirOrder() throws Exception {
+    peers.start();
+    peers.answer = (request, out) -> Peers.write(out,
+        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n" + request.header("Request-Id"));
+    Client client = peers.client();
+    client.send(Peers.get("r1", 3000) + Peers.get("r2", 3000) + Peers.get("r3", 3000));
+    for (String id : new String[] {"r1", "r2", "r3"}) {
+      assertEquals(id, client.receive().text());
+    }
+  }
+
+  @Test
+  void aRejectionHasNotRunAndIsTriedAgain() throws Exception {
+    peers.start();
+    AtomicInteger asked = new AtomicInteger();
+    peers.answer = (request, out) ->
+        Peers.write(out, asked.incrementAndGet() == 1 ? Peers.NOT_STARTED : Peers.OK);
+    assertEquals(200, peers.client().ask(Peers.post("r1", "b")).status());
+    assertEquals(2, asked.get());
+  }
+
+  /** A repeat of what may have run carries the same id and key; nothing but the module sends it. */
+  @Test
+  void aBrokenConnectionAfterTheRequestIsAResetAndTheModuleRepeatsIt() throws Exception {
+    peers.start();
+    AtomicInteger asked = new AtomicInteger();
+    peers.answer = (request, out) -> asked.incrementAndGet() > 1 && Peers.write(out, Peers.OK);
+    assertEquals(200, peers.client().ask(Peers.post("r1", "b")).status());
+    assertEquals("key-r1", Peers.next(peers.atBackend).header("Idempotency-Key"));
+    assertEquals("key-r1", Peers.next(peers.atBackend).header("Idempotency-Key"));
+  }
+
+  @Test
+  void aCutAnswerIsNotServed() throws Exception {
+    peers.start();
+    peers.answer = (request, out) -> {
+      Peers.write(out, "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nonly a part");
+      return false;
+    };
+    assertNotEquals(200, peers.client().ask(Peers.get("r1", 3000)).status());
+  }
+
+  @Test
+  void anAnswerOverTheBoundIsNotServed() throws Exception {
+    peers.start();
+    peers.answer = (request, out) -> Peers.write(out, "HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n"
+        + "x".repeat(70_000));
+    assertNotEquals(200, peers.client().ask(Peers.get("r1", 3000)).status());
+  }
+
+  @Test
+  void junkFromABackendEndsItsConnectionAndServingGoesOn() throws Exception {
+    peers.start();
+    AtomicInteger asked = new AtomicInteger();
+    peers.answer = (request, out) ->
+        Peers.write(out, asked.incrementAndGet() == 1 ? "no http at all\r\n\r\n" : Peers.OK);
+    assertEquals(200, peers.client().ask(Peers.get("r1", 3000)).status());
+    assertEquals(200, peers.client().ask(Peers.get("r2", 3000)).status());
+  }
+
+  @Test
+  void aRefusedConnectionMeansARefusalThatIsHarmlessToRepeat() throws Exception {
+    peers.backend.close();
+    peers.start();
+    assertEquals(503, peers.client().ask(Peers.post("r1", "b")).status());
+  }
+
+  /** Vanished hosts are silent: a connect has its own limit, far below the client's time. */
+  @Test
+  void aConnectThatNeverComesUpEndsByItsOwnLimit() throws Exception {
+    try (ServerSocket full = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      List<SocketChannel> fill = new ArrayList<>();
+      for (int i = 0; i < 8; i++) {
+        SocketChannel c = SocketChannel.open();
+        c.configureBlocking(false);
+        c.connect(full.getLocalSocketAddress());
+        fill.add(c);
+      }
+      peers.start(peers.config(Peers.entry("s-1", full.getLocalPort(), "active")));
+      long from = System.nanoTime();
+      assertEquals(503, peers.client().ask(Peers.post("r1", "b")).status());
+      assertTrue(System.nanoTime() - from < TimeUnit.MILLISECONDS.toNanos(2_900));
+      for (SocketChannel c : fill) {
+        c.close();
+      }
+    }
+  }
+
+  @Test
+  void aSilentBackendCostsTheAttemptItsConnectionAndTheClientHearsInTime() throws Exception {
+    CountDownLatch closed = new CountDownLatch(1);
+    int port = peers.listen(50, (in, out, socket) -> {
+      Peers.read(in);
+      if (in.read() < 0) {
+        closed.countDown();
+      }
+    }).getLocalPort();
+    peers.start(peers.config(Peers.entry("s-1", port, "active")));
+    long from = System.nanoTime();
+    assertNotEquals(200, peers.client().ask(Peers.get("r1", 900)).status());
+    assertTrue(System.nanoTime() - from < TimeUnit.MILLISECONDS.toNanos(950));
+    assertTrue(closed.await(10, TimeUnit.SECONDS));
+  }
+
+  @Test
+  void refusesBrokenRequestsWithoutAskingABackend() throws Exception {
+    peers.start();
+    Client client = peers.client();
+    String good = Peers.get("r1", 3000);
+    for (String bad : new String[] {good.replace("quote", "other"), good.replace("basic", "gold"),
+        good.replace("Request-Id: r1\r\n", ""), good.replace("units=2", "units=x"),
+        good.replace("units=2,", ""), good.replace("00000000b4d65521", "-1"), good.replace("3000", "0"),
+        good.replace("GET", "POST"), Peers.post("r1", "").replace("Idempotency-Key: key-r1\r\n", ""),
+        good.replace("/quote/17", "/\u00fcquote")}) {
+      assertEquals(400, client.ask(bad).status(), bad);
+    }
+    assertEquals(200, client.ask(good).status());
+    Peers.next(peers.atBackend);
+    assertNull(peers.atBackend.poll());
+  }
+
+  @Test
+  void endsTheConnectionOverMalformedAndOversizedMessages() throws Exception {
+    peers.start();
+    Client malformed = peers.client();
+    assertEquals(400, malformed.ask("GET /quote HTTP/1.1\r\nbroken header\r\n\r\n").status());
+    assertTrue(malformed.ended());
+    Client large = peers.client();
+    assertEquals(413, large.ask(Peers.post("r1", "").replace("Content-Length: 0", "Content-Length: 70000"))
+        .status());
+    large.socket.shutdownOutput();
+    assertTrue(large.ended());
+    assertEquals(200, peers.client().ask(Peers.get("r1", 3000)).status());
+  }
+
+  @Test
+  void tellsWhetherItCanServe() throws Exception {
+    peers.start();
+    String up = "GET /up HTTP/1.1\r\nHost: x\r\n\r\n";
+    assertEquals(200, peers.client().ask(up).status());
+    assertEquals(405, peers.client().ask(up.replace("GET", "PUT")).status());
+  }
+
+  @Test
+  void withoutBackendsItIsNotUpUntilDiscoveryNamesOne() throws Exception {
+    peers.start(peers.config());
+    String up = "GET /up HTTP/1.1\r\nHost: x\r\n\r\n";
+    Client client = peers.client();
+    assertEquals(503, client.ask(up).status());
+    Peers.next(peers.watches);
+    peers.tell(Peers.list(8, true, Peers.entry("s-1", peers.backend.getLocalPort(), "active")) + "\n");
+    while (client.ask(up).status() != 200) {
+      Thread.onSpinWait();
+    }
+  }
+
+  /** A client that has gone gets nothing; its attempt still ends at the module, and serving goes on. */
+  @Test
+  void aClientThatLeavesIsForgotten() throws Exception {
+    peers.start();
+    CountDownLatch left = new CountDownLatch(1);
+    peers.answer = (request, out) -> {
+      await(left);
+      return Peers.write(out, Peers.OK);
+    };
+    Client client = peers.client();
+    client.send(Peers.get("r1", 3000));
+    Peers.next(peers.atBackend);
+    client.close();
+    left.countDown();
+    assertEquals(200, peers.client().ask(Peers.get("r2", 3000)).status());
+  }
+
+  /** A planned end: what was taken is answered, and the answer ends the connection. */
+  @Test
+  void drainsWithoutLosingARequest() throws Exception {
+    FrontDoor door = peers.start();
+    CountDownLatch told = new CountDownLatch(1);
+    peers.answer = (request, out) -> {
+      await(told);
+      return Peers.write(out, Peers.OK);
+    };
+    Client idle = peers.client();
+    Client busy = peers.client();
+    busy.send(Peers.get("r1", 3000));
+    Peers.next(peers.atBackend);
+    Thread end = new Thread(door::drain);
+    end.start();
+    assertTrue(idle.ended());
+    told.countDown();
+    Message answer = busy.receive();
+    assertEquals(200, answer.status());
+    assertEquals("close", answer.header("Connection"));
+    assertTrue(busy.ended());
+    end.join(10_000);
+    assertTrue(!end.isAlive());
+  }
+
+  private static void await(CountDownLatch latch) throws IOException {
+    try {
+      latch.await(10, TimeUnit.SECONDS);
+    } catch (InterruptedException e) {
+      throw new IOException(e);
+    }
+  }
+}
