--- a/src/test/java/willowdoor/net/Peers.java
+++ b/src/test/java/willowdoor/net/Peers.java
@@ -227,7 +227,8 @@
   static String post(String id, String body) {
     return "POST /buy/9 HTTP/1.1\r\nHost: backend.local\r\nRequest-Id: " + id
         + "\r\nRequest-Class: buy\r\nX-Plan: basic\r\nX-Customer: 00000000b4d65521"
-        + "\r\nRequest-Timeout-Ms: 3000\r\nIdempotency-Key: key-" + id + "\r\nContent-Length: " + body.length()
+        + "\r\nRequest-Timeout-Ms: 3000\r\nIdempotency-Key: key-" + id
+        + "\r\nContent-Length: " + body.length()
         + "\r\nX-Quota: units=2,spread=2,first=1\r\n\r\n" + body;
   }
 
