--- a/src/main/java/willowdoor/net/ClientConnection.java
+++ b/src/main/java/willowdoor/net/ClientConnection.java
@@ -19,6 +19,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.TooLongHttpContentException;
+import io.netty.handler.timeout.ReadTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Locale;
@@ -255,7 +256,7 @@
       endWith(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body is too large");
       return;
     }
-    if (cause instanceof RuntimeException) {
+    if (cause instanceof RuntimeException && !(cause instanceof ReadTimeoutException)) {
       LOG.log(Level.SEVERE, "request failed", cause);
     }
     ctx.close();
--- a/src/main/java/willowdoor/net/ClientServer.java
+++ b/src/main/java/willowdoor/net/ClientServer.java
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.timeout.ReadTimeoutHandler;
 import java.net.InetSocketAddress;
 import java.util.HashSet;
 import java.util.List;
@@ -22,9 +23,11 @@
 /** Accepts clients, and tells their connections what all of them share. */
 final class ClientServer {
 
-  private static final int MOST_CONNECTIONS = 420;
+  static final int MOST_CONNECTIONS = 420;
   /** Connections over the bound that are still told so. */
   private static final int SPARE_CONNECTIONS = 60;
+  /** A client silent for so long, between requests or inside one, loses its connection. */
+  private static final int IDLE_S = 120;
   private static final int MOST_HELD = 400;
   private static final int MOST_HELD_BYTES = 8 << 20;
   private static final int MOST_LINE = 8_192;
@@ -56,8 +59,9 @@
           @Override
           protected void initChannel(Channel channel) {
             ClientConnection connection = new ClientConnection(ClientServer.this);
-            channel.pipeline().addLast(new HttpServerCodec(MOST_LINE, MOST_HEADERS, MOST_BODY),
-                new BoundedBody(connection), connection);
+            channel.pipeline().addLast(new ReadTimeoutHandler(IDLE_S),
+                new HttpServerCodec(MOST_LINE, MOST_HEADERS, MOST_BODY), new BoundedBody(connection),
+                connection);
           }
         }).bind(address);
     listening = bound.channel();
--- a/src/main/java/willowdoor/net/Config.java
+++ b/src/main/java/willowdoor/net/Config.java
@@ -6,6 +6,7 @@
 import java.math.BigInteger;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.util.Map;
 import willowdoor.GatewayApi.Settings;
@@ -22,6 +23,8 @@
     try (JsonParser in = new JsonFactory().createParser(Files.readAllBytes(file))) {
       in.nextToken();
       fields = JsonFields.object(in);
+    } catch (NoSuchFileException e) {
+      throw new IOException("there is no file " + file, e);
     }
     return of(fields);
   }
