Test that what waits for a connection never reaches a drained backend

Checked by taking the guard out of BackendPool.remove: the test then fails, as the attempt waits on; with it the client is refused at once. A first form of the test passed either way, since the module's own cancel stepped in; that is switched off in its settings now. Conclusion: the rule on drains is held by the pool itself.

--- a/src/test/java/willowdoor/net/DiscoveryTest.java
+++ b/src/test/java/willowdoor/net/DiscoveryTest.java
@@ -5,7 +5,12 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.nio.channels.SocketChannel;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -58,6 +63,38 @@
     }
   }
 
+  /** An attempt whose connection is still coming up when its backend drains is not written any more. */
+  @Test
+  void whatWaitsForAConnectionIsNotWrittenToADrainedBackend() throws Exception {
+    List<SocketChannel> filling = new ArrayList<>();
+    try (ServerSocket full = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      for (int i = 0; i < 8; i++) {
+        SocketChannel channel = SocketChannel.open();
+        filling.add(channel);
+        channel.configureBlocking(false);
+        channel.connect(full.getLocalSocketAddress());
+      }
+      String config = peers.config(Peers.entry("s-1", full.getLocalPort(), "active"));
+      peers.start(config.replace("\"DialTimeoutMs\":250", "\"DialTimeoutMs\":20000")
+          .replace("\"Cancel\":true", "\"Cancel\":false"));
+      Peers.next(peers.watches);
+      Client client = peers.client();
+      long from = System.nanoTime();
+      client.send(Peers.post("r1", "b").replace("Request-Timeout-Ms: 3000", "Request-Timeout-Ms: 15000"));
+      Peers.next(peers.atCounter);
+      // The next call follows the first one's answer, so the first attempt is under way.
+      peers.client().send(Peers.post("r2", "b"));
+      Peers.next(peers.atCounter);
+      peers.tell(Peers.list(8, false, Peers.entry("s-1", full.getLocalPort(), "leaving")) + "\n");
+      assertEquals(503, client.receive().status());
+      assertTrue(System.nanoTime() - from < TimeUnit.SECONDS.toNanos(9));
+    } finally {
+      for (SocketChannel channel : filling) {
+        channel.close();
+      }
+    }
+  }
+
   @Test
   void junkEndsTheWatchAndTheNextGoesOnFromTheLastVersion() throws Exception {
     peers.start();
