Bounds from the limits, deadlines for clients, SIGHUP

Mended: Bounds derives clients, backend connections and body bytes from limits.sockets and memory_mb; a full table ends the connection idle longest before it refuses; whole requests have 2.2 s from connecting, not to be extended by a trickle; what can be framed in two ways is refused (Netty took the chunked reading and dropped the length); customer, units, set and time-out are bounded. ReloadSignal re-reads the file on the loop and moves counter and discovery: new links first, the old finish what they owe. A new watch backs off unless the one before lasted 5 s; it did so never while lines came.

--- a/src/main/java/willowdoor/net/BackendPool.java
+++ b/src/main/java/willowdoor/net/BackendPool.java
@@ -25,8 +25,6 @@
 final class BackendPool {
 
   static final int MOST_BODY = 64 * 1024;
-  /** All connections to backends, idle ones too: their part of the descriptors that a process may hold. */
-  static final int MOST_CONNECTIONS = 440;
   /** An idle connection is retired at this share of the backends' own limit, well before they close it. */
   private static final double RETIRE_AT = 0.6;
   private static final long SWEEP_MS = 500;
@@ -44,13 +42,17 @@
   private final Clock clock;
   private final Bootstrap bootstrap;
   private final double idleLimitMs;
+  /** Bounds all connections to backends, idle ones too. */
+  private final int mostConnections;
   private final Map<Long, Backend> backends = new HashMap<>();
   private int connections;
 
-  BackendPool(EventLoop loop, Clock clock, double connectLimitMs, double idleLimitMs) {
+  BackendPool(EventLoop loop, Clock clock, double connectLimitMs, double idleLimitMs,
+      int mostConnections) {
     this.loop = loop;
     this.clock = clock;
     this.idleLimitMs = idleLimitMs * RETIRE_AT;
+    this.mostConnections = mostConnections;
     bootstrap = new Bootstrap().group(loop).channel(Transport.BEST.socket())
         .option(ChannelOption.TCP_NODELAY, true)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.ceil(connectLimitMs));
@@ -104,7 +106,7 @@
     BackendConnection c = idle(b);
     if (c != null) {
       c.carry(attempt, request(b, attempt));
-    } else if (connections >= MOST_CONNECTIONS && !dropIdle()) {
+    } else if (connections >= mostConnections && !dropIdle()) {
       attempt.end(Status.UNREACHABLE, null);
     } else {
       connect(b, attempt);
--- a/src/main/java/willowdoor/net/ClientConnection.java
+++ b/src/main/java/willowdoor/net/ClientConnection.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
+import io.netty.handler.codec.CodecException;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -19,7 +20,6 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.TooLongHttpContentException;
-import io.netty.handler.timeout.ReadTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Locale;
@@ -33,7 +33,20 @@
 
   private static final Logger LOG = Logger.getLogger(ClientConnection.class.getName());
   /** How long a connection that is ended over bad input stays half open, so that the answer is read. */
-  private static final long LINGER_MS = 500;
+  private static final long LINGER_MS = 300;
+  /**
+   * From its connecting, or for a later request from its first byte, a client has so long for a whole
+   * request. A trickle does not extend it: each held connection is one that another client cannot have.
+   */
+  private static final double REQUEST_MS = 2_200;
+  /** Between requests a connection may be ended after this, if another wants its place. */
+  private static final double EVICT_MS = 2_050;
+  /** One that has said nothing since it was opened goes sooner: clients connect in order to ask. */
+  private static final double EVICT_SILENT_MS = 300;
+  /** Between requests a connection is ended after this in any case: some clients never come back. */
+  private static final double IDLE_MS = 10_000;
+  /** Requests kept behind the one under way; a client with more gets no further answers. */
+  private static final int MOST_BEHIND = 16;
 
   private final ClientServer server;
   private Channel channel;
@@ -43,7 +56,15 @@
   private String current;
   private boolean keepAlive;
   private boolean ending;
-  /** Requests written behind it, which wait their turn; nothing more is read meanwhile. */
+  /** When it was opened or last answered. */
+  private double quietSince;
+  private boolean asked;
+  /** When the request that is being received began, or NaN; and how many bytes have come of it. */
+  private double receivingSince = Double.NaN;
+  private int receivedBytes;
+  /** Too many requests came at once: those kept are answered, and then the connection ends. */
+  private boolean overrun;
+  /** Requests written behind it, which wait their turn. */
   private final ArrayDeque<FullHttpRequest> behind = new ArrayDeque<>(0);
 
   ClientConnection(ClientServer server) {
@@ -54,22 +75,83 @@
   @Override
   public void handlerAdded(ChannelHandlerContext ctx) {
     channel = ctx.channel();
+    quietSince = server.now();
     over = server.opened(this);
   }
 
+  /** Called with the size of what has come, before it is decoded; false when nothing more is wanted. */
+  boolean receives(int bytes) {
+    if (ending || overrun) {
+      return false;
+    }
+    if (Double.isNaN(receivingSince)) {
+      receivingSince = server.now();
+    }
+    receivedBytes += bytes;
+    if (server.receiving(bytes) && receivedBytes > bytes) {
+      endWith(HttpResponseStatus.SERVICE_UNAVAILABLE, "too much is being received");
+      return false;
+    }
+    return true;
+  }
+
+  /** Called after that has been decoded; begun: part of a further request is among it. */
+  void received(boolean begun) {
+    if (begun && Double.isNaN(receivingSince)) {
+      receivingSince = server.now();
+    }
+  }
+
+  private void receivedAll() {
+    receivingSince = Double.NaN;
+    server.receiving(-receivedBytes);
+    receivedBytes = 0;
+  }
+
+  double quietSince() {
+    return quietSince;
+  }
+
+  /** Whether no request is on it, and has not been for long enough to end it for another's sake. */
+  boolean evictable(double now) {
+    return current == null && !ending && Double.isNaN(receivingSince)
+        && now - quietSince > (asked ? EVICT_MS : EVICT_SILENT_MS);
+  }
+
+  /** Guards against clients that never finish a request, say nothing, or never come back. */
+  void endIfOverdue(double now) {
+    if (current != null || ending) {
+      return;
+    }
+    if (!Double.isNaN(receivingSince)) {
+      if (now - (asked ? receivingSince : quietSince) > REQUEST_MS) {
+        endWith(HttpResponseStatus.REQUEST_TIMEOUT, "request is not whole in time");
+      }
+    } else if (now - quietSince > (asked ? IDLE_MS : REQUEST_MS)) {
+      closeIfIdle();
+    }
+  }
+
   @Override
   protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest message) {
-    if (ending) {
+    receivedAll();
+    if (ending || overrun) {
       message.release();
-    } else if (current != null) {
-      behind.add(message);
-      channel.config().setAutoRead(false);
+    } else if (current != null || !behind.isEmpty()) {
+      // Reading goes on, so that a client that leaves is noticed; the bound is on what is kept.
+      overrun = behind.size() >= MOST_BEHIND || message.decoderResult().isFailure();
+      if (overrun) {
+        message.release();
+      } else {
+        behind.add(message);
+      }
     } else {
       handle(message);
     }
   }
 
   private void handle(FullHttpRequest message) {
+    asked = true;
     try {
       keepAlive = HttpUtil.isKeepAlive(message);
       if (message.decoderResult().isFailure()) {
@@ -112,6 +194,7 @@
     try {
       request = server.read(message);
     } catch (RequestReader.BadRequest e) {
+      keepAlive &= e.framed();
       answer(HttpResponseStatus.BAD_REQUEST, e.getMessage());
       return;
     }
@@ -191,7 +274,8 @@
 
   private void write(FullHttpResponse answer) {
     answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, answer.content().readableBytes());
-    boolean keep = keepAlive && !server.draining();
+    quietSince = server.now();
+    boolean keep = keepAlive && !server.draining() && !(overrun && behind.isEmpty());
     if (!keep) {
       ending = true;
       answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
@@ -203,7 +287,6 @@
       dropBehind();
     }
     if (next != null && !ending) {
-      channel.config().setAutoRead(behind.isEmpty());
       // Not at once: answers that come at once would nest as deep as the requests behind each other.
       channel.eventLoop().execute(() -> handle(next));
     } else if (next != null) {
@@ -228,7 +311,7 @@
 
   /** Ends the connection if no request is on it; one that is answered while draining ends by itself. */
   void closeIfIdle() {
-    if (current == null && !ending) {
+    if (current == null && behind.isEmpty() && !ending) {
       ending = true;
       channel.close();
     }
@@ -242,6 +325,7 @@
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
     ending = true;
+    receivedAll();
     dropBehind();
     server.closed(this);
     if (current != null) {
@@ -256,7 +340,7 @@
       endWith(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body is too large");
       return;
     }
-    if (cause instanceof RuntimeException && !(cause instanceof ReadTimeoutException)) {
+    if (cause instanceof RuntimeException && !(cause instanceof CodecException)) {
       LOG.log(Level.SEVERE, "request failed", cause);
     }
     ctx.close();
--- a/src/main/java/willowdoor/net/ClientServer.java
+++ b/src/main/java/willowdoor/net/ClientServer.java
@@ -1,52 +1,57 @@
 package willowdoor.net;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpServerCodec;
-import io.netty.handler.timeout.ReadTimeoutHandler;
+import io.netty.util.ReferenceCountUtil;
 import java.net.InetSocketAddress;
-import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import willowdoor.GatewayApi.Request;
 
 /** Accepts clients, and tells their connections what all of them share. */
 final class ClientServer {
 
-  static final int MOST_CONNECTIONS = 420;
-  /** Connections over the bound that are still told so. */
-  private static final int SPARE_CONNECTIONS = 60;
-  /** A client silent for so long, between requests or inside one, loses its connection. */
-  private static final int IDLE_S = 120;
-  private static final int MOST_HELD = 400;
-  private static final int MOST_HELD_BYTES = 8 << 20;
-  private static final int MOST_LINE = 8_192;
-  private static final int MOST_HEADERS = 16_384;
+  /** Of the connections, this part is over the bound: those are still told so, any more end at once. */
+  private static final int SPARE_PART = 16;
   private static final int MOST_BODY = 64 * 1024;
+  /** How often connections are looked at for overdue requests. */
+  private static final long SWEEP_MS = 200;
 
   private final Clock clock;
   private final ModuleDriver driver;
   private final BackendPool backends;
   private final RequestReader reader;
-  private final Set<ClientConnection> connections = new HashSet<>();
+  private final Bounds bounds;
+  /** In the order of their opening. */
+  private final Set<ClientConnection> connections = new LinkedHashSet<>();
+  private int receiving;
   private Channel listening;
   private boolean ready;
   private boolean draining;
 
-  ClientServer(Clock clock, ModuleDriver driver, BackendPool backends, RequestReader reader) {
+  ClientServer(EventLoop loop, Clock clock, ModuleDriver driver, BackendPool backends, RequestReader reader,
+      Bounds bounds) {
     this.clock = clock;
     this.driver = driver;
     this.backends = backends;
     this.reader = reader;
+    this.bounds = bounds;
+    loop.scheduleWithFixedDelay(this::endOverdue, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
   }
 
   ChannelFuture listen(EventLoopGroup group, InetSocketAddress address) {
@@ -58,15 +63,36 @@
           @Override
           protected void initChannel(Channel channel) {
             ClientConnection connection = new ClientConnection(ClientServer.this);
-            channel.pipeline().addLast(new ReadTimeoutHandler(IDLE_S),
-                new HttpServerCodec(MOST_LINE, MOST_HEADERS, MOST_BODY), new BoundedBody(connection),
-                connection);
+            RequestDecoder decoder = new RequestDecoder();
+            channel.pipeline().addLast(new Inflow(connection, decoder), decoder, new HttpResponseEncoder(),
+                new BoundedBody(connection), connection);
           }
         }).bind(address);
     listening = bound.channel();
     return bound;
   }
 
+  /** Sees a client's bytes first: when a request begins, how much of it has come, whether it is wanted. */
+  private static final class Inflow extends ChannelInboundHandlerAdapter {
+    private final ClientConnection connection;
+    private final RequestDecoder decoder;
+
+    Inflow(ClientConnection connection, RequestDecoder decoder) {
+      this.connection = connection;
+      this.decoder = decoder;
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object bytes) {
+      if (connection.receives(((ByteBuf) bytes).readableBytes())) {
+        ctx.fireChannelRead(bytes);
+        connection.received(decoder.holdsMore());
+      } else {
+        ReferenceCountUtil.release(bytes);
+      }
+    }
+  }
+
   /** Collects a message's body; one over the bound is answered 413, and the connection ends. */
   private static final class BoundedBody extends HttpObjectAggregator {
     private final ClientConnection connection;
@@ -106,24 +132,56 @@
     return draining;
   }
 
-  /** Over these bounds requests are refused, so that the process stays within its memory. */
+  double now() {
+    return clock.now();
+  }
+
+  /** Counts bytes of requests that are being received, or gives them back; true when they are too many. */
+  boolean receiving(int bytes) {
+    receiving += bytes;
+    return receiving > bounds.bodyBytes();
+  }
+
+  /** With so much in bodies held, requests are refused, so that the process stays within its memory. */
   boolean full() {
-    return driver.held() >= MOST_HELD || driver.heldBytes() >= MOST_HELD_BYTES;
+    return driver.heldBytes() >= bounds.bodyBytes();
   }
 
   /** True when the connection is one too many; far beyond that it ends at once, as descriptors run out. */
   boolean opened(ClientConnection connection) {
     connections.add(connection);
-    if (connections.size() > MOST_CONNECTIONS + SPARE_CONNECTIONS) {
+    if (connections.size() > bounds.clients()) {
+      evict();
+    }
+    if (connections.size() > bounds.clients() + bounds.clients() / SPARE_PART) {
       connection.closeIfIdle();
     }
-    return connections.size() > MOST_CONNECTIONS;
+    return connections.size() > bounds.clients();
   }
 
   void closed(ClientConnection connection) {
     connections.remove(connection);
   }
 
+  /** Ends the connection that has been idle longest, if one may be ended: others want its place. */
+  private void evict() {
+    double now = clock.now();
+    ClientConnection oldest = null;
+    for (ClientConnection c : connections) {
+      if (c.evictable(now) && (oldest == null || c.quietSince() < oldest.quietSince())) {
+        oldest = c;
+      }
+    }
+    if (oldest != null) {
+      oldest.closeIfIdle();
+    }
+  }
+
+  private void endOverdue() {
+    double now = clock.now();
+    List.copyOf(connections).forEach(c -> c.endIfOverdue(now));
+  }
+
   /** From here on every answer ends its connection; new connections are still taken. */
   void beginDrain() {
     draining = true;
--- a/src/main/java/willowdoor/net/Config.java
+++ b/src/main/java/willowdoor/net/Config.java
@@ -15,18 +15,30 @@
 
 /** What a front door is told at its start: the file that {@code GW_CONFIG} names. */
 record Config(InetSocketAddress listen, InetSocketAddress discovery, InetSocketAddress counter, long seed,
-    Settings settings, double connectLimitMs, double idleLimitMs, RosterNews known) {
+    Settings settings, Bounds limits, double connectLimitMs, double idleLimitMs, RosterNews known) {
+
+  /** The addresses that a new configuration may move. */
+  record Peers(InetSocketAddress discovery, InetSocketAddress counter) { }
 
   /** Reads the file; anything that keeps the front door from serving is an IOException in plain words. */
   static Config read(Path file) throws IOException {
-    Map<String, Object> fields;
+    return of(fields(file));
+  }
+
+  /** Reads only what may change while the front door serves. */
+  static Peers readPeers(Path file) throws IOException {
+    Map<String, Object> fields = fields(file);
+    return new Peers(address(fields, "discovery"),
+        fields.get("counter") == null ? null : address(fields, "counter"));
+  }
+
+  private static Map<String, Object> fields(Path file) throws IOException {
     try (JsonParser in = new JsonFactory().createParser(Files.readAllBytes(file))) {
       in.nextToken();
-      fields = JsonFields.object(in);
+      return JsonFields.object(in);
     } catch (NoSuchFileException e) {
       throw new IOException("there is no file " + file, e);
     }
-    return of(fields);
   }
 
   static Config of(Map<String, Object> fields) throws IOException {
@@ -36,11 +48,14 @@
       throw new IOException("settings name no classes or no plans");
     }
     Map<String, Object> bounds = JsonFields.child(settings, "Bounds");
+    Map<String, Object> limits = JsonFields.child(fields, "limits");
+    Bounds held = Bounds.of(JsonFields.number(limits, "sockets", Bounds.USUAL_SOCKETS),
+        JsonFields.number(limits, "memory_mb", Bounds.USUAL_MEMORY_MB));
     InetSocketAddress counter = fields.get("counter") == null && !parsed.allowed().sharedCount() ? null
         : address(fields, "counter");
     return new Config(address(fields, "listen"), address(fields, "discovery"), counter, seed(fields), parsed,
-        JsonFields.number(bounds, "DialTimeoutMs", 250), JsonFields.number(bounds, "ConnIdleMs", 15_000),
-        RosterNews.of(JsonFields.child(fields, "known")));
+        held, JsonFields.number(bounds, "DialTimeoutMs", 250),
+        JsonFields.number(bounds, "ConnIdleMs", 15_000), RosterNews.of(JsonFields.child(fields, "known")));
   }
 
   private static long seed(Map<String, Object> fields) throws IOException {
--- a/src/main/java/willowdoor/net/CounterClient.java
+++ b/src/main/java/willowdoor/net/CounterClient.java
@@ -15,7 +15,9 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -30,7 +32,7 @@
  */
 final class CounterClient {
 
-  private static final int CONNECTIONS = 12;
+  static final int CONNECTIONS = 12;
   /** Answers that one connection may owe; beyond that a call is turned away here. */
   private static final int MOST_OWED = 256;
   private static final int MOST_LINE = 256;
@@ -39,6 +41,8 @@
   private static final double SILENT_LIMITS = 12;
   /** An idle connection is pinged this often: it stays open, and a dead one shows. */
   private static final double PING_MS = 3_000;
+  /** A left address closes its connections after 1.5 s; what is owed on them by then is given up before. */
+  private static final long LEAVE_MS = 1_300;
   private static final double LEAST_BACKOFF_MS = 50;
   private static final double MOST_BACKOFF_MS = 400;
 
@@ -61,7 +65,10 @@
   private final double limitMs;
   private final Consumer<Counted> listener;
   private final Bootstrap bootstrap;
-  private final Link[] links = new Link[CONNECTIONS];
+  private final List<Link> links = new ArrayList<>(CONNECTIONS);
+  /** Connections to the address that a new configuration has left; in use until new ones are up. */
+  private final List<Link> leaving = new ArrayList<>(0);
+  private InetSocketAddress counter;
   /** Calls in the order of their starts, and so of their limits. */
   private final ArrayDeque<Call> pending = new ArrayDeque<>();
   private final Map<String, Call> lastOfName = new HashMap<>();
@@ -73,19 +80,41 @@
     this.clock = clock;
     this.limitMs = limitMs;
     this.listener = listener;
-    bootstrap = new Bootstrap().group(loop).channel(Transport.BEST.socket()).remoteAddress(counter)
+    this.counter = counter;
+    bootstrap = new Bootstrap().group(loop).channel(Transport.BEST.socket())
         .option(ChannelOption.TCP_NODELAY, true)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 250);
   }
 
   void start() {
-    for (int i = 0; i < CONNECTIONS; i++) {
-      links[i] = new Link();
-      links[i].connect();
+    if (counter != null) {
+      open();
     }
     loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
   }
 
+  private void open() {
+    for (int i = 0; i < CONNECTIONS; i++) {
+      Link link = new Link(counter);
+      links.add(link);
+      link.connect();
+    }
+  }
+
+  /** Opens connections to another address; those to the old one finish what they owe. */
+  void moveTo(InetSocketAddress other) {
+    if (other == null || other.equals(counter)) {
+      return;
+    }
+    counter = other;
+    leaving.forEach(Link::close);
+    leaving.addAll(links);
+    links.clear();
+    open();
+    List<Link> old = List.copyOf(leaving);
+    loop.schedule(() -> old.forEach(Link::close), LEAVE_MS, TimeUnit.MILLISECONDS);
+  }
+
   void add(String name, double amount, double ttlMs) {
     Call call = new Call(name, clock.now());
     Call before = lastOfName.get(name);
@@ -109,8 +138,13 @@
   }
 
   private Link leastOwing() {
+    Link best = leastOwing(links);
+    return best != null ? best : leastOwing(leaving);
+  }
+
+  private static Link leastOwing(List<Link> among) {
     Link best = null;
-    for (Link l : links) {
+    for (Link l : among) {
       if (l.open() && (best == null || l.owed.size() < best.owed.size())) {
         best = l;
       }
@@ -158,17 +192,34 @@
   /** One kept connection and the answers that it owes, in order. */
   private final class Link extends ChannelInitializer<Channel> {
     private final ArrayDeque<Call> owed = new ArrayDeque<>();
+    private final InetSocketAddress address;
     private Channel channel;
+    private boolean closed;
     private double heardAt;
     private double backoffMs = LEAST_BACKOFF_MS;
 
+    Link(InetSocketAddress address) {
+      this.address = address;
+    }
+
+    /** Ends it for good. */
+    void close() {
+      closed = true;
+      leaving.remove(this);
+      if (channel != null) {
+        channel.close();
+      }
+    }
+
     boolean open() {
       return channel != null && channel.isActive();
     }
 
     void connect() {
-      bootstrap.clone().handler(this).connect().addListener((ChannelFuture f) -> {
-        if (f.isSuccess()) {
+      bootstrap.clone().handler(this).connect(address).addListener((ChannelFuture f) -> {
+        if (closed) {
+          f.channel().close();
+        } else if (f.isSuccess()) {
           channel = f.channel();
           heardAt = clock.now();
         } else {
@@ -178,9 +229,18 @@
     }
 
     private void later() {
+      if (!links.contains(this)) {
+        closed = true;
+        leaving.remove(this);
+        return;
+      }
       double wait = backoffMs * (0.5 + ThreadLocalRandom.current().nextDouble());
       backoffMs = Math.min(MOST_BACKOFF_MS, 2 * backoffMs);
-      loop.schedule(this::connect, (long) wait, TimeUnit.MILLISECONDS);
+      loop.schedule(() -> {
+        if (!closed) {
+          connect();
+        }
+      }, (long) wait, TimeUnit.MILLISECONDS);
     }
 
     void send(Call call, String line) {
--- a/src/main/java/willowdoor/net/DiscoveryClient.java
+++ b/src/main/java/willowdoor/net/DiscoveryClient.java
@@ -38,51 +38,62 @@
   /** Empty lines come every 2 s; a watch silent for more than two of them is replaced. */
   private static final long SILENT_MS = 5_000;
   private static final double LEAST_BACKOFF_MS = 100;
-  private static final double MOST_BACKOFF_MS = 2_000;
+  private static final double MOST_BACKOFF_MS = 1_500;
+  /** A watch that lasted so long was a good one; junk on each new one must not make a busy loop. */
+  private static final double GOOD_MS = 5_000;
 
   private final EventLoop loop;
-  private final InetSocketAddress agent;
+  private final Clock clock;
   private final Consumer<RosterNews> listener;
   private final Bootstrap bootstrap;
   private long version;
   private double backoffMs = LEAST_BACKOFF_MS;
+  private Watch watch;
+  /** The watch at the address that a new configuration has left, until the new one has told something. */
+  private Watch leaving;
 
-  DiscoveryClient(EventLoop loop, InetSocketAddress agent, long version, Consumer<RosterNews> listener) {
+  DiscoveryClient(EventLoop loop, Clock clock, InetSocketAddress agent, long version,
+      Consumer<RosterNews> listener) {
     this.loop = loop;
-    this.agent = agent;
+    this.clock = clock;
     this.version = version;
     this.listener = listener;
-    bootstrap = new Bootstrap().group(loop).channel(Transport.BEST.socket()).remoteAddress(agent)
-        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 1_000)
-        .handler(new ChannelInitializer<Channel>() {
-          @Override
-          protected void initChannel(Channel channel) {
-            channel.pipeline().addLast(new ReadTimeoutHandler(SILENT_MS, TimeUnit.MILLISECONDS),
-                new HttpClientCodec(), new Unwrapper(), new LineBasedFrameDecoder(MOST_LINE), new Lines());
-          }
-        });
+    bootstrap = new Bootstrap().group(loop).channel(Transport.BEST.socket())
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 1_000);
+    watch = new Watch(agent);
   }
 
   void start() {
-    bootstrap.connect().addListener((ChannelFuture f) -> {
-      f.channel().closeFuture().addListener(closed -> later());
-      if (f.isSuccess()) {
-        DefaultFullHttpRequest watch = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
-            "/discovery/hosts?stream=1&index=" + version);
-        String host = agent.getAddress().getHostAddress() + ":" + agent.getPort();
-        watch.headers().set(HttpHeaderNames.HOST, host);
-        f.channel().writeAndFlush(watch);
-      }
-    });
+    watch.connect();
+  }
+
+  /** Watches at another address; the old watch goes on until the new one tells something. */
+  void moveTo(InetSocketAddress other) {
+    if (other.equals(watch.agent)) {
+      return;
+    }
+    if (leaving != null) {
+      leaving.close();
+    }
+    leaving = watch;
+    backoffMs = LEAST_BACKOFF_MS;
+    watch = new Watch(other);
+    watch.connect();
   }
 
-  private void later() {
-    if (loop.isShuttingDown()) {
+  private void later(Watch ended) {
+    if (ended != watch || loop.isShuttingDown()) {
       return;
     }
+    backoffMs = clock.now() - ended.since > GOOD_MS ? LEAST_BACKOFF_MS : backoffMs;
     double wait = backoffMs * (0.5 + ThreadLocalRandom.current().nextDouble());
     backoffMs = Math.min(MOST_BACKOFF_MS, 2 * backoffMs);
-    loop.schedule(this::start, (long) wait, TimeUnit.MILLISECONDS);
+    loop.schedule(() -> {
+      if (ended == watch) {
+        watch = new Watch(ended.agent);
+        watch.connect();
+      }
+    }, (long) wait, TimeUnit.MILLISECONDS);
   }
 
   /** Passes on the bytes of the answer's body, in which lines and chunks end where they like. */
@@ -100,13 +111,62 @@
     }
   }
 
+  /** One watch on one connection. */
+  private final class Watch extends ChannelInitializer<Channel> {
+    private final InetSocketAddress agent;
+    private final double since = clock.now();
+    private Channel channel;
+
+    Watch(InetSocketAddress agent) {
+      this.agent = agent;
+    }
+
+    void connect() {
+      ChannelFuture connected = bootstrap.clone().handler(this).connect(agent);
+      channel = connected.channel();
+      connected.addListener((ChannelFuture f) -> {
+        f.channel().closeFuture().addListener(closed -> later(this));
+        if (f.isSuccess()) {
+          DefaultFullHttpRequest ask = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
+              "/discovery/hosts?stream=1&index=" + version);
+          String host = agent.getAddress().getHostAddress() + ":" + agent.getPort();
+          ask.headers().set(HttpHeaderNames.HOST, host);
+          f.channel().writeAndFlush(ask);
+        }
+      });
+    }
+
+    void close() {
+      channel.close();
+    }
+
+    @Override
+    protected void initChannel(Channel ch) {
+      ch.pipeline().addLast(new ReadTimeoutHandler(SILENT_MS, TimeUnit.MILLISECONDS),
+          new HttpClientCodec(), new Unwrapper(), new LineBasedFrameDecoder(MOST_LINE), new Lines(this));
+    }
+  }
+
   private final class Lines extends SimpleChannelInboundHandler<ByteBuf> {
+    private final Watch source;
+
+    Lines(Watch source) {
+      this.source = source;
+    }
+
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, ByteBuf line) throws IOException {
-      backoffMs = LEAST_BACKOFF_MS;
-      if (line.isReadable()) {
-        RosterNews news = RosterNews.parse(ByteBufUtil.getBytes(line));
-        version = news.version();
+      if (source != watch && source != leaving) {
+        return;
+      }
+      RosterNews news = line.isReadable() ? RosterNews.parse(ByteBufUtil.getBytes(line)) : null;
+      if (source == watch && leaving != null) {
+        leaving.close();
+        leaving = null;
+      }
+      if (news != null) {
+        // A version that is none must not be asked for: the watch would be refused for good.
+        version = news.version() > 0 ? news.version() : version;
         listener.accept(news);
       }
     }
--- a/src/main/java/willowdoor/net/FrontDoor.java
+++ b/src/main/java/willowdoor/net/FrontDoor.java
@@ -9,11 +9,13 @@
 import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.logging.Logger;
 import willowdoor.QuotaPolicy;
 
 /** One real front door: its wiring, its start and its planned end. */
 public final class FrontDoor {
 
+  private static final Logger LOG = Logger.getLogger(FrontDoor.class.getName());
   /** After SIGTERM new connections go on coming for up to 0.4 s. */
   private static final long ACCEPT_MS = 550;
   /** SIGKILL comes no sooner than 3.7 s after SIGTERM where deadlines are long: all is answered by then. */
@@ -26,6 +28,8 @@
   private final CountDownLatch drained = new CountDownLatch(1);
   private ModuleDriver driver;
   private ClientServer clients;
+  private CounterClient counter;
+  private DiscoveryClient discovery;
   private Channel listening;
 
   private FrontDoor() {
@@ -37,14 +41,26 @@
     if (file == null) {
       throw new IOException("GW_CONFIG is not set");
     }
-    FrontDoor door = start(Config.read(Path.of(file)));
+    Path path = Path.of(file);
+    FrontDoor door = start(Config.read(path), wired -> ReloadSignal.handle(() -> wired.reload(path)));
     Runtime.getRuntime().addShutdownHook(new Thread(door::drain, "drain"));
   }
 
+  private interface Preparation {
+    void of(FrontDoor wired) throws IOException;
+  }
+
   static FrontDoor start(Config config) throws IOException, InterruptedException {
+    return start(config, wired -> { });
+  }
+
+  /** Starts it; what is to be ready before the first client is done between its wiring and its listening. */
+  private static FrontDoor start(Config config, Preparation beforeListening)
+      throws IOException, InterruptedException {
     FrontDoor door = new FrontDoor();
     try {
       door.loop.submit(() -> door.wire(config)).sync();
+      beforeListening.of(door);
       door.listening = door.clients.listen(door.group, config.listen()).sync().channel();
     } catch (RuntimeException e) {
       door.group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
@@ -62,15 +78,35 @@
   }
 
   private void wire(Config config) {
-    BackendPool backends = new BackendPool(loop, clock, config.connectLimitMs(), config.idleLimitMs());
+    BackendPool backends = new BackendPool(loop, clock, config.connectLimitMs(), config.idleLimitMs(),
+        config.limits().backends());
     QuotaPolicy policy = new QuotaPolicy(config.settings(), config.seed());
     driver = new ModuleDriver(loop, clock, policy, backends);
-    clients = new ClientServer(clock, driver, backends, new RequestReader(config.settings()));
-    CounterClient counter = new CounterClient(loop, clock, config.counter(),
+    clients = new ClientServer(loop, clock, driver, backends, new RequestReader(config.settings()),
+        config.limits());
+    counter = new CounterClient(loop, clock, config.counter(),
         config.settings().allowed().countLimitMs(), driver::onCounted);
     counter.start();
     driver.start(counter, config.known());
-    new DiscoveryClient(loop, config.discovery(), config.known().version(), driver::onRoster).start();
+    discovery = new DiscoveryClient(loop, clock, config.discovery(), config.known().version(),
+        driver::onRoster);
+    discovery.start();
+  }
+
+  /**
+   * Takes the addresses of discovery and of the counter from the replaced file; nothing else of it changes
+   * while the process lives. Guards against a file that cannot be read: the old addresses stay.
+   */
+  void reload(Path file) {
+    loop.execute(() -> {
+      try {
+        Config.Peers peers = Config.readPeers(file);
+        counter.moveTo(peers.counter());
+        discovery.moveTo(peers.discovery());
+      } catch (IOException | RuntimeException e) {
+        LOG.warning("the new configuration is not taken: " + e.getMessage());
+      }
+    });
   }
 
   /** The planned end: accept a little longer, answer all that was taken, then let the process go. */
--- /dev/null
+++ b/src/test/java/willowdoor/net/BadClientTest.java
@@ -0,0 +1,186 @@
+package willowdoor.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.SocketException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import willowdoor.net.Peers.Client;
+
+/** Clients that hold connections, never finish, or send what could be read in two ways. */
+@Timeout(40)
+class BadClientTest {
+
+  private static final long OWED_NANOS = TimeUnit.SECONDS.toNanos(3);
+  private static final int PLACES = Bounds.of(96, 128).clients();
+
+  private final Peers peers = new Peers();
+
+  @AfterEach
+  void close() throws Exception {
+    peers.close();
+  }
+
+  /** Descriptors run out without a bound; over it one connection is refused, not all of them. */
+  @Test
+  void oneConnectionTooManyIsRefusedAndTheOthersAreServed() throws Exception {
+    peers.start(peers.smallConfig());
+    String request = Peers.get("r1", 3000);
+    List<Client> taken = new ArrayList<>();
+    for (int i = 0; i < PLACES; i++) {
+      Client client = peers.client();
+      client.send(request.substring(0, 20));
+      taken.add(client);
+    }
+    Client tooMany = peers.client();
+    assertEquals(503, tooMany.ask(Peers.get("r2", 3000)).status());
+    assertTrue(tooMany.ended());
+    assertEquals(200, taken.get(0).ask(request.substring(20)).status());
+  }
+
+  /** Clients that keep their connections for good must not lock others out. */
+  @Test
+  void anIdleConnectionMakesRoomForANewOneOldestFirst() throws Exception {
+    peers.start(peers.smallConfig());
+    List<Client> kept = new ArrayList<>();
+    for (int i = 0; i < PLACES; i++) {
+      kept.add(peers.client());
+      assertEquals(200, kept.get(i).ask(Peers.get("k" + i, 3000)).status());
+    }
+    assertEquals(503, peers.client().ask(Peers.get("early", 3000)).status());
+    long from = System.nanoTime();
+    for (int i = 0; peers.client().ask(Peers.get("r" + i, 3000)).status() != 200; i++) {
+      Thread.onSpinWait();
+    }
+    assertTrue(System.nanoTime() - from < 2 * OWED_NANOS);
+    assertTrue(kept.get(0).ended());
+  }
+
+  @Test
+  void aTrickleDoesNotExtendTheTimeForARequest() throws Exception {
+    peers.start();
+    Client client = peers.client();
+    long from = System.nanoTime();
+    client.send("GET /quote/17 HTTP/1.1\r\n");
+    client.socket.setSoTimeout(50);
+    while (true) {
+      try {
+        assertEquals(408, client.receive().status());
+        break;
+      } catch (IOException e) {
+        assertTrue(System.nanoTime() - from < OWED_NANOS, "neither an error nor a close in time");
+        client.send("X-Pad: 1\r\n");
+      }
+    }
+    assertTrue(System.nanoTime() - from < OWED_NANOS);
+  }
+
+  @Test
+  void aConnectionThatSaysNothingIsEnded() throws Exception {
+    peers.start();
+    long from = System.nanoTime();
+    assertTrue(peers.client().ended());
+    assertTrue(System.nanoTime() - from < OWED_NANOS);
+  }
+
+  /** The second request in the body must reach no backend, whichever of the two lengths is gone by. */
+  @Test
+  void whatCanBeFramedInTwoWaysIsRefusedAndTheConnectionEnds() throws Exception {
+    peers.start();
+    String hidden = Peers.get("hidden", 3000);
+    String post = Peers.post("r1", "");
+    for (String bad : new String[] {
+        post.replace("Content-Length: 0", "Content-Length: 5\r\nTransfer-Encoding: chunked")
+            + "0\r\n\r\n" + hidden,
+        post.replace("Content-Length: 0", "Transfer-Encoding: chunked\r\nContent-Length: 5")
+            + "0\r\n\r\n" + hidden,
+        post.replace("Content-Length: 0", "Content-Length: 0\r\nContent-Length: 5") + hidden,
+        post.replace("Content-Length: 0", "Content-Length: -5") + hidden,
+        post.replace("Content-Length: 0", "Content-Length: +0") + hidden,
+        post.replace("Content-Length: 0", "Content-Length: 0x0") + hidden,
+        post.replace("Content-Length: 0", "Transfer-Encoding: xchunked") + hidden,
+        post.replace("Request-Id: r1", "Request-Id: r1\r\nRequest-Id: r2"),
+        post.replace("X-Plan: basic", "X-Plan: basic\r\nX-Plan: basic"),
+        post.replace("X-Quota:", "X-Quota: units=1,spread=2,first=1\r\nX-Quota:")}) {
+      Client client = peers.client();
+      client.send(bad);
+      assertEquals(400, client.receive().status(), bad);
+      client.socket.shutdownOutput();
+      assertTrue(client.ended(), bad);
+    }
+    assertEquals(200, peers.client().ask(Peers.get("r2", 3000)).status());
+    assertEquals("r2", Peers.next(peers.atBackend).header("Request-Id"));
+    assertNull(peers.atBackend.poll());
+  }
+
+  /** A value out of range, in whomever's name, is no request: neither a backend nor a count hears of it. */
+  @Test
+  void valuesOutOfRangeReachNeitherBackendNorCounter() throws Exception {
+    peers.start();
+    String good = Peers.get("r1", 3000);
+    Client client = peers.client();
+    for (String bad : new String[] {good.replace("units=2", "units=9"), good.replace("units=2", "units=-1"),
+        good.replace("units=2", "units=2.5"), good.replace("spread=2", "spread=3"),
+        good.replace("spread=2", "spread=0"), good.replace("first=1", "first=2"),
+        good.replace("first=1", "first=-1"), good.replace(",first=1", ""),
+        good.replace("units=2", "units=99999999999999999999"), good.replace(": 3000", ": 4001"),
+        good.replace(": 3000", ": 3e3"), good.replace(": 3000", ": soon"),
+        good.replace("00000000b4d65521", "0000000200000000"),
+        good.replace("00000000b4d65521", "ffffffffffffffff")}) {
+      assertEquals(400, client.ask(bad).status(), bad);
+    }
+    assertEquals(200, client.ask(good).status());
+    assertTrue(Peers.next(peers.atCounter).startsWith("incr "));
+    assertNull(peers.atCounter.poll());
+    Peers.next(peers.atBackend);
+    assertNull(peers.atBackend.poll());
+  }
+
+  @Test
+  void aHugeBodyGetsItsErrorBeforeItHasCome() throws Exception {
+    peers.start();
+    Client client = peers.client();
+    client.send(Peers.post("r1", "").replace("Content-Length: 0", "Content-Length: 60000000"));
+    assertEquals(413, client.receive().status());
+    Client chunked = peers.client();
+    chunked.send(Peers.post("r1", "").replace("Content-Length: 0", "Transfer-Encoding: chunked"));
+    String chunk = "8000\r\n" + "x".repeat(0x8000) + "\r\n";
+    try {
+      for (int i = 0; i < 2_000; i++) {
+        chunked.send(chunk);
+      }
+    } catch (SocketException e) {
+      // The front door has ended the connection, which tells the client as well as the error does.
+    }
+    assertEquals(200, peers.client().ask(Peers.get("r2", 3000)).status());
+    assertEquals("r2", Peers.next(peers.atBackend).header("Request-Id"));
+  }
+
+  /** More requests at once than are kept: those kept are answered, and the connection ends. */
+  @Test
+  void aFloodOnOneConnectionIsBounded() throws Exception {
+    peers.start();
+    StringBuilder flood = new StringBuilder();
+    for (int i = 0; i < 200; i++) {
+      flood.append(Peers.get("r" + i, 3000));
+    }
+    Client client = peers.client();
+    client.send(flood.toString());
+    int answers = 0;
+    try {
+      while (client.receive().status() == 200) {
+        answers++;
+      }
+    } catch (IOException e) {
+      // The end of the connection.
+    }
+    assertTrue(answers > 0 && answers < 200, "answers: " + answers);
+  }
+}
--- a/src/test/java/willowdoor/net/CounterClientTest.java
+++ b/src/test/java/willowdoor/net/CounterClientTest.java
@@ -135,4 +135,31 @@
       Thread.currentThread().interrupt();
     }
   }
+
+  /** A new configuration's counter is used once it is up; what the old one owes is still heard. */
+  @Test
+  void whatTheOldAddressOwesIsHeardAfterAMove() throws Exception {
+    start(5_000);
+    CountDownLatch moved = new CountDownLatch(1);
+    peers.counting = line -> {
+      try {
+        moved.await(10, TimeUnit.SECONDS);
+      } catch (InterruptedException e) {
+        return null;
+      }
+      return "ok 77";
+    };
+    add("a", 2);
+    Peers.next(peers.atCounter);
+    try (Peers other = new Peers()) {
+      group.next().submit(() -> client.moveTo(new InetSocketAddress("127.0.0.1",
+          other.counter.getLocalPort()))).sync();
+      moved.countDown();
+      assertEquals(77, Peers.next(ends).total());
+      do {
+        add("b", 1);
+        assertEquals(Status.OK, Peers.next(ends).status());
+      } while (other.atCounter.isEmpty());
+    }
+  }
 }
--- a/src/test/java/willowdoor/net/Peers.java
+++ b/src/test/java/willowdoor/net/Peers.java
@@ -13,6 +13,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Locale;
@@ -187,6 +188,12 @@
         """.formatted(discovery.getLocalPort(), counter.getLocalPort(), list(7, true, entries));
   }
 
+  /** The configuration with this test's one backend and limits that leave few places. */
+  String smallConfig() {
+    return config(entry("s-1", backend.getLocalPort(), "active"))
+        .replace("\"seed\"", "\"limits\":{\"cores\":1,\"memory_mb\":128,\"sockets\":96},\"seed\"");
+  }
+
   /** Starts the front door with this test's one backend. */
   FrontDoor start() throws Exception {
     return start(config(entry("s-1", backend.getLocalPort(), "active")));
@@ -285,7 +292,11 @@
 
     /** True when nothing more comes and the connection ends. */
     boolean ended() throws IOException {
-      return in.read() < 0;
+      try {
+        return in.read() < 0;
+      } catch (SocketException e) {
+        return true;
+      }
     }
 
     @Override
