Hand an answer on only when its read is finished; spoilt answers end at once

At fault: BackendConnection.channelRead0 released the connection before the read was over, and Netty's response parser, which ends a header's name at a blank too. Ruled out: wrong pairing of attempts and connections.

Mended: BackendConnection reads the parts of an answer itself and hands it on at the end of the read; it is used again only with nothing left in the decoder and after 4 ms of quiet; an answer that has begun and is not whole in 250 ms, two lengths, no length, more than 64 KB, more than 16 1xx are SPOILT, a new ending that may have run but rests no backend (any may give one); 101 switches nothing.

--- a/src/main/java/willowdoor/GatewayApi.java
+++ b/src/main/java/willowdoor/GatewayApi.java
@@ -17,9 +17,9 @@
   /** The backends that drop a keyed request's repeats: all, those of one zone, or those of one cell. */
   public enum Group { ALL, ZONE, CELL }
 
-  /** How an attempt or a call ended. */
+  /** How an attempt or a call ended. SPOILT: an answer came that cannot be read; the attempt may have run. */
   public enum Status {
-    OK, ERROR, REJECTED, TIMED_OUT, UNREACHABLE, RESET, CANCELLED, NOT_SENT;
+    OK, ERROR, REJECTED, TIMED_OUT, UNREACHABLE, RESET, SPOILT, CANCELLED, NOT_SENT;
 
     /** True when this ending shows that the attempt never ran, or the call added nothing. */
     public boolean provesNotRun() {
--- a/src/main/java/willowdoor/QuotaPolicy.java
+++ b/src/main/java/willowdoor/QuotaPolicy.java
@@ -640,7 +640,9 @@
       default -> false;
     };
     double forget = b.remembered();
-    if (e.status() == Status.OK || e.status() == Status.ERROR || e.status() == Status.REJECTED) {
+    // A spoilt answer tells that the backend works; any may give one, so none rests for it.
+    if (e.status() == Status.OK || e.status() == Status.ERROR || e.status() == Status.REJECTED
+        || e.status() == Status.SPOILT) {
       b.answeredAt = now;
     }
     if (e.status() == Status.OK || bad) {
--- a/src/main/java/willowdoor/net/BackendPool.java
+++ b/src/main/java/willowdoor/net/BackendPool.java
@@ -7,12 +7,12 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
-import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -24,15 +24,20 @@
 /** The connections to the backends, and the attempts on them. It picks no backend and repeats nothing. */
 final class BackendPool {
 
-  static final int MOST_BODY = 64 * 1024;
   /** An idle connection is retired at this share of the backends' own limit, well before they close it. */
   private static final double RETIRE_AT = 0.6;
+  /**
+   * A connection is used again only when it has been quiet for this long after an answer. Guards against a
+   * second copy just behind, which nothing but the moment of its coming tells from the next answer.
+   */
+  private static final double SETTLE_MS = 4;
   private static final long SWEEP_MS = 500;
 
   /** One backend's place and connections. */
   static final class Backend {
     private InetSocketAddress place;
     private double startedMs;
+    private boolean gone;
     /** The last one in was used last, and is used next: the others grow old and are retired. */
     private final ArrayDeque<BackendConnection> idle = new ArrayDeque<>();
     private final Set<Attempt> connecting = new HashSet<>();
@@ -85,6 +90,7 @@
   private void remove(long id) {
     Backend b = backends.remove(id);
     if (b != null) {
+      b.gone = true;
       List.copyOf(b.idle).forEach(BackendConnection::close);
       List.copyOf(b.connecting).forEach(a -> a.abandon(Status.UNREACHABLE));
     }
@@ -113,25 +119,33 @@
     }
   }
 
-  /** The connection used last, unless it stood idle so long that the backend may be closing it. */
+  /** The connection used last, if it has settled, and not so long ago that the backend may be closing it. */
   private BackendConnection idle(Backend b) {
-    double before = clock.now() - idleLimitMs;
-    BackendConnection c = b.idle.pollLast();
-    while (c != null && (!c.usable() || c.idleSince < before)) {
-      c.close();
-      c = b.idle.pollLast();
+    double now = clock.now();
+    BackendConnection found = null;
+    for (Iterator<BackendConnection> i = b.idle.descendingIterator(); found == null && i.hasNext();) {
+      BackendConnection c = i.next();
+      if (c.idleSince < now - SETTLE_MS) {
+        i.remove();
+        if (c.usable() && c.idleSince >= now - idleLimitMs) {
+          found = c;
+        } else {
+          c.close();
+        }
+      }
     }
-    return c;
+    return found;
   }
 
   private void connect(Backend b, Attempt attempt) {
     connections++;
     b.connecting.add(attempt);
-    BackendConnection c = new BackendConnection(this, b);
+    ResponseDecoder decoder = new ResponseDecoder();
+    BackendConnection c = new BackendConnection(this, b, decoder);
     ChannelFuture connected = bootstrap.clone().handler(new ChannelInitializer<Channel>() {
       @Override
       protected void initChannel(Channel channel) {
-        channel.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(MOST_BODY), c);
+        channel.pipeline().addLast(decoder, new HttpRequestEncoder(), c);
       }
     }).connect(b.place);
     connected.addListener((ChannelFuture f) -> {
@@ -155,7 +169,7 @@
   }
 
   void release(BackendConnection c) {
-    if (backends.containsValue(c.backend)) {
+    if (!c.backend.gone && c.backend.place.equals(c.place())) {
       c.idleSince = clock.now();
       c.backend.idle.addLast(c);
     } else {
--- /dev/null
+++ b/src/test/java/willowdoor/net/BadBackendTest.java
@@ -0,0 +1,116 @@
+package willowdoor.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import willowdoor.net.Peers.Client;
+
+/** Answers that come spoilt, and good ones that bring more than belongs to them. */
+@Timeout(30)
+class BadBackendTest {
+
+  private final Peers peers = new Peers();
+
+  @AfterEach
+  void close() throws Exception {
+    peers.close();
+  }
+
+  private static String ok(String body) {
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+  }
+
+  /** What lies behind an answer must never be served as the answer to the next request. */
+  @Test
+  void whatComesBehindAnAnswerIsNotTheNextOne() throws Exception {
+    peers.start();
+    Client client = peers.client();
+    int n = 0;
+    for (String behind : new String[] {ok("stale"), ok("stale") + ok("stale"), "noise", "\u0001\u0002",
+        ok("stale").substring(0, 20), "HTTP/1.1 2x0 OK\r\n\r\n"}) {
+      String id = "r" + n++;
+      peers.answer = (request, out) -> Peers.write(out, ok(request.header("Request-Id")) + behind);
+      assertEquals(id, client.ask(Peers.get(id, 3000)).text());
+      peers.answer = (request, out) -> Peers.write(out, ok(request.header("Request-Id")));
+      assertEquals(id + "next", client.ask(Peers.get(id + "next", 3000)).text());
+    }
+  }
+
+  /** The same where the second copy comes in a segment of its own. */
+  @Test
+  void aSecondCopyJustBehindIsNotTheNextAnswer() throws Exception {
+    peers.start();
+    Client client = peers.client();
+    peers.answer = (request, out) -> Peers.write(out, ok(request.header("Request-Id")))
+        && Peers.write(out, ok("stale"));
+    for (int i = 0; i < 50; i++) {
+      assertEquals("r" + i, client.ask(Peers.get("r" + i, 3000)).text());
+    }
+  }
+
+  @Test
+  void informationalAnswersAheadArePassedOver() throws Exception {
+    peers.start();
+    Client client = peers.client();
+    int n = 0;
+    for (String ahead : new String[] {"HTTP/1.1 100 Continue\r\n\r\n",
+        "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n", "HTTP/1.1 101 Switching Protocols\r\n\r\n",
+        "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\n"}) {
+      AtomicInteger asked = new AtomicInteger();
+      peers.answer = (request, out) -> {
+        asked.incrementAndGet();
+        return Peers.write(out, ahead + ahead + ok("fine"));
+      };
+      assertEquals("fine", client.ask(Peers.get("r" + n++, 3000)).text());
+      assertEquals(1, asked.get(), ahead);
+    }
+  }
+
+  /** None is served, and none holds its request for long: the module tries again at once. */
+  @Test
+  void aSpoiltAnswerIsAFailedAttempt() throws Exception {
+    peers.start();
+    Client client = peers.client();
+    int n = 0;
+    for (String spoilt : new String[] {"\u0001\u0002\u0003noise\r\n\r\n", "HTTP/1.1 2x0 OK\r\n\r\nno",
+        "HTTP/1.1 OK 200\r\nContent-Length: 2\r\n\r\nno",
+        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 5\r\n\r\nnoise",
+        "HTTP/1.1 200 OK\r\nno colon here\r\nContent-Length: 2\r\n\r\nno",
+        "HTTP/1.1 200 OK\r\nContent-Length: -2\r\n\r\nno",
+        "HTTP/1.1 200 OK\r\nContent-Length: many\r\n\r\nno",
+        "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nno",
+        "HTTP/1.1 200 OK\r\nContent-Length: 9\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nno",
+        "HTTP/1.1 200 OK\r\n\r\nno end is told", "HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\ntoo short",
+        "HTTP/1.1 200 OK\r\nContent-Le", "HTTP/1.1 200 OK\r\n" + "X-Pad: pppppppppp\r\n".repeat(1_000)}) {
+      AtomicInteger asked = new AtomicInteger();
+      peers.answer = (request, out) -> Peers.write(out, asked.incrementAndGet() == 1 ? spoilt : Peers.OK);
+      long from = System.nanoTime();
+      assertEquals("fine", client.ask(Peers.get("r" + n++, 3900)).text(), spoilt);
+      assertEquals(2, asked.get(), spoilt);
+      assertTrue(System.nanoTime() - from < TimeUnit.MILLISECONDS.toNanos(900), spoilt);
+      for (int i = 0; i < 8; i++) {
+        // Earns the next repeat: the module allows so many for each first attempt.
+        assertEquals(200, client.ask(Peers.get("g" + n + "-" + i, 3900)).status());
+      }
+    }
+  }
+
+  /** Figures that cannot be read are unknown, not nought: nothing is settled by them. */
+  @Test
+  void anUnreadableFigureOfUnitsSettlesNothing() throws Exception {
+    peers.start();
+    Client client = peers.client();
+    for (String units : new String[] {"%%%", "-3", "NaN", "1e999", ""}) {
+      peers.answer = (request, out) ->
+          Peers.write(out, Peers.OK.replace("X-Units-Charged: 2", "X-Units-Charged: " + units));
+      assertEquals(200, client.ask(Peers.get("r" + units.length() + units.hashCode(), 3000)).status());
+      assertTrue(Peers.next(peers.atCounter).matches("incr \\S+ 2 .*"), units);
+    }
+  }
+}
--- a/src/test/java/willowdoor/net/FrontDoorTest.java
+++ b/src/test/java/willowdoor/net/FrontDoorTest.java
@@ -65,6 +65,8 @@
     for (int i = 0; i < 5; i++) {
       assertEquals("fine", client.ask(Peers.get("r" + i, 3000)).text());
       assertEquals("GET /quote/17?a=%20b&c HTTP/1.1", Peers.next(peers.atBackend).firstLine());
+      // A connection is used again only once it is seen that nothing follows the answer.
+      TimeUnit.MILLISECONDS.sleep(30);
     }
     assertEquals(1, connections.get());
   }
