Broken and dead connections do not make a backend cold or failing; read totals again

Checked: a trace of 602 dead connections at use, idle for a median of 146 ms, so no idle limit would avoid them; 1,121 were seen closed before use. Refusals by reason, counted in a probe: budget for further attempts spent (311), wait too long (900 and 800). At fault: QuotaPolicy.learn took one attempt whose connection broke before it was written (UNREACHABLE) for a restart, and held the backend for cold for 18 s; Attempt.broken made no difference between that and a refused connection, nor between a dead kept connection and a backend that fails. Ruled out: silence of the counter.

Mended: BROKEN (never ran) beside UNREACHABLE, which alone makes cold; a kept connection that ends with nothing of an answer is SPOILT, not RESET; neither uses up the budget. CounterClient tells a spoilt answer from lost ones, also noise with no line's end, and the module reads that total once more (amount 0).

--- a/src/main/java/willowdoor/GatewayApi.java
+++ b/src/main/java/willowdoor/GatewayApi.java
@@ -17,13 +17,17 @@
   /** The backends that drop a keyed request's repeats: all, those of one zone, or those of one cell. */
   public enum Group { ALL, ZONE, CELL }
 
-  /** How an attempt or a call ended. SPOILT: an answer came that cannot be read; the attempt may have run. */
+  /**
+   * How an attempt or a call ended. BROKEN: its connection broke before it was written whole. SPOILT: the
+   * answer cannot be read, or a kept connection turned out to be dead; it may have run, and its backend is
+   * not to blame.
+   */
   public enum Status {
-    OK, ERROR, REJECTED, TIMED_OUT, UNREACHABLE, RESET, SPOILT, CANCELLED, NOT_SENT;
+    OK, ERROR, REJECTED, TIMED_OUT, UNREACHABLE, BROKEN, RESET, SPOILT, CANCELLED, NOT_SENT;
 
     /** True when this ending shows that the attempt never ran, or the call added nothing. */
     public boolean provesNotRun() {
-      return this == REJECTED || this == UNREACHABLE || this == NOT_SENT;
+      return this == REJECTED || this == UNREACHABLE || this == BROKEN || this == NOT_SENT;
     }
   }
 
--- a/src/main/java/willowdoor/GatewayState.java
+++ b/src/main/java/willowdoor/GatewayState.java
@@ -161,6 +161,8 @@
     boolean waiting;
     boolean called;
     boolean added;
+    /** The total is being read a second time. */
+    boolean reread;
     /** Units that its call adds. */
     double asked;
     boolean inQuota;
@@ -168,7 +170,7 @@
     boolean streaming;
     boolean mayHaveRun;
     boolean abandoned;
-    /** Its last attempt found no connection. */
+    /** Its last attempt found no connection, or one that was dead or out of step. */
     boolean unreached;
     double keyedUntil = Double.POSITIVE_INFINITY;
     int attempts;
--- a/src/main/java/willowdoor/QuotaPolicy.java
+++ b/src/main/java/willowdoor/QuotaPolicy.java
@@ -306,6 +306,10 @@
     Account a = call.account;
     Job job = call.job;
     a.advance();
+    if (e.status() == Status.SPOILT && job.waiting && !job.reread) {
+      readAgain(e.name(), call);
+      return;
+    }
     a.flying -= job.asked;
     if (!stalled() || e.status() == Status.OK) {
       judgeCounter(e);
@@ -328,6 +332,16 @@
     decide(job, e.status() == Status.OK);
   }
 
+  /**
+   * An answer that cannot be read tells that the amount was added, and nothing of a slow or absent counter:
+   * the total is read once more, as if the answer came late. Harm: one more call for each spoilt answer.
+   */
+  private void readAgain(String name, Call call) {
+    call.job.reread = true;
+    calls.computeIfAbsent(name, n -> new ArrayDeque<>()).add(call);
+    out.add(new Add(name, 0, COUNT_TTL_MS));
+  }
+
   private void judgeCounter(Counted e) {
     boolean away = callsFailed >= COUNTER_AWAY_AFTER;
     callsFailed = e.status() == Status.OK ? 0 : callsFailed + 1;
@@ -820,7 +834,9 @@
       job.keyedTo = attempt.backend;
       job.keyedUntil = attempt.sentAt + job.type.repeatWindowMs();
     }
-    job.unreached = e.status() == Status.UNREACHABLE;
+    // None of these tells of overload, against which the budget of further attempts guards.
+    job.unreached = e.status() == Status.UNREACHABLE || e.status() == Status.BROKEN
+        || e.status() == Status.SPOILT;
     if (e.over()) {
       open.remove(e.request());
     } else if (open.containsKey(e.request())) {
--- a/src/main/java/willowdoor/net/Attempt.java
+++ b/src/main/java/willowdoor/net/Attempt.java
@@ -27,9 +27,15 @@
     return ended;
   }
 
-  /** How a broken connection ends this attempt: whether it may have run is told by the write alone. */
-  final Status broken() {
-    return written ? Status.RESET : Status.UNREACHABLE;
+  /**
+   * How a broken connection ends this attempt: whether it may have run is told by the write alone. Stale: the
+   * connection had been kept, and nothing came of this attempt's answer.
+   */
+  final Status broken(boolean stale) {
+    if (!written) {
+      return Status.BROKEN;
+    }
+    return stale ? Status.SPOILT : Status.RESET;
   }
 
   /** How running out of time ends this attempt. */
--- a/src/main/java/willowdoor/net/BackendConnection.java
+++ b/src/main/java/willowdoor/net/BackendConnection.java
@@ -37,6 +37,8 @@
   private Channel channel;
   private Attempt current;
   double idleSince;
+  /** It has carried an answer before. */
+  private boolean kept;
   /** The answer being read, its body so far, and whether its end has come. */
   private HttpResponse head;
   private ByteBuf body;
@@ -68,6 +70,7 @@
   }
 
   void close() {
+    kept = false;
     channel.close();
   }
 
@@ -78,7 +81,7 @@
     channel.writeAndFlush(request).addListener((ChannelFuture f) -> {
       attempt.written = f.isSuccess();
       if (!f.isSuccess()) {
-        attempt.end(Status.UNREACHABLE, null);
+        attempt.end(Status.BROKEN, null);
         channel.close();
       }
     });
@@ -161,7 +164,8 @@
       channel.close();
     }
     // An answer ahead of the request's end is none to this request.
-    Status status = inStep ? status(answer) : attempt.broken();
+    Status status = inStep ? status(answer) : Status.BROKEN;
+    kept = true;
     attempt.end(status, status == Status.OK ? answer : null);
     answer.release();
   }
@@ -173,7 +177,7 @@
     forget();
     channel.close();
     if (attempt != null) {
-      attempt.end(attempt.written ? Status.SPOILT : Status.UNREACHABLE, null);
+      attempt.end(attempt.written ? Status.SPOILT : Status.BROKEN, null);
     }
   }
 
@@ -206,12 +210,13 @@
 
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
-    pool.closed(this);
     Attempt attempt = current;
+    boolean stale = kept && head == null && ahead == 0;
     current = null;
     forget();
+    pool.closed(this);
     if (attempt != null) {
-      attempt.end(attempt.broken(), null);
+      attempt.end(attempt.broken(stale), null);
     }
   }
 
--- a/src/main/java/willowdoor/net/CounterClient.java
+++ b/src/main/java/willowdoor/net/CounterClient.java
@@ -37,6 +37,8 @@
   private static final int MOST_OWED = 256;
   private static final int MOST_LINE = 256;
   private static final long SWEEP_MS = 100;
+  /** A line comes whole; a part of one that stays alone for so long is none. */
+  private static final long WHOLE_MS = 10;
   /** A connection silent for so many limits of a call, though it owes an answer, is taken for dead. */
   private static final double SILENT_LIMITS = 12;
   /** An idle connection is pinged this often: it stays open, and a dead one shows. */
@@ -107,7 +109,7 @@
       return;
     }
     counter = other;
-    leaving.forEach(Link::close);
+    List.copyOf(leaving).forEach(Link::close);
     leaving.addAll(links);
     links.clear();
     open();
@@ -189,6 +191,17 @@
     }
   }
 
+  /** The lines of one connection. */
+  private static final class Lines extends LineBasedFrameDecoder {
+    Lines() {
+      super(MOST_LINE);
+    }
+
+    boolean holdsMore() {
+      return actualReadableBytes() > 0;
+    }
+  }
+
   /** One kept connection and the answers that it owes, in order. */
   private final class Link extends ChannelInitializer<Channel> {
     private final ArrayDeque<Call> owed = new ArrayDeque<>();
@@ -267,12 +280,26 @@
 
     @Override
     protected void initChannel(Channel ch) {
-      ch.pipeline().addLast(new LineBasedFrameDecoder(MOST_LINE), new SimpleChannelInboundHandler<ByteBuf>() {
+      Lines lines = new Lines();
+      ch.pipeline().addLast(lines, new SimpleChannelInboundHandler<ByteBuf>() {
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, ByteBuf line) {
           answered(line.toString(StandardCharsets.US_ASCII));
         }
 
+        /** Guards against noise without a line's end, to which the next answer would be added. */
+        @Override
+        public void channelReadComplete(ChannelHandlerContext ctx) {
+          if (lines.holdsMore()) {
+            double heard = heardAt;
+            loop.schedule(() -> {
+              if (lines.holdsMore() && heard == heardAt) {
+                spoilt();
+              }
+            }, WHOLE_MS, TimeUnit.MILLISECONDS);
+          }
+        }
+
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
           lost();
@@ -307,11 +334,23 @@
         backoffMs = LEAST_BACKOFF_MS;
         return;
       }
-      // Junk: answers and calls are out of step, and nothing that follows can be trusted.
       if (call != null) {
         owed.addFirst(call);
       }
-      channel.close();
+      spoilt();
+    }
+
+    /** Junk: what was asked for first was added; nothing that follows on this connection can be trusted. */
+    private void spoilt() {
+      Call call = owed.poll();
+      Channel used = channel;
+      channel = null;
+      if (used != null) {
+        used.close();
+      }
+      if (call != null) {
+        finish(call, Status.SPOILT, 0);
+      }
     }
 
     /** What was not written whole added nothing; anything else may have been added. */
--- a/src/test/java/willowdoor/net/BadBackendTest.java
+++ b/src/test/java/willowdoor/net/BadBackendTest.java
@@ -101,6 +101,26 @@
     }
   }
 
+  /**
+   * Kept connections that are dead at their next request, again and again: each costs one attempt, not the
+   * budget for further attempts.
+   */
+  @Test
+  void aKeptConnectionThatTurnsOutDeadCostsNoRequest() throws Exception {
+    int port = peers.listen(50, (in, out, socket) -> {
+      Peers.read(in);
+      Peers.write(out, Peers.OK);
+      Peers.read(in);
+      socket.close();
+    }).getLocalPort();
+    peers.start(peers.config(Peers.entry("s-1", port, "active")));
+    Client client = peers.client();
+    for (int i = 0; i < 60; i++) {
+      assertEquals(200, client.ask(Peers.get("r" + i, 3000)).status());
+      TimeUnit.MILLISECONDS.sleep(10);
+    }
+  }
+
   /** Figures that cannot be read are unknown, not nought: nothing is settled by them. */
   @Test
   void anUnreadableFigureOfUnitsSettlesNothing() throws Exception {
