Pass over what cannot be used in a list; notice long noise of the counter at once

From reading: one entry without an address failed its whole list at every reconnect, and a full list with no servers would have emptied the last one (RosterNews.of); both are tested.

--- a/src/main/java/willowdoor/net/CounterClient.java
+++ b/src/main/java/willowdoor/net/CounterClient.java
@@ -10,6 +10,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.LineBasedFrameDecoder;
+import io.netty.handler.codec.TooLongFrameException;
 import java.math.BigDecimal;
 import java.math.RoundingMode;
 import java.net.InetSocketAddress;
@@ -194,7 +195,7 @@
   /** The lines of one connection. */
   private static final class Lines extends LineBasedFrameDecoder {
     Lines() {
-      super(MOST_LINE);
+      super(MOST_LINE, true, true);
     }
 
     boolean holdsMore() {
@@ -307,6 +308,9 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+          if (cause instanceof TooLongFrameException) {
+            spoilt();
+          }
           ctx.close();
         }
       });
--- a/src/main/java/willowdoor/net/RosterNews.java
+++ b/src/main/java/willowdoor/net/RosterNews.java
@@ -26,7 +26,12 @@
   static RosterNews parse(byte[] line) throws IOException {
     try (JsonParser in = JSON.createParser(line)) {
       in.nextToken();
-      return of(JsonFields.object(in));
+      Map<String, Object> message = JsonFields.object(in);
+      // Guards against a full list that names nothing because it is junk: the last list would be gone.
+      if (!(message.get("servers") instanceof List)) {
+        throw new IOException("a message without a list");
+      }
+      return of(message);
     }
   }
 
@@ -38,17 +43,20 @@
     List<BackendEntry> entries = new ArrayList<>();
     Map<Long, InetSocketAddress> places = new HashMap<>();
     for (Map<String, Object> s : servers) {
-      long id = number(JsonFields.text(s, "id"));
+      String name = JsonFields.text(s, "id");
+      long id = number(name);
       Phase phase = switch (JsonFields.text(s, "state")) {
         case "active" -> Phase.SERVING;
         case "left" -> Phase.REMOVED;
         default -> Phase.DRAINING;
       };
       InetSocketAddress address = address(JsonFields.text(s, "addr"));
+      if (name.isEmpty() || address == null && phase == Phase.SERVING) {
+        // One entry that cannot be used must not keep the others from being told, drains above all.
+        continue;
+      }
       if (address != null) {
         places.put(id, address);
-      } else if (phase == Phase.SERVING) {
-        throw new IOException("a backend without an address: " + s.get("id"));
       }
       entries.add(new BackendEntry(id, JsonFields.text(s, "zone"), (int) JsonFields.number(s, "cell"), phase,
           JsonFields.number(s, "weight", 1), JsonFields.number(s, "started_ms")));
--- a/src/test/java/willowdoor/net/DiscoveryTest.java
+++ b/src/test/java/willowdoor/net/DiscoveryTest.java
@@ -106,6 +106,21 @@
     assertEquals(200, peers.client().ask(Peers.get("r1", 3000)).status());
   }
 
+  /** Junk in one entry, or a list that is none, neither hides the other entries nor empties the list. */
+  @Test
+  void whatCannotBeUsedInAListIsPassedOver() throws Exception {
+    int second = namedBackend("2").getLocalPort();
+    peers.start();
+    Peers.next(peers.watches);
+    peers.tell(Peers.list(9, false, Peers.entry("s-9", 1, "active").replace("127.0.0.1:1", "nowhere"),
+        "{\"id\":7}", Peers.entry("s-1", peers.backend.getLocalPort(), "leaving"),
+        Peers.entry("s-2", second, "active")) + "\n");
+    askUntil("2");
+    peers.tell("{\"version\":-4,\"full\":true}\n");
+    assertTrue(Peers.next(peers.watches).contains("index=9 "));
+    askUntil("2");
+  }
+
   /** A machine that vanished resets nothing: the watch is replaced for its silence alone. */
   @Test
   void aSilentWatchIsReplaced() throws Exception {
