Let clients and backends share one table of connections

Places counts both sides; clients may take what backends do not need, with some kept free ahead of them.

--- a/src/main/java/willowdoor/net/BackendPool.java
+++ b/src/main/java/willowdoor/net/BackendPool.java
@@ -47,17 +47,15 @@
   private final Clock clock;
   private final Bootstrap bootstrap;
   private final double idleLimitMs;
-  /** Bounds all connections to backends, idle ones too. */
-  private final int mostConnections;
+  private final Places places;
   private final Map<Long, Backend> backends = new HashMap<>();
-  private int connections;
 
   BackendPool(EventLoop loop, Clock clock, double connectLimitMs, double idleLimitMs,
-      int mostConnections) {
+      Places places) {
     this.loop = loop;
     this.clock = clock;
     this.idleLimitMs = idleLimitMs * RETIRE_AT;
-    this.mostConnections = mostConnections;
+    this.places = places;
     bootstrap = new Bootstrap().group(loop).channel(Transport.BEST.socket())
         .option(ChannelOption.TCP_NODELAY, true)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.ceil(connectLimitMs));
@@ -112,7 +110,7 @@
     BackendConnection c = idle(b);
     if (c != null) {
       c.carry(attempt, request(b, attempt));
-    } else if (connections >= mostConnections && !dropIdle()) {
+    } else if (!places.roomForBackend() && !dropIdle()) {
       attempt.end(Status.UNREACHABLE, null);
     } else {
       connect(b, attempt);
@@ -138,7 +136,7 @@
   }
 
   private void connect(Backend b, Attempt attempt) {
-    connections++;
+    places.backend(1);
     b.connecting.add(attempt);
     ResponseDecoder decoder = new ResponseDecoder();
     BackendConnection c = new BackendConnection(this, b, decoder);
@@ -159,7 +157,7 @@
         attempt.end(Status.UNREACHABLE, null);
       }
     });
-    connected.channel().closeFuture().addListener(f -> connections--);
+    connected.channel().closeFuture().addListener(f -> places.backend(-1));
   }
 
   private static FullHttpRequest request(Backend b, Attempt attempt) {
--- a/src/main/java/willowdoor/net/Bounds.java
+++ b/src/main/java/willowdoor/net/Bounds.java
@@ -4,23 +4,20 @@
  * What the process may hold, from the limits that its configuration tells. Descriptors that run out take
  * the whole process down (a class that loads late, a log line), so all kinds of sockets get fitting parts.
  */
-record Bounds(int clients, int backends, int bodyBytes) {
+record Bounds(int places, int bodyBytes) {
 
   /** Descriptors of the JVM and of the event loop: its files, the jar, epoll, timer and event descriptors. */
   private static final int OWN = 24;
   /** Connections to the counter and to discovery, twice, as while a new configuration takes over. */
   private static final int PEERS = 2 * (CounterClient.CONNECTIONS + 1);
   private static final int MARGIN = 14;
-  /** Clients need no more than a third of all for their requests; the rest of their part is for idle ones. */
-  private static final double CLIENT_PART = 0.56;
   /** Without limits in the configuration, those of a middling machine hold. */
   static final double USUAL_SOCKETS = 1024;
   static final double USUAL_MEMORY_MB = 128;
   private static final double BODY_PART = 1.0 / 16;
 
   static Bounds of(double sockets, double memoryMb) {
-    int free = Math.max(16, (int) sockets - OWN - PEERS - MARGIN);
-    int clients = (int) (free * CLIENT_PART);
-    return new Bounds(clients, free - clients, (int) (memoryMb * BODY_PART * (1 << 20)));
+    return new Bounds(Math.max(16, (int) sockets - OWN - PEERS - MARGIN),
+        (int) (memoryMb * BODY_PART * (1 << 20)));
   }
 }
--- a/src/main/java/willowdoor/net/ClientServer.java
+++ b/src/main/java/willowdoor/net/ClientServer.java
@@ -37,6 +37,7 @@
   private final BackendPool backends;
   private final RequestReader reader;
   private final Bounds bounds;
+  private final Places places;
   /** In the order of their opening. */
   private final Set<ClientConnection> connections = new LinkedHashSet<>();
   private int receiving;
@@ -45,12 +46,13 @@
   private boolean draining;
 
   ClientServer(EventLoop loop, Clock clock, ModuleDriver driver, BackendPool backends, RequestReader reader,
-      Bounds bounds) {
+      Bounds bounds, Places places) {
     this.clock = clock;
     this.driver = driver;
     this.backends = backends;
     this.reader = reader;
     this.bounds = bounds;
+    this.places = places;
     loop.scheduleWithFixedDelay(this::endOverdue, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
   }
 
@@ -150,17 +152,21 @@
   /** True when the connection is one too many; far beyond that it ends at once, as descriptors run out. */
   boolean opened(ClientConnection connection) {
     connections.add(connection);
-    if (connections.size() > bounds.clients()) {
+    places.client(1);
+    int most = places.mostClients();
+    if (places.clients() > most) {
       evict();
     }
-    if (connections.size() > bounds.clients() + bounds.clients() / SPARE_PART) {
+    if (places.clients() > most + most / SPARE_PART) {
       connection.closeIfIdle();
     }
-    return connections.size() > bounds.clients();
+    return places.clients() > most;
   }
 
   void closed(ClientConnection connection) {
-    connections.remove(connection);
+    if (connections.remove(connection)) {
+      places.client(-1);
+    }
   }
 
   /** Ends the connection that has been idle longest, if one may be ended: others want its place. */
--- a/src/main/java/willowdoor/net/FrontDoor.java
+++ b/src/main/java/willowdoor/net/FrontDoor.java
@@ -78,12 +78,13 @@
   }
 
   private void wire(Config config) {
+    Places places = new Places(config.limits().places());
     BackendPool backends = new BackendPool(loop, clock, config.connectLimitMs(), config.idleLimitMs(),
-        config.limits().backends());
+        places);
     QuotaPolicy policy = new QuotaPolicy(config.settings(), config.seed());
     driver = new ModuleDriver(loop, clock, policy, backends);
     clients = new ClientServer(loop, clock, driver, backends, new RequestReader(config.settings()),
-        config.limits());
+        config.limits(), places);
     counter = new CounterClient(loop, clock, config.counter(),
         config.settings().allowed().countLimitMs(), driver::onCounted);
     counter.start();
--- a/src/test/java/willowdoor/net/BadClientTest.java
+++ b/src/test/java/willowdoor/net/BadClientTest.java
@@ -19,7 +19,7 @@
 class BadClientTest {
 
   private static final long OWED_NANOS = TimeUnit.SECONDS.toNanos(3);
-  private static final int PLACES = Bounds.of(96, 128).clients();
+  private static final int PLACES = new Places(Bounds.of(Peers.FEW_SOCKETS, 128).places()).mostClients();
 
   private final Peers peers = new Peers();
 
@@ -63,6 +63,23 @@
     assertTrue(kept.get(0).ended());
   }
 
+  /** Clients and backends share one table: whichever side needs more gets it, and never both together. */
+  @Test
+  void clientsAndBackendsNeverHoldMoreThanThereIs() {
+    Places places = new Places(100);
+    int crowd = places.mostClients();
+    places.client(crowd);
+    int backends = 0;
+    while (places.roomForBackend()) {
+      places.backend(1);
+      backends++;
+    }
+    assertEquals(100, crowd + backends);
+    assertTrue(places.mostClients() < crowd);
+    places.client(-crowd);
+    assertTrue(places.roomForBackend());
+  }
+
   @Test
   void aTrickleDoesNotExtendTheTimeForARequest() throws Exception {
     peers.start();
--- a/src/test/java/willowdoor/net/Peers.java
+++ b/src/test/java/willowdoor/net/Peers.java
@@ -33,6 +33,8 @@
   static final String NOT_STARTED =
       "HTTP/1.1 503 Service Unavailable\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n";
 
+  static final int FEW_SOCKETS = 160;
+
   /** A message as it came: first line with headers, and body. */
   record Message(String head, byte[] body) {
     String firstLine() {
@@ -191,7 +193,8 @@
   /** The configuration with this test's one backend and limits that leave few places. */
   String smallConfig() {
     return config(entry("s-1", backend.getLocalPort(), "active"))
-        .replace("\"seed\"", "\"limits\":{\"cores\":1,\"memory_mb\":128,\"sockets\":96},\"seed\"");
+        .replace("\"seed\"",
+            "\"limits\":{\"cores\":1,\"memory_mb\":128,\"sockets\":" + FEW_SOCKETS + "},\"seed\"");
   }
 
   /** Starts the front door with this test's one backend. */
