In a crowd, end connections with their answers, and half requests sooner

Ruled out: descriptors as such (821 of 1,024) and CPU. At fault: ClientConnection.write kept every connection, evictable spared half requests. With three quarters of the places taken an answer now ends its connection, and a request that is not whole after 0.3 s may be ended for another's sake.

--- a/src/main/java/willowdoor/net/ClientConnection.java
+++ b/src/main/java/willowdoor/net/ClientConnection.java
@@ -41,7 +41,7 @@
   private static final double REQUEST_MS = 2_200;
   /** Between requests a connection may be ended after this, if another wants its place. */
   private static final double EVICT_MS = 2_050;
-  /** One that has said nothing since it was opened goes sooner: clients connect in order to ask. */
+  /** One with no whole request in so long goes sooner: clients connect in order to ask, and ask at once. */
   private static final double EVICT_SILENT_MS = 300;
   /** Between requests a connection is ended after this in any case: some clients never come back. */
   private static final double IDLE_MS = 10_000;
@@ -114,8 +114,13 @@
 
   /** Whether no request is on it, and has not been for long enough to end it for another's sake. */
   boolean evictable(double now) {
-    return current == null && !ending && Double.isNaN(receivingSince)
-        && now - quietSince > (asked ? EVICT_MS : EVICT_SILENT_MS);
+    if (current != null || ending) {
+      return false;
+    }
+    if (asked && Double.isNaN(receivingSince)) {
+      return now - quietSince > EVICT_MS;
+    }
+    return now - (asked ? receivingSince : quietSince) > EVICT_SILENT_MS;
   }
 
   /** Guards against clients that never finish a request, say nothing, or never come back. */
@@ -275,7 +280,8 @@
   private void write(FullHttpResponse answer) {
     answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, answer.content().readableBytes());
     quietSince = server.now();
-    boolean keep = keepAlive && !server.draining() && !(overrun && behind.isEmpty());
+    // In a crowd a kept connection is a place that another client may not find.
+    boolean keep = keepAlive && !server.draining() && !server.crowded() && !(overrun && behind.isEmpty());
     if (!keep) {
       ending = true;
       answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
--- a/src/main/java/willowdoor/net/ClientServer.java
+++ b/src/main/java/willowdoor/net/ClientServer.java
@@ -28,6 +28,8 @@
 
   /** Of the connections, this part is over the bound: those are still told so, any more end at once. */
   private static final int SPARE_PART = 16;
+  /** With so much of the places taken, connections end with their answers. */
+  private static final double CROWDED = 0.75;
   private static final int MOST_BODY = 64 * 1024;
   /** How often connections are looked at for overdue requests. */
   private static final long SWEEP_MS = 200;
@@ -149,6 +151,10 @@
     return driver.heldBytes() >= bounds.bodyBytes();
   }
 
+  boolean crowded() {
+    return places.clients() > CROWDED * places.mostClients();
+  }
+
   /** True when the connection is one too many; far beyond that it ends at once, as descriptors run out. */
   boolean opened(ClientConnection connection) {
     connections.add(connection);
