A cold backend's floor is what one core does, not half of it

At fault: QuotaPolicy.coldRoom: with no warm backend, or in a gateway that has just started, sendsPerBackend is 0 and the floor alone counts, half of one core's work shared by all gateways, which held requests for up to HOLD_OF_AIM. Ruled out: SIGHUP itself (windows around the moves lose nothing) and lost restarts (each drained and ended by itself).

--- a/src/main/java/willowdoor/QuotaPolicy.java
+++ b/src/main/java/willowdoor/QuotaPolicy.java
@@ -619,11 +619,12 @@
 
   /**
    * Guards a backend that has just started, for whatever cause: it gets no more than its present part of what
-   * a warm one gets from here, attempts of every kind included. Harm: slower use of a fleet that comes back.
+   * a warm one gets from here, attempts of every kind included, or of what a single core does, shared by all
+   * gateways, where none is warm or this gateway is new. Harm: slower use of a fleet that comes back.
    */
   private boolean coldRoom(Backend b) {
     double floor = 1000 / Math.max(1, fleetService) / settings.gateways();
-    double rate = Math.max(sendsPerBackend(), 0.5 * floor) * b.warmShare(settings.rules(), now);
+    double rate = Math.max(sendsPerBackend(), floor) * b.warmShare(settings.rules(), now);
     b.coldTokens = Math.min(1, b.coldTokens + rate * (now - b.coldAt) / 1000);
     b.coldAt = now;
     return b.coldTokens >= 1;
