Move decisions, door and simulator's link into Maven modules policy and door

Need: the daemon, its rig and all later subsystems want modules whose arrows can be held, and the platform's jar must stay as lean as it is.

--- a/src/main/java/willowdoor/Main.java
+++ b/door/src/main/java/willowdoor/Main.java
@@ -1,6 +1,7 @@
 package willowdoor;
 
 import java.io.IOException;
+import willowdoor.benchlink.BenchLink;
 import willowdoor.net.FrontDoor;
 
 /** Runs the module as a real front door, or on the bench's wire over standard input and output. */
--- a/src/main/java/willowdoor/BenchLink.java
+++ b/door/src/main/java/willowdoor/benchlink/BenchLink.java
@@ -1,10 +1,10 @@
-package willowdoor;
+package willowdoor.benchlink;
 
-import static willowdoor.JsonFields.child;
-import static willowdoor.JsonFields.children;
-import static willowdoor.JsonFields.flag;
-import static willowdoor.JsonFields.number;
-import static willowdoor.JsonFields.text;
+import static willowdoor.wire.JsonFields.child;
+import static willowdoor.wire.JsonFields.children;
+import static willowdoor.wire.JsonFields.flag;
+import static willowdoor.wire.JsonFields.number;
+import static willowdoor.wire.JsonFields.text;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
@@ -17,30 +17,33 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import willowdoor.GatewayApi.Action;
-import willowdoor.GatewayApi.Add;
-import willowdoor.GatewayApi.BackendEntry;
-import willowdoor.GatewayApi.Cancel;
-import willowdoor.GatewayApi.ClientLeft;
-import willowdoor.GatewayApi.Counted;
-import willowdoor.GatewayApi.Event;
-import willowdoor.GatewayApi.Fail;
-import willowdoor.GatewayApi.FollowRoster;
-import willowdoor.GatewayApi.Load;
-import willowdoor.GatewayApi.Outcome;
-import willowdoor.GatewayApi.Phase;
-import willowdoor.GatewayApi.Refuse;
-import willowdoor.GatewayApi.Request;
-import willowdoor.GatewayApi.Roster;
-import willowdoor.GatewayApi.RosterForm;
-import willowdoor.GatewayApi.Send;
-import willowdoor.GatewayApi.Status;
-import willowdoor.GatewayApi.StreamBegan;
-import willowdoor.GatewayApi.WakeAt;
-import willowdoor.GatewayApi.Woken;
+import willowdoor.policy.GatewayApi.Action;
+import willowdoor.policy.GatewayApi.Add;
+import willowdoor.policy.GatewayApi.BackendEntry;
+import willowdoor.policy.GatewayApi.Cancel;
+import willowdoor.policy.GatewayApi.ClientLeft;
+import willowdoor.policy.GatewayApi.Counted;
+import willowdoor.policy.GatewayApi.Event;
+import willowdoor.policy.GatewayApi.Fail;
+import willowdoor.policy.GatewayApi.FollowRoster;
+import willowdoor.policy.GatewayApi.Load;
+import willowdoor.policy.GatewayApi.Outcome;
+import willowdoor.policy.GatewayApi.Phase;
+import willowdoor.policy.GatewayApi.Refuse;
+import willowdoor.policy.GatewayApi.Request;
+import willowdoor.policy.GatewayApi.Roster;
+import willowdoor.policy.GatewayApi.RosterForm;
+import willowdoor.policy.GatewayApi.Send;
+import willowdoor.policy.GatewayApi.Status;
+import willowdoor.policy.GatewayApi.StreamBegan;
+import willowdoor.policy.GatewayApi.WakeAt;
+import willowdoor.policy.GatewayApi.Woken;
+import willowdoor.policy.QuotaPolicy;
+import willowdoor.wire.JsonFields;
+import willowdoor.wire.WireSettings;
 
 /** Turns the bench's wire into events of {@link GatewayApi} and the actions back into the wire; no more. */
-final class BenchLink {
+public final class BenchLink {
 
   private static final Map<String, Status> STATUSES = Map.of("OK", Status.OK, "INTERNAL", Status.ERROR,
       "RESOURCE_EXHAUSTED", Status.REJECTED, "DEADLINE_EXCEEDED", Status.TIMED_OUT,
@@ -52,7 +55,7 @@
   private final Map<Integer, QuotaPolicy> policies = new HashMap<>();
   private final Map<Integer, List<BackendEntry>> lists = new HashMap<>();
 
-  BenchLink(InputStream input, OutputStream output) throws IOException {
+  public BenchLink(InputStream input, OutputStream output) throws IOException {
     JsonFactory factory = new JsonFactory();
     in = factory.createParser(input);
     out = factory.createGenerator(new BufferedOutputStream(output, 1 << 16));
@@ -61,7 +64,7 @@
   }
 
   /** Answers batches until the input ends. */
-  void run() throws IOException {
+  public void run() throws IOException {
     double now = 0;
     long number = 0;
     boolean faulty = false;
--- a/src/main/java/willowdoor/net/Attempt.java
+++ b/door/src/main/java/willowdoor/net/Attempt.java
@@ -3,7 +3,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.util.concurrent.Future;
-import willowdoor.GatewayApi.Status;
+import willowdoor.policy.GatewayApi.Status;
 
 /** One attempt of a request at one backend, from the module's send to its one outcome. */
 abstract class Attempt {
--- a/src/main/java/willowdoor/net/BackendConnection.java
+++ b/door/src/main/java/willowdoor/net/BackendConnection.java
@@ -20,7 +20,7 @@
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
-import willowdoor.GatewayApi.Status;
+import willowdoor.policy.GatewayApi.Status;
 
 /** One connection to a backend: at most one attempt at a time, and what its answer means. */
 final class BackendConnection extends SimpleChannelInboundHandler<HttpObject> {
--- a/src/main/java/willowdoor/net/BackendPool.java
+++ b/door/src/main/java/willowdoor/net/BackendPool.java
@@ -15,9 +15,9 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import willowdoor.GatewayApi.BackendEntry;
-import willowdoor.GatewayApi.Phase;
-import willowdoor.GatewayApi.Status;
+import willowdoor.policy.GatewayApi.BackendEntry;
+import willowdoor.policy.GatewayApi.Phase;
+import willowdoor.policy.GatewayApi.Status;
 
 /** The connections to the backends, and the attempts on them. It picks no backend and repeats nothing. */
 final class BackendPool {
--- a/src/main/java/willowdoor/net/ClientConnection.java
+++ b/door/src/main/java/willowdoor/net/ClientConnection.java
@@ -26,7 +26,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.logging.Level;
 import java.util.logging.Logger;
-import willowdoor.GatewayApi.Request;
+import willowdoor.policy.GatewayApi.Request;
 
 /** One client's connection: a request at a time, each with the one final answer. */
 final class ClientConnection extends SimpleChannelInboundHandler<FullHttpRequest> {
--- a/src/main/java/willowdoor/net/ClientServer.java
+++ b/door/src/main/java/willowdoor/net/ClientServer.java
@@ -21,7 +21,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import willowdoor.GatewayApi.Request;
+import willowdoor.policy.GatewayApi.Request;
 
 /** Accepts clients, and tells their connections what all of them share. */
 final class ClientServer {
--- a/src/main/java/willowdoor/net/Config.java
+++ b/door/src/main/java/willowdoor/net/Config.java
@@ -9,9 +9,9 @@
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.util.Map;
-import willowdoor.GatewayApi.Settings;
-import willowdoor.JsonFields;
-import willowdoor.WireSettings;
+import willowdoor.policy.GatewayApi.Settings;
+import willowdoor.wire.JsonFields;
+import willowdoor.wire.WireSettings;
 
 /** What a front door is told at its start: the file that {@code GW_CONFIG} names. */
 record Config(InetSocketAddress listen, InetSocketAddress discovery, InetSocketAddress counter, long seed,
--- a/src/main/java/willowdoor/net/CounterClient.java
+++ b/door/src/main/java/willowdoor/net/CounterClient.java
@@ -21,8 +21,8 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import willowdoor.GatewayApi.Counted;
-import willowdoor.GatewayApi.Status;
+import willowdoor.policy.GatewayApi.Counted;
+import willowdoor.policy.GatewayApi.Status;
 
 /**
  * Calls to the counter, pipelined on a few kept connections. A call goes to the connection with the fewest
--- a/src/main/java/willowdoor/net/FrontDoor.java
+++ b/door/src/main/java/willowdoor/net/FrontDoor.java
@@ -10,7 +10,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.logging.Logger;
-import willowdoor.QuotaPolicy;
+import willowdoor.policy.QuotaPolicy;
 
 /** One real front door: its wiring, its start and its planned end. */
 public final class FrontDoor {
--- a/src/main/java/willowdoor/net/RequestReader.java
+++ b/door/src/main/java/willowdoor/net/RequestReader.java
@@ -7,10 +7,10 @@
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.Map;
-import willowdoor.GatewayApi.Repeat;
-import willowdoor.GatewayApi.Request;
-import willowdoor.GatewayApi.RequestClass;
-import willowdoor.GatewayApi.Settings;
+import willowdoor.policy.GatewayApi.Repeat;
+import willowdoor.policy.GatewayApi.Request;
+import willowdoor.policy.GatewayApi.RequestClass;
+import willowdoor.policy.GatewayApi.Settings;
 
 /** Reads a client's message as a request for the module; what is not one is refused here with its reason. */
 final class RequestReader {
--- a/src/main/java/willowdoor/net/RosterNews.java
+++ b/door/src/main/java/willowdoor/net/RosterNews.java
@@ -12,9 +12,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import willowdoor.GatewayApi.BackendEntry;
-import willowdoor.GatewayApi.Phase;
-import willowdoor.JsonFields;
+import willowdoor.policy.GatewayApi.BackendEntry;
+import willowdoor.policy.GatewayApi.Phase;
+import willowdoor.wire.JsonFields;
 
 /** One message of discovery: the entries for the module, and where each backend listens, seen from here. */
 record RosterNews(long version, boolean full, List<BackendEntry> entries,
--- a/src/main/java/willowdoor/net/WarmUp.java
+++ b/door/src/main/java/willowdoor/net/WarmUp.java
@@ -16,12 +16,12 @@
 import java.util.Map;
 import java.util.logging.Level;
 import java.util.logging.Logger;
-import willowdoor.GatewayApi.BackendEntry;
-import willowdoor.GatewayApi.Phase;
-import willowdoor.GatewayApi.Plan;
-import willowdoor.GatewayApi.Repeat;
-import willowdoor.GatewayApi.RequestClass;
-import willowdoor.QuotaPolicy;
+import willowdoor.policy.GatewayApi.BackendEntry;
+import willowdoor.policy.GatewayApi.Phase;
+import willowdoor.policy.GatewayApi.Plan;
+import willowdoor.policy.GatewayApi.Repeat;
+import willowdoor.policy.GatewayApi.RequestClass;
+import willowdoor.policy.QuotaPolicy;
 
 /**
  * Takes made-up requests through a front door of its own, without sockets, so that the code is loaded and
--- a/src/main/java/willowdoor/JsonFields.java
+++ b/door/src/main/java/willowdoor/wire/JsonFields.java
@@ -1,4 +1,4 @@
-package willowdoor;
+package willowdoor.wire;
 
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
--- a/src/main/java/willowdoor/WireSettings.java
+++ b/door/src/main/java/willowdoor/wire/WireSettings.java
@@ -1,21 +1,21 @@
-package willowdoor;
+package willowdoor.wire;
 
-import static willowdoor.JsonFields.child;
-import static willowdoor.JsonFields.children;
-import static willowdoor.JsonFields.flag;
-import static willowdoor.JsonFields.number;
-import static willowdoor.JsonFields.text;
+import static willowdoor.wire.JsonFields.child;
+import static willowdoor.wire.JsonFields.children;
+import static willowdoor.wire.JsonFields.flag;
+import static willowdoor.wire.JsonFields.number;
+import static willowdoor.wire.JsonFields.text;
 
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import willowdoor.GatewayApi.Allowed;
-import willowdoor.GatewayApi.Group;
-import willowdoor.GatewayApi.Plan;
-import willowdoor.GatewayApi.Repeat;
-import willowdoor.GatewayApi.RequestClass;
-import willowdoor.GatewayApi.Rules;
-import willowdoor.GatewayApi.Settings;
+import willowdoor.policy.GatewayApi.Allowed;
+import willowdoor.policy.GatewayApi.Group;
+import willowdoor.policy.GatewayApi.Plan;
+import willowdoor.policy.GatewayApi.Repeat;
+import willowdoor.policy.GatewayApi.RequestClass;
+import willowdoor.policy.GatewayApi.Rules;
+import willowdoor.policy.GatewayApi.Settings;
 
 /** The settings object as the wire names it; the adapter and the real front door read the same one. */
 public final class WireSettings {
--- a/src/test/java/willowdoor/BenchLinkTest.java
+++ b/door/src/test/java/willowdoor/benchlink/BenchLinkTest.java
@@ -1,4 +1,4 @@
-package willowdoor;
+package willowdoor.benchlink;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
--- a/src/test/java/willowdoor/net/BackendPoolTest.java
+++ b/door/src/test/java/willowdoor/net/BackendPoolTest.java
@@ -23,9 +23,9 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
-import willowdoor.GatewayApi.BackendEntry;
-import willowdoor.GatewayApi.Phase;
-import willowdoor.GatewayApi.Status;
+import willowdoor.policy.GatewayApi.BackendEntry;
+import willowdoor.policy.GatewayApi.Phase;
+import willowdoor.policy.GatewayApi.Status;
 
 /** How attempts end that never got a connection: only some of the endings tell of a restarted backend. */
 @Timeout(30)
--- a/src/test/java/willowdoor/net/CounterClientTest.java
+++ b/door/src/test/java/willowdoor/net/CounterClientTest.java
@@ -13,8 +13,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
-import willowdoor.GatewayApi.Counted;
-import willowdoor.GatewayApi.Status;
+import willowdoor.policy.GatewayApi.Counted;
+import willowdoor.policy.GatewayApi.Status;
 
 /** The counter's client against a scripted counter. */
 @Timeout(30)
--- a/src/test/java/willowdoor/net/Peers.java
+++ b/door/src/test/java/willowdoor/net/Peers.java
@@ -24,7 +24,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.UnaryOperator;
-import willowdoor.JsonFields;
+import willowdoor.wire.JsonFields;
 
 /** Small peers of a front door on loopback, each with its script: backends, counter, discovery, clients. */
 final class Peers implements Closeable {
--- a/src/main/java/willowdoor/GatewayApi.java
+++ b/policy/src/main/java/willowdoor/policy/GatewayApi.java
@@ -1,4 +1,4 @@
-package willowdoor;
+package willowdoor.policy;
 
 import java.util.List;
 
--- a/src/main/java/willowdoor/GatewayState.java
+++ b/policy/src/main/java/willowdoor/policy/GatewayState.java
@@ -1,10 +1,10 @@
-package willowdoor;
+package willowdoor.policy;
 
-import willowdoor.GatewayApi.Phase;
-import willowdoor.GatewayApi.Plan;
-import willowdoor.GatewayApi.Request;
-import willowdoor.GatewayApi.RequestClass;
-import willowdoor.GatewayApi.Rules;
+import willowdoor.policy.GatewayApi.Phase;
+import willowdoor.policy.GatewayApi.Plan;
+import willowdoor.policy.GatewayApi.Request;
+import willowdoor.policy.GatewayApi.RequestClass;
+import willowdoor.policy.GatewayApi.Rules;
 
 /** What {@link QuotaPolicy} remembers, without any decision: all of those are in the module. */
 final class GatewayState {
--- a/src/main/java/willowdoor/QuotaPolicy.java
+++ b/policy/src/main/java/willowdoor/policy/QuotaPolicy.java
@@ -1,8 +1,8 @@
-package willowdoor;
+package willowdoor.policy;
 
 import java.util.*;
-import willowdoor.GatewayApi.*;
-import willowdoor.GatewayState.*;
+import willowdoor.policy.GatewayApi.*;
+import willowdoor.policy.GatewayState.*;
 
 /**
  * All decisions of one gateway. Its interface (settings, events, actions) is GatewayApi.java in this folder.
--- a/src/test/java/willowdoor/CeilingTest.java
+++ b/policy/src/test/java/willowdoor/policy/CeilingTest.java
@@ -1,4 +1,4 @@
-package willowdoor;
+package willowdoor.policy;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -7,13 +7,13 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
-import willowdoor.GatewayApi.Action;
-import willowdoor.GatewayApi.Add;
-import willowdoor.GatewayApi.Counted;
-import willowdoor.GatewayApi.Outcome;
-import willowdoor.GatewayApi.Request;
-import willowdoor.GatewayApi.Send;
-import willowdoor.GatewayApi.Status;
+import willowdoor.policy.GatewayApi.Action;
+import willowdoor.policy.GatewayApi.Add;
+import willowdoor.policy.GatewayApi.Counted;
+import willowdoor.policy.GatewayApi.Outcome;
+import willowdoor.policy.GatewayApi.Request;
+import willowdoor.policy.GatewayApi.Send;
+import willowdoor.policy.GatewayApi.Status;
 
 /** Several gateways against one count that fails in every way: the ceiling's store must hold. */
 class CeilingTest {
--- a/src/test/java/willowdoor/Fixtures.java
+++ b/policy/src/test/java/willowdoor/policy/Fixtures.java
@@ -1,29 +1,29 @@
-package willowdoor;
+package willowdoor.policy;
 
 import java.util.ArrayList;
 import java.util.List;
-import willowdoor.GatewayApi.Action;
-import willowdoor.GatewayApi.Add;
-import willowdoor.GatewayApi.Allowed;
-import willowdoor.GatewayApi.BackendEntry;
-import willowdoor.GatewayApi.Counted;
-import willowdoor.GatewayApi.Event;
-import willowdoor.GatewayApi.Group;
-import willowdoor.GatewayApi.Load;
-import willowdoor.GatewayApi.Outcome;
-import willowdoor.GatewayApi.Phase;
-import willowdoor.GatewayApi.Plan;
-import willowdoor.GatewayApi.Repeat;
-import willowdoor.GatewayApi.Request;
-import willowdoor.GatewayApi.RequestClass;
-import willowdoor.GatewayApi.Roster;
-import willowdoor.GatewayApi.RosterForm;
-import willowdoor.GatewayApi.Rules;
-import willowdoor.GatewayApi.Send;
-import willowdoor.GatewayApi.Settings;
-import willowdoor.GatewayApi.Status;
-import willowdoor.GatewayApi.WakeAt;
-import willowdoor.GatewayApi.Woken;
+import willowdoor.policy.GatewayApi.Action;
+import willowdoor.policy.GatewayApi.Add;
+import willowdoor.policy.GatewayApi.Allowed;
+import willowdoor.policy.GatewayApi.BackendEntry;
+import willowdoor.policy.GatewayApi.Counted;
+import willowdoor.policy.GatewayApi.Event;
+import willowdoor.policy.GatewayApi.Group;
+import willowdoor.policy.GatewayApi.Load;
+import willowdoor.policy.GatewayApi.Outcome;
+import willowdoor.policy.GatewayApi.Phase;
+import willowdoor.policy.GatewayApi.Plan;
+import willowdoor.policy.GatewayApi.Repeat;
+import willowdoor.policy.GatewayApi.Request;
+import willowdoor.policy.GatewayApi.RequestClass;
+import willowdoor.policy.GatewayApi.Roster;
+import willowdoor.policy.GatewayApi.RosterForm;
+import willowdoor.policy.GatewayApi.Rules;
+import willowdoor.policy.GatewayApi.Send;
+import willowdoor.policy.GatewayApi.Settings;
+import willowdoor.policy.GatewayApi.Status;
+import willowdoor.policy.GatewayApi.WakeAt;
+import willowdoor.policy.GatewayApi.Woken;
 
 /** A gateway under test: its module, a clock, and all that the module asked for. */
 final class Fixtures {
--- a/src/test/java/willowdoor/QuotaPolicyTest.java
+++ b/policy/src/test/java/willowdoor/policy/QuotaPolicyTest.java
@@ -1,4 +1,4 @@
-package willowdoor;
+package willowdoor.policy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -9,23 +9,23 @@
 import java.util.List;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
-import willowdoor.GatewayApi.Add;
-import willowdoor.GatewayApi.BackendEntry;
-import willowdoor.GatewayApi.Cancel;
-import willowdoor.GatewayApi.ClientLeft;
-import willowdoor.GatewayApi.Counted;
-import willowdoor.GatewayApi.Fail;
-import willowdoor.GatewayApi.FollowRoster;
-import willowdoor.GatewayApi.Outcome;
-import willowdoor.GatewayApi.Phase;
-import willowdoor.GatewayApi.Refuse;
-import willowdoor.GatewayApi.Request;
-import willowdoor.GatewayApi.Roster;
-import willowdoor.GatewayApi.RosterForm;
-import willowdoor.GatewayApi.Send;
-import willowdoor.GatewayApi.Status;
-import willowdoor.GatewayApi.StreamBegan;
-import willowdoor.GatewayApi.Woken;
+import willowdoor.policy.GatewayApi.Add;
+import willowdoor.policy.GatewayApi.BackendEntry;
+import willowdoor.policy.GatewayApi.Cancel;
+import willowdoor.policy.GatewayApi.ClientLeft;
+import willowdoor.policy.GatewayApi.Counted;
+import willowdoor.policy.GatewayApi.Fail;
+import willowdoor.policy.GatewayApi.FollowRoster;
+import willowdoor.policy.GatewayApi.Outcome;
+import willowdoor.policy.GatewayApi.Phase;
+import willowdoor.policy.GatewayApi.Refuse;
+import willowdoor.policy.GatewayApi.Request;
+import willowdoor.policy.GatewayApi.Roster;
+import willowdoor.policy.GatewayApi.RosterForm;
+import willowdoor.policy.GatewayApi.Send;
+import willowdoor.policy.GatewayApi.Status;
+import willowdoor.policy.GatewayApi.StreamBegan;
+import willowdoor.policy.GatewayApi.Woken;
 
 class QuotaPolicyTest {
 
