The test rig: stand-ins with a ledger of the truth, a client fleet, faults, and a judge

Change: module testkit. Backends, discovery and counter write what they saw to one ledger; the client fleet asks over kept connections with retries; faults come by a seeded schedule; the judge reads the ledger afterwards, holds it to the five rules and prints the offending history. It knows no door's inside.

Result: 18 planted histories, of which each breach (double effect, overlap, late, lost, second and forged answer, drained send, cold backend pushed over, ceiling) is found and what is allowed passes.

--- /dev/null
+++ b/testkit/src/main/java/willowdoor/testkit/BackendPark.java
@@ -0,0 +1,158 @@
+package willowdoor.testkit;
+
+import io.netty.channel.EventLoopGroup;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import willowdoor.testkit.StandInDiscovery.Listed;
+
+/**
+ * All backends of a run, what they remember together (the keys whose repeats they drop), and their place in
+ * discovery's list. A change reaches the list late, as the roll sees it.
+ */
+public final class BackendPark {
+
+  /**
+   * Keys remembered at the most; the oldest go first, and a run that comes so far is too large for the rig.
+   */
+  private static final int MOST_KEYS = 500_000;
+
+  /** How the backends of a park are made: work a request between the two, in milliseconds on one core. */
+  public record Make(int backends, int cores, int queue, double leastWorkMs, double mostWorkMs) {
+
+    /** The shape that the judge goes by. */
+    public Judge.BackendShape shape() {
+      return new Judge.BackendShape(cores, (leastWorkMs + mostWorkMs) / 2);
+    }
+  }
+
+  private final EventLoopGroup group;
+  private final Ledger ledger;
+  private final Terms terms;
+  private final StandInDiscovery discovery;
+  private final Make make;
+  private final Random random;
+  private final Map<String, Double> keys = new HashMap<>();
+  private final List<StandInBackend> backends = new ArrayList<>();
+
+  /** Starts the backends, half of them in each of two zones, all warm, and lists them. */
+  public BackendPark(EventLoopGroup group, Ledger ledger, Terms terms, StandInDiscovery discovery, Make make,
+      long seed) {
+    this.group = group;
+    this.ledger = ledger;
+    this.terms = terms;
+    this.discovery = discovery;
+    this.make = make;
+    this.random = new Random(seed);
+    for (int i = 0; i < make.backends(); i++) {
+      StandInBackend b = new StandInBackend("b" + i, i % 2 == 0 ? "a" : "b", group.next(), this);
+      backends.add(b);
+      b.listen(false);
+      list(b, "active", 0);
+    }
+  }
+
+  Ledger ledger() {
+    return ledger;
+  }
+
+  Terms terms() {
+    return terms;
+  }
+
+  Make make() {
+    return make;
+  }
+
+  EventLoopGroup group() {
+    return group;
+  }
+
+  public List<StandInBackend> all() {
+    return List.copyOf(backends);
+  }
+
+  public StandInBackend backend(int number) {
+    return backends.get(number);
+  }
+
+  /** Work of one request, in milliseconds on one core. */
+  synchronized double work() {
+    return make.leastWorkMs() + random.nextDouble() * (make.mostWorkMs() - make.leastWorkMs());
+  }
+
+  /** The true units of a request that names so many. */
+  synchronized int trueUnits(int named) {
+    return Math.max(1, Math.min(Terms.MOST_UNITS, named + random.nextInt(3) - 1));
+  }
+
+  /** Remembers a key from the moment its effect runs; false when it is remembered already: a repeat. */
+  synchronized boolean firstOf(String key) {
+    double now = ledger.now();
+    if (keys.size() >= MOST_KEYS) {
+      keys.values().removeIf(at -> now - at > terms.keyWindowMs());
+    }
+    Double before = keys.get(key);
+    if (before != null && now - before <= terms.keyWindowMs()) {
+      return false;
+    }
+    keys.put(key, now);
+    return true;
+  }
+
+  private void list(StandInBackend b, String state, long startedMs) {
+    discovery.put(new Listed(b.name(), b.address(), b.zone(), state, startedMs));
+  }
+
+  /** Tells the list that it drains; it finishes what it has, and goes on answering what still comes. */
+  public void drain(StandInBackend b) {
+    list(b, "leaving", 0);
+  }
+
+  /** Tells the list that it serves again, as it did before. */
+  public void undrain(StandInBackend b) {
+    list(b, "active", 0);
+  }
+
+  /** Kills its process; the list says so the given time later. */
+  public void kill(StandInBackend b, long noticeMs) {
+    b.die();
+    group.next().schedule(() -> {
+      if (!b.alive()) {
+        discovery.put(new Listed(b.name(), b.address(), b.zone(), "left", 0));
+      }
+    }, noticeMs, TimeUnit.MILLISECONDS);
+  }
+
+  /** Starts it again, cold; the list says so the given time later. */
+  public void restart(StandInBackend b, long noticeMs) {
+    long startedMs = System.currentTimeMillis();
+    b.listen(true);
+    group.next().schedule(() -> {
+      if (b.alive()) {
+        list(b, "active", startedMs);
+      }
+    }, noticeMs, TimeUnit.MILLISECONDS);
+  }
+
+  /** Kills all backends of a zone at once. */
+  public void loseZone(String zone, long noticeMs) {
+    backends.stream().filter(b -> b.zone().equals(zone) && b.alive()).forEach(b -> kill(b, noticeMs));
+  }
+
+  /** Brings a zone's backends back, cold. */
+  public void restoreZone(String zone, long noticeMs) {
+    backends.stream().filter(b -> b.zone().equals(zone) && !b.alive()).forEach(b -> restart(b, noticeMs));
+  }
+
+  /** Where all backends listen, by name. */
+  public Map<String, InetSocketAddress> addresses() {
+    Map<String, InetSocketAddress> all = new HashMap<>();
+    backends.forEach(b -> all.put(b.name(), b.address()));
+    return all;
+  }
+}
--- /dev/null
+++ b/testkit/src/main/java/willowdoor/testkit/DoorProcess.java
@@ -0,0 +1,196 @@
+package willowdoor.testkit;
+
+import java.io.File;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import willowdoor.testkit.Ledger.Entry;
+import willowdoor.testkit.Ledger.Kind;
+
+/**
+ * A door that is a child process of its own, with signals. Ended and killed with the run: every process that
+ * was started here is known by its handle, and no other is touched.
+ */
+public final class DoorProcess implements Door {
+
+  private static final double TICKS_PER_S = 100;
+
+  private final String name;
+  private final InetSocketAddress address;
+  private final Ledger ledger;
+  private final Supplier<List<String>> command;
+  private final Map<String, String> environment;
+  private final File log;
+  private Process process;
+  /** A process that was replaced and has not ended yet. */
+  private Process before;
+  private boolean killed;
+
+  /**
+   * A door by the command that the supplier gives at each start (it may write a fresh configuration first).
+   * What it prints goes to the end of the log.
+   */
+  public DoorProcess(String name, InetSocketAddress address, Ledger ledger, Supplier<List<String>> command,
+      Map<String, String> environment, File log) {
+    this.name = name;
+    this.address = address;
+    this.ledger = ledger;
+    this.command = command;
+    this.environment = environment;
+    this.log = log;
+  }
+
+  @Override
+  public String name() {
+    return name;
+  }
+
+  @Override
+  public InetSocketAddress address() {
+    return address;
+  }
+
+  @Override
+  public synchronized void start() {
+    if (alive()) {
+      return;
+    }
+    process = launch(command.get());
+    killed = false;
+    ledger.machine(Kind.STARTED, name, "");
+    watch(process);
+  }
+
+  /** Starts a second process by the command, to take the address over from the one that runs. */
+  public synchronized Process replace(List<String> takeOver) {
+    before = process;
+    process = launch(takeOver);
+    return process;
+  }
+
+  /** The process that was replaced last, or null. */
+  public synchronized Process before() {
+    return before;
+  }
+
+  /** The process that runs now, or ran last. */
+  public synchronized Process process() {
+    return process;
+  }
+
+  private Process launch(List<String> words) {
+    try {
+      ProcessBuilder builder = new ProcessBuilder(words).redirectErrorStream(true)
+          .redirectOutput(ProcessBuilder.Redirect.appendTo(log));
+      builder.environment().putAll(environment);
+      return builder.start();
+    } catch (IOException e) {
+      throw new UncheckedIOException(name + " could not be started by " + words, e);
+    }
+  }
+
+  private void watch(Process started) {
+    started.onExit().thenAccept(p -> {
+      synchronized (this) {
+        if (!killed || p != process) {
+          ledger.machine(new Entry(ledger.now(), Kind.EXITED, name, "", p.exitValue(), ""));
+        }
+      }
+    });
+  }
+
+  @Override
+  public synchronized void kill() {
+    if (alive()) {
+      killed = true;
+      ledger.machine(Kind.KILLED, name, "");
+      process.destroyForcibly();
+      join(process, 10_000);
+    }
+  }
+
+  @Override
+  public synchronized void terminate() {
+    if (alive()) {
+      ledger.machine(Kind.ENDING, name, "");
+      process.destroy();
+    }
+  }
+
+  /** Stops it (SIGSTOP) or has it go on (SIGCONT). */
+  public synchronized void stopped(boolean on) {
+    if (alive()) {
+      if (on) {
+        ledger.machine(Kind.STOPPED, name, "");
+      }
+      signal(on ? "STOP" : "CONT");
+      if (!on) {
+        ledger.machine(Kind.CONTINUED, name, "");
+      }
+    }
+  }
+
+  /** Sends a signal by its name. */
+  public void signal(String signal) {
+    try {
+      new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).inheritIO().start().waitFor();
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  @Override
+  public synchronized boolean alive() {
+    return process != null && process.isAlive();
+  }
+
+  /** Waits for the process to end; true when it has. */
+  public static boolean join(Process process, long ms) {
+    try {
+      return process.waitFor(ms, TimeUnit.MILLISECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return false;
+    }
+  }
+
+  /** Resident memory in megabytes; 0 when it has no process. */
+  public double residentMb() {
+    try {
+      return Files.readAllLines(Path.of("/proc/" + process.pid() + "/status")).stream()
+          .filter(l -> l.startsWith("VmRSS")).mapToDouble(l -> Double.parseDouble(l.split("\\s+")[1]) / 1024)
+          .findFirst().orElse(0);
+    } catch (IOException e) {
+      return 0;
+    }
+  }
+
+  /** CPU used so far in seconds; 0 when it has no process. */
+  public double cpuSeconds() {
+    try {
+      String stat = Files.readString(Path.of("/proc/" + process.pid() + "/stat"));
+      String[] fields = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
+      return (Double.parseDouble(fields[11]) + Double.parseDouble(fields[12])) / TICKS_PER_S;
+    } catch (IOException e) {
+      return 0;
+    }
+  }
+
+  /** Ends every process of it at once, without a word in the ledger: the run is over. */
+  public synchronized void close() {
+    for (Process p : new Process[] {before, process}) {
+      if (p != null && p.isAlive()) {
+        p.destroyForcibly();
+        join(p, 10_000);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/testkit/src/main/java/willowdoor/testkit/Judge.java
@@ -0,0 +1,343 @@
+package willowdoor.testkit;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import willowdoor.testkit.Ledger.Asked;
+import willowdoor.testkit.Ledger.Entry;
+import willowdoor.testkit.Ledger.Kind;
+import willowdoor.testkit.Terms.PlanTerms;
+
+/**
+ * Reads a ledger when the run is over and holds it to the five rules. It knows what clients, backends and
+ * machines saw and nothing of the doors' insides, so it can't share their mistakes.
+ *
+ * <p>What it lets pass: a request whose door was killed or stopped while it was out; a request on a kept
+ * connection that was cut unanswered, when the client sent it again (a door may end a connection between
+ * requests); a request whose client left first.
+ */
+public final class Judge {
+
+  /** Later than this after the client's time ran out, or after the grace, is late; for scheduling alone. */
+  public static final double SLACK_MS = 50;
+  /** The ceiling's slack is wider by what its rate gives in this time, as moments of arrival scatter. */
+  private static final double CEILING_SCATTER_MS = 150;
+  /** A connection's end may be seen so long after what was written later on another one. */
+  private static final double CROSSING_MS = 20;
+  /** Work sent to a cold backend may be over its budget by so many attempts, for chance. */
+  private static final double COLD_SPARE_ATTEMPTS = 4;
+
+  /** What can be broken. */
+  public enum Rule { ANSWERED_ONCE, EFFECT_ONCE, ONE_ATTEMPT_OUT, REFUSED_HARMLESS, DRAIN_KEPT, COLD_SPARED,
+      CEILING_KEPT }
+
+  /** One break of a rule: what happened, and the history of the request or machine, in order. */
+  public record Breach(Rule rule, String what, List<Entry> history) {
+
+    @Override
+    public String toString() {
+      StringBuilder text = new StringBuilder(rule + ": " + what + '\n');
+      history.forEach(e -> text.append("    ").append(e).append('\n'));
+      return text.toString();
+    }
+  }
+
+  /** The verdict, with the figures that stand beside it. */
+  public record Verdict(List<Breach> breaches, int requests, int served, int refused, int failed,
+      int excused) {
+
+    /** True when no rule was broken. */
+    public boolean kept() {
+      return breaches.isEmpty();
+    }
+
+    /** How many breaks of one rule there are. */
+    public long count(Rule rule) {
+      return breaches.stream().filter(b -> b.rule() == rule).count();
+    }
+
+    @Override
+    public String toString() {
+      StringBuilder text = new StringBuilder(String.format(
+          "requests %d: served %d, refused %d, failed %d, excused (their door was killed or stopped, or none "
+          + "took them, or the client left) %d; rules broken %d%n", requests, served, refused, failed,
+              excused, breaches.size()));
+      breaches.stream().limit(20).forEach(text::append);
+      return text.toString();
+    }
+  }
+
+  private final Ledger ledger;
+  private final Terms terms;
+  private final BackendShape shape;
+  private final List<Breach> breaches = new ArrayList<>();
+  private final Map<String, List<double[]>> away = new HashMap<>();
+  private int served;
+  private int refused;
+  private int failed;
+  private int excused;
+
+  /** How large a backend is: what the rule on cold ones goes by. */
+  public record BackendShape(int cores, double workMs) { }
+
+  public Judge(Ledger ledger, Terms terms, BackendShape shape) {
+    this.ledger = ledger;
+    this.terms = terms;
+    this.shape = shape;
+  }
+
+  /** Holds the whole ledger to all rules. */
+  public Verdict verdict() {
+    if (ledger.overflown()) {
+      throw new IllegalStateException("the ledger is over its " + Ledger.MOST_ENTRIES
+          + " entries: no verdict");
+    }
+    doorsAway();
+    Map<String, List<Entry>> histories = ledger.histories();
+    histories.forEach((id, history) -> {
+      Asked asked = ledger.asked(id);
+      if (asked == null) {
+        breach(Rule.ANSWERED_ONCE, "no client sent a request " + id, history);
+      } else {
+        answers(asked, history);
+        effects(asked, history);
+        oneOut(id, history);
+      }
+    });
+    drains(histories);
+    colds(histories);
+    ceilings(histories);
+    return new Verdict(List.copyOf(breaches), histories.size(), served, refused, failed, excused);
+  }
+
+  private void breach(Rule rule, String what, List<Entry> history) {
+    breaches.add(new Breach(rule, what, history));
+  }
+
+  /** The spans in which each door was no live door: from a kill to its start, from a stop to its going on. */
+  private void doorsAway() {
+    Map<String, Double> since = new HashMap<>();
+    for (Entry e : ledger.machines()) {
+      switch (e.kind()) {
+        case KILLED, STOPPED -> since.putIfAbsent(e.subject(), e.atMs());
+        case STARTED, CONTINUED -> {
+          Double from = since.remove(e.subject());
+          if (from != null) {
+            away.computeIfAbsent(e.subject(), d -> new ArrayList<>()).add(new double[] {from, e.atMs()});
+          }
+        }
+        default -> { }
+      }
+    }
+    since.forEach((door, from) -> away.computeIfAbsent(door, d -> new ArrayList<>())
+        .add(new double[] {from, Double.POSITIVE_INFINITY}));
+  }
+
+  private boolean wasAway(String door, double from, double to) {
+    return away.getOrDefault(door, List.of()).stream().anyMatch(s -> s[0] <= to && s[1] >= from);
+  }
+
+  /** Rule 1: a request taken by a live door has exactly one final answer, in time. */
+  private void answers(Asked asked, List<Entry> history) {
+    Entry taken = null;
+    int answers = 0;
+    int takings = 0;
+    int cutsOnKept = 0;
+    boolean left = false;
+    boolean sentOn = false;
+    for (Entry e : history) {
+      switch (e.kind()) {
+        case ASKED -> {
+          takings++;
+          taken = e;
+        }
+        case ANSWERED -> {
+          answers++;
+          count(e.amount());
+          if (e.atMs() - asked.dueMs() > asked.timeoutMs() + SLACK_MS && !wasAway(e.other(), asked.dueMs(),
+              e.atMs())) {
+            breach(Rule.ANSWERED_ONCE, String.format(
+                "answered %.0f ms after it was sent, with %.0f ms to wait",
+                e.atMs() - asked.dueMs(), asked.timeoutMs()), history);
+          }
+        }
+        case FIRST_BYTE -> sentOn = true;
+        case CUT -> {
+          cutsOnKept += e.note().equals("kept") ? 1 : 0;
+          if (sentOn && !wasAway(e.other(), asked.dueMs(), e.atMs() + SLACK_MS)) {
+            breach(Rule.ANSWERED_ONCE, "its connection was cut after it was sent on", history);
+            return;
+          }
+        }
+        case LEFT -> left = true;
+        case FORGED -> breach(Rule.ANSWERED_ONCE, "served with what no backend made for it", history);
+        default -> { }
+      }
+    }
+    if (answers > 1) {
+      breach(Rule.ANSWERED_ONCE, answers + " final answers", history);
+    } else if (answers == 0 && taken != null) {
+      double until = asked.dueMs() + asked.timeoutMs();
+      if (left || wasAway(taken.other(), taken.atMs(), until) || takings == cutsOnKept) {
+        excused++;
+      } else {
+        breach(Rule.ANSWERED_ONCE, "never answered", history);
+      }
+    } else if (answers == 0) {
+      excused++;
+    }
+  }
+
+  private void count(double status) {
+    if (status == 200) {
+      served++;
+    } else if (status == 429 || status == 503) {
+      refused++;
+    } else {
+      failed++;
+    }
+  }
+
+  /**
+   * Rule 2: no effect runs twice, and what was refused to the client has not run where it can't be undone.
+   */
+  private void effects(Asked asked, List<Entry> history) {
+    List<Entry> ran = history.stream().filter(e -> e.kind() == Kind.EFFECT).toList();
+    if (asked.kind().keyed() && ran.size() > 1) {
+      breach(Rule.EFFECT_ONCE, "its effect ran " + ran.size() + " times", history);
+    }
+    boolean refusedIt = history.stream().anyMatch(
+        e -> e.kind() == Kind.ANSWERED && (e.amount() == 429 || e.amount() == 503));
+    // What runs after its refusal was still out when it was refused: the client was told that it is not.
+    if (asked.kind().keyed() && refusedIt && !ran.isEmpty()) {
+      breach(Rule.REFUSED_HARMLESS, "refused, though its effect ran", history);
+    }
+  }
+
+  /** Never two attempts out: the second's last byte may not come while the first has not ended. */
+  private void oneOut(String id, List<Entry> history) {
+    Map<String, Entry> out = new HashMap<>();
+    double overlap = Double.NaN;
+    for (Entry e : history) {
+      switch (e.kind()) {
+        case LAST_BYTE -> {
+          overlap = out.isEmpty() ? Double.NaN : e.atMs();
+          out.put(e.note(), e);
+        }
+        case REPLIED, TURNED_AWAY, ATTEMPT_ENDED -> {
+          out.remove(e.note());
+          if (e.atMs() - overlap <= CROSSING_MS && out.size() <= 1) {
+            overlap = Double.NaN;
+          }
+        }
+        default -> { }
+      }
+    }
+    if (!Double.isNaN(overlap)) {
+      breach(Rule.ONE_ATTEMPT_OUT, "two attempts of " + id + " out at once", history);
+    }
+  }
+
+  /** Rule 3: nothing new to a backend later than the grace after the door was told that it drains. */
+  private void drains(Map<String, List<Entry>> histories) {
+    Map<String, TreeMap<Double, Boolean>> told = new HashMap<>();
+    for (Entry e : ledger.machines()) {
+      if (e.kind() == Kind.TOLD_DRAIN || e.kind() == Kind.TOLD_SERVING) {
+        told.computeIfAbsent(e.subject() + '>' + e.other(), k -> new TreeMap<>())
+            .put(e.atMs(), e.kind() == Kind.TOLD_DRAIN);
+      }
+    }
+    histories.forEach((id, history) -> {
+      String door = "";
+      for (Entry e : history) {
+        if (e.kind() == Kind.ASKED) {
+          door = e.other();
+        } else if (e.kind() == Kind.FIRST_BYTE && told.containsKey(door + '>' + e.other())) {
+          var last = told.get(door + '>' + e.other()).floorEntry(e.atMs());
+          if (last != null && last.getValue() && e.atMs() - last.getKey() > terms.drainGraceMs() + SLACK_MS) {
+            breach(Rule.DRAIN_KEPT, String.format("sent to %s %.0f ms after %s was told that it drains",
+                e.other(), e.atMs() - last.getKey(), door), history);
+          }
+        }
+      }
+    });
+  }
+
+  /** Rule 4: within any window, a cold backend gets no more work than the multiple of what it can do. */
+  private void colds(Map<String, List<Entry>> histories) {
+    Map<String, List<Double>> starts = new HashMap<>();
+    for (Entry e : ledger.machines()) {
+      if (e.kind() == Kind.STARTED && e.note().equals("cold")) {
+        starts.computeIfAbsent(e.subject(), k -> new ArrayList<>()).add(e.atMs());
+      }
+    }
+    if (starts.isEmpty()) {
+      return;
+    }
+    Map<String, List<Entry>> sent = new HashMap<>();
+    histories.values().forEach(h -> h.stream().filter(e -> e.kind() == Kind.LAST_BYTE)
+        .forEach(e -> sent.computeIfAbsent(e.other(), k -> new ArrayList<>()).add(e)));
+    starts.forEach((backend, times) -> times.forEach(start -> {
+      List<Entry> came = sent.getOrDefault(backend, List.of()).stream()
+          .filter(e -> e.atMs() >= start && e.atMs() < start + terms.coldMs())
+          .sorted(Comparator.comparingDouble(Entry::atMs)).toList();
+      ArrayDeque<Entry> window = new ArrayDeque<>();
+      for (Entry e : came) {
+        window.add(e);
+        while (window.peekFirst().atMs() <= e.atMs() - terms.tipAfterMs()) {
+          window.pollFirst();
+        }
+        double can = capacity(start, e.atMs()) * terms.tipAfterMs();
+        double spare = COLD_SPARE_ATTEMPTS * shape.workMs();
+        if (window.size() * shape.workMs() > terms.tipMultiple() * can + spare) {
+          breach(Rule.COLD_SPARED, String.format(
+              "%s, %.0f ms after its start, was sent %d attempts in %.0f ms",
+              backend, e.atMs() - start, window.size(), terms.tipAfterMs()), List.copyOf(window));
+          return;
+        }
+      }
+    }));
+  }
+
+  /** Milliseconds of work that a backend does in a millisecond, so long after a cold start. */
+  private double capacity(double start, double at) {
+    double share = terms.coldFrom() + (1 - terms.coldFrom()) * Math.min(1, (at - start) / terms.coldMs());
+    return shape.cores() * share;
+  }
+
+  /** Rule 5: first attempts of a firm, over all doors, take no more than the plan's ceiling and its slack. */
+  private void ceilings(Map<String, List<Entry>> histories) {
+    Map<String, List<Entry>> byFirm = new HashMap<>();
+    Map<String, PlanTerms> plans = new HashMap<>();
+    histories.forEach((id, history) -> {
+      Asked asked = ledger.asked(id);
+      if (asked != null && terms.plan(asked.plan()).ceilingRate() > 0) {
+        history.stream().filter(e -> e.kind() == Kind.LAST_BYTE).findFirst().ifPresent(e -> {
+          plans.put(asked.firm(), terms.plan(asked.plan()));
+          byFirm.computeIfAbsent(asked.firm(), f -> new ArrayList<>()).add(e);
+        });
+      }
+    });
+    byFirm.forEach((firm, sends) -> {
+      PlanTerms plan = plans.get(firm);
+      double slack = plan.ceilingSlack() + plan.ceilingRate() * CEILING_SCATTER_MS / 1000;
+      double store = plan.ceilingBurst();
+      double at = 0;
+      sends.sort(Comparator.comparingDouble(Entry::atMs));
+      for (Entry e : sends) {
+        store = Math.min(plan.ceilingBurst(), store + (e.atMs() - at) * plan.ceilingRate() / 1000);
+        at = e.atMs();
+        store -= e.amount();
+        if (store < -slack) {
+          breach(Rule.CEILING_KEPT, String.format("firm %s of %s: %.1f units over its ceiling (slack %.1f)",
+              firm, plan.name(), -store, slack), ledger.history(e.subject()));
+          return;
+        }
+      }
+    });
+  }
+}
--- /dev/null
+++ b/testkit/src/main/java/willowdoor/testkit/Rig.java
@@ -0,0 +1,85 @@
+package willowdoor.testkit;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * The world that doors live in, on loopback and in this process: backends, discovery, counter, and the ledger
+ * that all of them write. Three event loops: backends, counter with discovery, clients. The doors are made by
+ * whoever runs it.
+ */
+public final class Rig implements AutoCloseable {
+
+  private final EventLoopGroup backendLoop = loop();
+  private final EventLoopGroup peerLoop = loop();
+  private final EventLoopGroup clientLoop = loop();
+  private final Ledger ledger = new Ledger();
+  private final Terms terms;
+  private final BackendPark.Make make;
+  private final StandInDiscovery discovery;
+  private final StandInCounter counter;
+  private final BackendPark park;
+  private final long seed;
+  private ClientFleet fleet;
+
+  public Rig(Terms terms, BackendPark.Make make, long seed) {
+    this.terms = terms;
+    this.make = make;
+    this.seed = seed;
+    discovery = new StandInDiscovery(peerLoop, ledger);
+    counter = new StandInCounter(peerLoop, ledger);
+    park = new BackendPark(backendLoop, ledger, terms, discovery, make, seed);
+  }
+
+  private static EventLoopGroup loop() {
+    return new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  }
+
+  public Ledger ledger() {
+    return ledger;
+  }
+
+  public Terms terms() {
+    return terms;
+  }
+
+  public StandInDiscovery discovery() {
+    return discovery;
+  }
+
+  public StandInCounter counter() {
+    return counter;
+  }
+
+  public BackendPark park() {
+    return park;
+  }
+
+  public long seed() {
+    return seed;
+  }
+
+  /** The client fleet of these doors; it asks nothing before it is told to. */
+  public ClientFleet fleet(List<? extends Door> doors, ClientFleet.Load load) {
+    fleet = new ClientFleet(clientLoop.next(), ledger, terms, doors, load, seed);
+    return fleet;
+  }
+
+  /** Holds what happened to the rules; to be asked when all tries have ended. */
+  public Judge.Verdict verdict() {
+    return new Judge(ledger, terms, make.shape()).verdict();
+  }
+
+  @Override
+  public void close() {
+    if (fleet != null) {
+      fleet.close();
+    }
+    for (EventLoopGroup group : List.of(clientLoop, backendLoop, peerLoop)) {
+      group.shutdownGracefully(0, 500, TimeUnit.MILLISECONDS);
+    }
+  }
+}
--- /dev/null
+++ b/testkit/src/main/java/willowdoor/testkit/StandInDiscovery.java
@@ -0,0 +1,217 @@
+package willowdoor.testkit;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import willowdoor.testkit.Ledger.Kind;
+
+/**
+ * The list of backends, with a listening port for each door, so that it is known which door was told what and
+ * when. A watch gets the whole list and then every change. It can hang: connections stay open and silent.
+ */
+public final class StandInDiscovery {
+
+  private static final long HEARTBEAT_MS = 2_000;
+
+  /** One backend in the list; state is active, leaving or left. */
+  public record Listed(String id, InetSocketAddress address, String zone, String state, long startedMs) {
+    String json() {
+      return String.format(Locale.ROOT,
+          "{\"id\":\"%s\",\"addr\":\"%s:%d\",\"zone\":\"%s\",\"kind\":\"k\",\"cell\":0,"
+          + "\"state\":\"%s\",\"weight\":1.0,\"started_ms\":%d}", id, address.getAddress().getHostAddress(),
+          address.getPort(), zone, state, startedMs);
+    }
+
+    Listed in(String other) {
+      return new Listed(id, address, zone, other, startedMs);
+    }
+  }
+
+  private final EventLoopGroup group;
+  private final Ledger ledger;
+  private final Map<String, Listed> list = new LinkedHashMap<>();
+  private final Map<String, InetSocketAddress> agents = new ConcurrentHashMap<>();
+  private final Map<Channel, String> watches = new HashMap<>();
+  private final Map<String, Map<String, String>> told = new HashMap<>();
+  private long version = 1;
+  private boolean hanging;
+
+  public StandInDiscovery(EventLoopGroup group, Ledger ledger) {
+    this.group = group;
+    this.ledger = ledger;
+    group.next().scheduleWithFixedDelay(this::beat, HEARTBEAT_MS, HEARTBEAT_MS, TimeUnit.MILLISECONDS);
+  }
+
+  /** The address of the agent of one door. */
+  public InetSocketAddress agentOf(String door) {
+    return agents.computeIfAbsent(door, name -> (InetSocketAddress) new ServerBootstrap().group(group)
+        .channel(NioServerSocketChannel.class).childHandler(new ChannelInitializer<Channel>() {
+          @Override
+          protected void initChannel(Channel ch) {
+            ch.pipeline().addLast(new HttpServerCodec(), new Agent(name));
+          }
+        }).bind("127.0.0.1", 0).syncUninterruptibly().channel().localAddress());
+  }
+
+  /** Names a backend, or changes what is said of it; every watch is told. */
+  public synchronized void put(Listed backend) {
+    if (backend.state().equals("left")) {
+      list.remove(backend.id());
+    } else {
+      list.put(backend.id(), backend);
+    }
+    version++;
+    if (!hanging) {
+      watches.forEach((channel, door) -> tell(channel, door, false, List.of(backend)));
+    }
+  }
+
+  /** Changes a listed backend's state. */
+  public synchronized void state(String id, String state) {
+    Listed known = list.get(id);
+    if (known != null) {
+      put(known.in(state));
+    }
+  }
+
+  /** The list as a door would remember it, in the platform's form. */
+  public synchronized String known() {
+    return "{\"version\":" + version + ",\"full\":true,\"servers\":["
+        + list.values().stream().map(Listed::json).collect(Collectors.joining(",")) + "]}";
+  }
+
+  /** The backends listed now. */
+  public synchronized List<Listed> listed() {
+    return new ArrayList<>(list.values());
+  }
+
+  /** From here on it says nothing on any connection, or catches up with the whole list. */
+  public synchronized void hang(boolean on) {
+    hanging = on;
+    if (!on) {
+      watches.forEach((channel, door) -> tell(channel, door, true, listed()));
+    }
+  }
+
+  /** How many watches are open. */
+  public synchronized int watches() {
+    return watches.size();
+  }
+
+  private synchronized void beat() {
+    if (!hanging) {
+      watches.keySet().forEach(c -> c.writeAndFlush(content("\n")));
+    }
+  }
+
+  private static DefaultHttpContent content(String text) {
+    return new DefaultHttpContent(Unpooled.copiedBuffer(text, StandardCharsets.US_ASCII));
+  }
+
+  /** Writes the change, and notes what the door was told once it is with the kernel. */
+  private void tell(Channel channel, String door, boolean full, List<Listed> entries) {
+    String json = "{\"version\":" + version + ",\"full\":" + full + ",\"servers\":["
+        + entries.stream().map(Listed::json).collect(Collectors.joining(",")) + "]}\n";
+    channel.writeAndFlush(content(json)).addListener(f -> {
+      if (f.isSuccess()) {
+        note(door, full, entries);
+      }
+    });
+  }
+
+  private synchronized void note(String door, boolean full, List<Listed> entries) {
+    Map<String, String> before = told.computeIfAbsent(door, d -> new HashMap<>());
+    for (Listed e : entries) {
+      String last = before.put(e.id(), e.state());
+      if (!e.state().equals(last)) {
+        ledger.machine(e.state().equals("active") ? Kind.TOLD_SERVING : Kind.TOLD_DRAIN, door, e.id());
+      }
+    }
+    if (full) {
+      List<String> named = entries.stream().map(Listed::id).toList();
+      before.entrySet().stream().filter(e -> e.getValue().equals("active") && !named.contains(e.getKey()))
+          .forEach(e -> {
+            e.setValue("left");
+            ledger.machine(Kind.TOLD_DRAIN, door, e.getKey());
+          });
+    }
+  }
+
+  /** One connection of a door. */
+  private final class Agent extends SimpleChannelInboundHandler<Object> {
+    private final String door;
+
+    Agent(String door) {
+      super(false);
+      this.door = door;
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, Object message) {
+      boolean watch = message instanceof HttpRequest r && r.uri().contains("stream=1");
+      boolean ask = message instanceof HttpRequest && !watch;
+      ReferenceCountUtil.release(message);
+      if (watch) {
+        watch(ctx.channel());
+      } else if (ask) {
+        ByteBuf body = Unpooled.copiedBuffer(known(), StandardCharsets.US_ASCII);
+        DefaultHttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+        head.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
+        ctx.write(head);
+        ctx.write(new DefaultHttpContent(body));
+        ctx.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
+      }
+    }
+
+    private void watch(Channel channel) {
+      synchronized (StandInDiscovery.this) {
+        watches.put(channel, door);
+        DefaultHttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+        head.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+        channel.writeAndFlush(head);
+        if (!hanging) {
+          tell(channel, door, true, listed());
+        }
+      }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+      synchronized (StandInDiscovery.this) {
+        watches.remove(ctx.channel());
+      }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+      ctx.close();
+    }
+  }
+}
--- /dev/null
+++ b/testkit/src/main/java/willowdoor/testkit/Tally.java
@@ -0,0 +1,110 @@
+package willowdoor.testkit;
+
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import org.HdrHistogram.Histogram;
+
+/**
+ * The client fleet's figures of a run: per second of asking, and per firm. The times of answers are those of
+ * first tries and retries alike, from when a try was due to its last byte, in microseconds, to 60 s at most.
+ */
+public final class Tally {
+
+  private static final long MOST_US = 60_000_000;
+
+  /** How a try ended for its client. */
+  public enum End { SERVED, REFUSED, FAILED, UNANSWERED, NOT_TAKEN, NO_DOOR }
+
+  /** One second of asking. */
+  private static final class Second {
+    private final int[] ends = new int[End.values().length];
+    private final Histogram served = new Histogram(MOST_US, 2);
+  }
+
+  /** One firm's use. */
+  public static final class Firm {
+    private final String plan;
+    private long offeredUnits;
+    private long servedUnits;
+    private int served;
+    private int refused;
+
+    Firm(String plan) {
+      this.plan = plan;
+    }
+
+    public String plan() {
+      return plan;
+    }
+
+    public long offeredUnits() {
+      return offeredUnits;
+    }
+
+    public long servedUnits() {
+      return servedUnits;
+    }
+
+    public int served() {
+      return served;
+    }
+
+    public int refused() {
+      return refused;
+    }
+  }
+
+  /** Figures of a stretch of the run. */
+  public record Stretch(int offered, int served, int refused, int failed, int unanswered, int notTaken,
+      double p50Ms, double p99Ms) {
+
+    /** Served as a share of offered; 1 when nothing was offered. */
+    public double servedShare() {
+      return offered == 0 ? 1 : (double) served / offered;
+    }
+  }
+
+  private final TreeMap<Integer, Second> seconds = new TreeMap<>();
+  private final Map<String, Firm> firms = new ConcurrentHashMap<>();
+
+  synchronized void end(double dueMs, End end, double tookMs, String firm, String plan, int units) {
+    Second s = seconds.computeIfAbsent((int) (dueMs / 1000), k -> new Second());
+    s.ends[end.ordinal()]++;
+    Firm f = firms.computeIfAbsent(firm, k -> new Firm(plan));
+    f.offeredUnits += units;
+    if (end == End.SERVED) {
+      s.served.recordValue(Math.min(MOST_US, Math.max(0, (long) (tookMs * 1000))));
+      f.servedUnits += units;
+      f.served++;
+    } else if (end == End.REFUSED) {
+      f.refused++;
+    }
+  }
+
+  /** Figures of the tries that were due between two moments of the ledger's clock, in whole seconds. */
+  public synchronized Stretch stretch(double fromMs, double toMs) {
+    int[] ends = new int[End.values().length];
+    Histogram served = new Histogram(MOST_US, 2);
+    for (Second s : seconds.subMap((int) (fromMs / 1000), (int) Math.ceil(toMs / 1000)).values()) {
+      for (int i = 0; i < ends.length; i++) {
+        ends[i] += s.ends[i];
+      }
+      served.add(s.served);
+    }
+    int offered = 0;
+    for (int n : ends) {
+      offered += n;
+    }
+    return new Stretch(offered, ends[End.SERVED.ordinal()], ends[End.REFUSED.ordinal()],
+        ends[End.FAILED.ordinal()], ends[End.UNANSWERED.ordinal()],
+        ends[End.NOT_TAKEN.ordinal()] + ends[End.NO_DOOR.ordinal()],
+        served.getTotalCount() == 0 ? 0 : served.getValueAtPercentile(50) / 1e3,
+        served.getTotalCount() == 0 ? 0 : served.getValueAtPercentile(99) / 1e3);
+  }
+
+  /** Use by firm. */
+  public Map<String, Firm> firms() {
+    return new TreeMap<>(firms);
+  }
+}
--- /dev/null
+++ b/testkit/src/main/java/willowdoor/testkit/Terms.java
@@ -0,0 +1,54 @@
+package willowdoor.testkit;
+
+import java.util.List;
+import java.util.Locale;
+import java.util.stream.Collectors;
+
+/**
+ * What a run goes by: the figures that the doors are configured with and that the judge holds them to. Times
+ * are milliseconds, rates units a second.
+ */
+public record Terms(List<PlanTerms> plans, double deadlineMs, double keyWindowMs, double drainGraceMs,
+    double coldFrom, double coldMs, double tipMultiple, double tipAfterMs, double counterLimitMs) {
+
+  /** One plan; a ceiling rate of 0 means that there is none. */
+  public record PlanTerms(String name, double rate, double burst, double ceilingRate, double ceilingBurst,
+      double ceilingSlack) { }
+
+  /** Units that a request may name at the most. */
+  public static final int MOST_UNITS = 8;
+
+  /** The figures of a middling day at the users' site, with firms that a test's load can push over them. */
+  public static Terms usual() {
+    return new Terms(List.of(new PlanTerms("basic", 5, 20, 10, 40, 8), new PlanTerms("full", 30, 60, 0, 0,
+        0)),
+        4_000, 4_000, 1_000, 0.21, 18_000, 2.5, 2_000, 50);
+  }
+
+  /** The plan of that name. */
+  public PlanTerms plan(String name) {
+    return plans.stream().filter(p -> p.name().equals(name)).findFirst()
+        .orElseThrow(() -> new IllegalArgumentException("plan: " + name + " (expected: one of " + plans
+            + ")"));
+  }
+
+  /** The settings object of the platform's configuration, for door number self of so many. */
+  public String settingsJson(int doors, int self, String zone) {
+    String tariffs = plans.stream().map(p -> String.format(Locale.ROOT, "{\"Name\":\"%s\",\"Refill\":%s,"
+        + "\"PeakUnits\":%s,\"WorthFactor\":1.5,\"OverrunCost\":1,\"CeilingRate\":%s,\"CeilingBurst\":%s,"
+        + "\"HardSlack\":%s}", p.name(), p.rate(), p.burst(), p.ceilingRate(), p.ceilingBurst(),
+        p.ceilingSlack())).collect(Collectors.joining(","));
+    return String.format(Locale.ROOT, """
+        {"Balancers":%d,"SelfIndex":%d,"MyZone":"%s","Discovery":"push",
+         "Bounds":{"MaxAttempts":6,"Cancel":true,"MaxOpen":5000,"DialTimeoutMs":250,"ConnIdleMs":15000,
+          "RetryAfter":true,"MaxRetryAfterMs":2000},
+         "Extra":{"Counter":true,"CountLimitMs":%s,"MaxUnits":%d,"CostAfter":true},
+         "Rules":{"AnswerSlackMs":8,"ColdFrom":%s,"ColdMs":%s,"TipMultiple":%s,"TipAfterMs":%s},
+         "Profiles":[
+          {"Name":"check-quote","Repeat":"pure","AimMs":1500,"DeadlineMs":%s,"Value":1,"Group":"all"},
+          {"Name":"register-buy","Repeat":"token","AimMs":1200,"DeadlineMs":%s,"Value":5,"Group":"all",
+           "RepeatWindowMs":%s}],
+         "Tariffs":[%s]}""", doors, self, zone, counterLimitMs, MOST_UNITS, coldFrom, coldMs, tipMultiple,
+        tipAfterMs, deadlineMs, deadlineMs, keyWindowMs, tariffs);
+  }
+}
--- /dev/null
+++ b/testkit/src/test/java/willowdoor/testkit/JudgeTest.java
@@ -0,0 +1,246 @@
+package willowdoor.testkit;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import willowdoor.testkit.Judge.Breach;
+import willowdoor.testkit.Judge.Rule;
+import willowdoor.testkit.Judge.Verdict;
+import willowdoor.testkit.Ledger.Asked;
+import willowdoor.testkit.Ledger.Entry;
+import willowdoor.testkit.Ledger.Kind;
+
+/** Plants what no run may hold, and what it may, and sees which of both the judge finds. */
+class JudgeTest {
+
+  private final Ledger ledger = new Ledger();
+
+  private Verdict verdict() {
+    return new Judge(ledger, Terms.usual(), new Judge.BackendShape(2, 100)).verdict();
+  }
+
+  private void only(Rule rule, String request) {
+    Verdict v = verdict();
+    assertEquals(List.of(rule), v.breaches().stream().map(Breach::rule).toList(), v::toString);
+    assertTrue(v.breaches().get(0).history().stream().anyMatch(e -> e.subject().equals(request)),
+        v::toString);
+  }
+
+  private void asked(String id, RequestKind kind, double atMs) {
+    asked(id, kind, atMs, "full", 1);
+  }
+
+  private void asked(String id, RequestKind kind, double atMs, String plan, int units) {
+    ledger.open(new Asked(id, "firm-" + plan, plan, kind, kind.keyed() ? "k" + id : null, units, 2_000, 0,
+        atMs));
+    put(id, Kind.ASKED, atMs, "d0", 0, "");
+  }
+
+  private void put(String id, Kind kind, double atMs, String at, double amount, String note) {
+    ledger.add(new Entry(atMs, kind, id, at, amount, note));
+  }
+
+  private void machine(Kind kind, double atMs, String name, String other, String note) {
+    ledger.machine(new Entry(atMs, kind, name, other, 0, note));
+  }
+
+  private void attempt(String id, double atMs, String backend, String connection) {
+    put(id, Kind.FIRST_BYTE, atMs, backend, 0, connection);
+    put(id, Kind.LAST_BYTE, atMs, backend, 1, connection);
+  }
+
+  private void served(String id, double atMs, String backend) {
+    attempt(id, atMs + 1, backend, "c" + id);
+    put(id, Kind.EFFECT, atMs + 1, backend, 1, "c" + id);
+    put(id, Kind.REPLIED, atMs + 90, backend, 200, "c" + id);
+    put(id, Kind.ANSWERED, atMs + 91, "d0", 200, "");
+  }
+
+  @Test
+  void aCleanRunBreaksNothing() {
+    for (int i = 0; i < 50; i++) {
+      asked("r" + i, i % 2 == 0 ? RequestKind.BUY : RequestKind.QUOTE, i * 200);
+      served("r" + i, i * 200, "b0");
+    }
+    asked("refused", RequestKind.BUY, 11_000);
+    put("refused", Kind.ANSWERED, 11_001, "d0", 429, "");
+    Verdict v = verdict();
+    assertTrue(v.kept(), v::toString);
+    assertEquals(50, v.served());
+    assertEquals(1, v.refused());
+  }
+
+  @Test
+  void findsAnEffectThatRanTwice() {
+    asked("r", RequestKind.BUY, 100);
+    attempt("r", 101, "b0", "c1");
+    put("r", Kind.EFFECT, 101, "b0", 1, "c1");
+    put("r", Kind.ATTEMPT_ENDED, 150, "b0", 0, "c1");
+    served("r", 200, "b1");
+    only(Rule.EFFECT_ONCE, "r");
+  }
+
+  @Test
+  void findsTwoAttemptsOutAtOnce() {
+    asked("r", RequestKind.QUOTE, 100);
+    attempt("r", 101, "b0", "c1");
+    served("r", 200, "b1");
+    put("r", Kind.ATTEMPT_ENDED, 400, "b0", 0, "c1");
+    only(Rule.ONE_ATTEMPT_OUT, "r");
+  }
+
+  /** The end of one connection may be read after what came later on another one. */
+  @Test
+  void passesAnEndThatCrossesTheNextAttempt() {
+    asked("r", RequestKind.QUOTE, 100);
+    attempt("r", 101, "b0", "c1");
+    attempt("r", 150, "b1", "c2");
+    put("r", Kind.ATTEMPT_ENDED, 152, "b0", 0, "c1");
+    put("r", Kind.REPLIED, 200, "b1", 200, "c2");
+    put("r", Kind.ANSWERED, 201, "d0", 200, "");
+    Verdict v = verdict();
+    assertTrue(v.kept(), v::toString);
+  }
+
+  @Test
+  void findsALateAnswer() {
+    asked("r", RequestKind.QUOTE, 100);
+    served("r", 100 + 2_000 + Judge.SLACK_MS, "b0");
+    only(Rule.ANSWERED_ONCE, "r");
+  }
+
+  @Test
+  void findsALostRequest() {
+    asked("r", RequestKind.QUOTE, 100);
+    put("r", Kind.GAVE_UP, 2_101, "d0", 0, "");
+    only(Rule.ANSWERED_ONCE, "r");
+  }
+
+  @Test
+  void findsASecondAnswer() {
+    asked("r", RequestKind.QUOTE, 100);
+    served("r", 100, "b0");
+    put("r", Kind.ANSWERED, 300, "d0", 502, "after its end");
+    only(Rule.ANSWERED_ONCE, "r");
+  }
+
+  @Test
+  void findsAnAnswerThatNoBackendMade() {
+    asked("r", RequestKind.QUOTE, 100);
+    served("r", 100, "b0");
+    put("r", Kind.FORGED, 191, "d0", 0, "");
+    only(Rule.ANSWERED_ONCE, "r");
+  }
+
+  @Test
+  void findsAKeptConnectionCutOverARequestThatWasSentOn() {
+    asked("r", RequestKind.QUOTE, 100);
+    attempt("r", 101, "b0", "c1");
+    put("r", Kind.CUT, 120, "d0", 0, "kept");
+    only(Rule.ANSWERED_ONCE, "r");
+  }
+
+  @Test
+  void excusesAKeptConnectionCutBeforeTheRequestWasReadAndTheSecondSendingOfIt() {
+    asked("r", RequestKind.QUOTE, 100);
+    put("r", Kind.CUT, 101, "d0", 0, "kept");
+    put("r", Kind.ASKED, 102, "d0", 0, "");
+    served("r", 103, "b0");
+    Verdict v = verdict();
+    assertTrue(v.kept(), v::toString);
+  }
+
+  @Test
+  void findsAFreshConnectionCutUnanswered() {
+    asked("r", RequestKind.QUOTE, 100);
+    put("r", Kind.CUT, 101, "d0", 0, "");
+    only(Rule.ANSWERED_ONCE, "r");
+  }
+
+  @Test
+  void excusesWhatAKilledDoorHeldButNotWhatADoorThatEndedInOrderHeld() {
+    asked("r", RequestKind.QUOTE, 100);
+    put("r", Kind.CUT, 151, "d0", 0, "");
+    machine(Kind.KILLED, 150, "d0", "", "");
+    machine(Kind.STARTED, 900, "d0", "", "");
+    assertTrue(verdict().kept());
+    asked("s", RequestKind.QUOTE, 5_000);
+    put("s", Kind.CUT, 5_001, "d0", 0, "");
+    machine(Kind.ENDING, 4_900, "d0", "", "");
+    machine(Kind.EXITED, 5_001, "d0", "", "");
+    only(Rule.ANSWERED_ONCE, "s");
+  }
+
+  @Test
+  void findsARefusalOfWhatRan() {
+    asked("r", RequestKind.BUY, 100);
+    attempt("r", 101, "b0", "c1");
+    put("r", Kind.EFFECT, 101, "b0", 1, "c1");
+    put("r", Kind.ATTEMPT_ENDED, 150, "b0", 0, "c1");
+    put("r", Kind.ANSWERED, 151, "d0", 503, "");
+    only(Rule.REFUSED_HARMLESS, "r");
+  }
+
+  @Test
+  void findsASendToADrainedBackendAndOnlyAfterTheGrace() {
+    machine(Kind.TOLD_DRAIN, 1_000, "d0", "b0", "");
+    asked("early", RequestKind.QUOTE, 1_900);
+    served("early", 1_900, "b0");
+    assertTrue(verdict().kept());
+    asked("late", RequestKind.QUOTE, 2_100);
+    served("late", 2_100, "b0");
+    only(Rule.DRAIN_KEPT, "late");
+  }
+
+  @Test
+  void passesASendToABackendThatServesAgain() {
+    machine(Kind.TOLD_DRAIN, 1_000, "d0", "b0", "");
+    machine(Kind.TOLD_SERVING, 2_000, "d0", "b0", "");
+    asked("r", RequestKind.QUOTE, 2_500);
+    served("r", 2_500, "b0");
+    assertTrue(verdict().kept());
+  }
+
+  /**
+   * Two cores at 21% do 0.42 ms of work a millisecond: in 2 s, times 2.5, 21 attempts of 100 ms, and 4 spare.
+   */
+  @Test
+  void findsAColdBackendPushedOver() {
+    machine(Kind.STARTED, 1_000, "b0", "", "cold");
+    for (int i = 0; i < 24; i++) {
+      asked("r" + i, RequestKind.QUOTE, 1_000 + i);
+      served("r" + i, 1_000 + i, "b0");
+    }
+    assertTrue(verdict().kept());
+    for (int i = 24; i < 40; i++) {
+      asked("r" + i, RequestKind.QUOTE, 1_000 + i);
+      served("r" + i, 1_000 + i, "b0");
+    }
+    Verdict v = verdict();
+    assertEquals(1, v.count(Rule.COLD_SPARED), v::toString);
+  }
+
+  /** The ceiling of basic holds 40 units and fills at 10 a second; the slack is 8, and 1.5 for scatter. */
+  @Test
+  void findsACeilingPassedByAllDoorsTogether() {
+    for (int i = 0; i < 48; i++) {
+      asked("r" + i, RequestKind.QUOTE, 100, "basic", 1);
+      served("r" + i, 100, "b0");
+    }
+    assertTrue(verdict().kept());
+    for (int i = 48; i < 52; i++) {
+      asked("r" + i, RequestKind.QUOTE, 100, "basic", 1);
+      served("r" + i, 100, "b0");
+    }
+    Verdict v = verdict();
+    assertEquals(1, v.count(Rule.CEILING_KEPT), v::toString);
+  }
+
+  @Test
+  void findsARequestThatNoClientSent() {
+    attempt("invented", 100, "b0", "c1");
+    only(Rule.ANSWERED_ONCE, "invented");
+  }
+}
