The steps of a door's life can be taken one by one, and its listening socket handed over

Need: the daemon binds, warms up, accepts, drains, resumes and hands over as its life asks; the platform's serve has one fixed order.

Change: FrontDoor's steps are public, its server channel binds without accepting, and can be made on a descriptor that listens already. serve takes the same steps. ReloadSignal becomes Signals, as a second SIGTERM has to be heard.

--- a/door/src/main/java/willowdoor/net/Bounds.java
+++ b/door/src/main/java/willowdoor/net/Bounds.java
@@ -4,7 +4,7 @@
  * What the process may hold, from the limits that its configuration tells. Descriptors that run out take
  * the whole process down (a class that loads late, a log line), so all kinds of sockets get fitting parts.
  */
-record Bounds(int places, int bodyBytes) {
+public record Bounds(int places, int bodyBytes) {
 
   /** Descriptors of the JVM and of the event loop: its files, the jar, epoll, timer and event descriptors. */
   private static final int OWN = 24;
@@ -12,11 +12,12 @@
   private static final int PEERS = 2 * (CounterClient.CONNECTIONS + 1);
   private static final int MARGIN = 14;
   /** Without limits in the configuration, those of a middling machine hold. */
-  static final double USUAL_SOCKETS = 1024;
-  static final double USUAL_MEMORY_MB = 128;
+  public static final double USUAL_SOCKETS = 1024;
+  public static final double USUAL_MEMORY_MB = 128;
   private static final double BODY_PART = 1.0 / 16;
 
-  static Bounds of(double sockets, double memoryMb) {
+  /** The bounds under limits of so many descriptors and megabytes. */
+  public static Bounds of(double sockets, double memoryMb) {
     return new Bounds(Math.max(16, (int) sockets - OWN - PEERS - MARGIN),
         (int) (memoryMb * BODY_PART * (1 << 20)));
   }
--- a/door/src/main/java/willowdoor/net/ClientServer.java
+++ b/door/src/main/java/willowdoor/net/ClientServer.java
@@ -43,7 +43,6 @@
   /** In the order of their opening. */
   private final Set<ClientConnection> connections = new LinkedHashSet<>();
   private int receiving;
-  private Channel listening;
   private boolean ready;
   private boolean draining;
 
@@ -58,19 +57,30 @@
     loop.scheduleWithFixedDelay(this::endOverdue, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
   }
 
+  /** Listens and takes nothing yet: connections wait in the accept queue. */
   ChannelFuture listen(EventLoopGroup group, InetSocketAddress address) {
-    ChannelFuture bound = new ServerBootstrap().group(group).channel(Transport.BEST.serverSocket())
+    return bootstrap(group).channel(Transport.BEST.serverSocket())
         .option(ChannelOption.SO_BACKLOG, 512)
         .option(ChannelOption.SO_REUSEADDR, true)
+        .bind(address);
+  }
+
+  /** The same on a socket that listens already. */
+  ChannelFuture adopt(EventLoopGroup group, int descriptor) {
+    return bootstrap(group).channelFactory(() -> Transport.listening(descriptor)).register();
+  }
+
+  private ServerBootstrap bootstrap(EventLoopGroup group) {
+    return new ServerBootstrap().group(group)
+        .option(ChannelOption.AUTO_READ, false)
+        .childOption(ChannelOption.AUTO_READ, true)
         .childOption(ChannelOption.TCP_NODELAY, true)
         .childHandler(new ChannelInitializer<Channel>() {
           @Override
           protected void initChannel(Channel channel) {
-            adopt(channel);
+            ClientServer.this.adopt(channel);
           }
-        }).bind(address);
-    listening = bound.channel();
-    return bound;
+        });
   }
 
   /** Makes a channel a client's connection. */
@@ -199,13 +209,13 @@
     List.copyOf(connections).forEach(c -> c.endIfOverdue(now));
   }
 
-  /** From here on every answer ends its connection; new connections are still taken. */
-  void beginDrain() {
-    draining = true;
+  /** From here on every answer ends its connection, or none does; new connections are still taken. */
+  void drain(boolean on) {
+    draining = on;
   }
 
   /** Takes no more connections, and ends those that no request is on. */
-  void stopAccepting() {
+  void stopAccepting(Channel listening) {
     listening.close();
     List.copyOf(connections).forEach(ClientConnection::closeIfIdle);
   }
--- a/door/src/main/java/willowdoor/net/Config.java
+++ b/door/src/main/java/willowdoor/net/Config.java
@@ -13,8 +13,9 @@
 import willowdoor.wire.JsonFields;
 import willowdoor.wire.WireSettings;
 
-/** What a front door is told at its start: the file that {@code GW_CONFIG} names. */
-record Config(InetSocketAddress listen, InetSocketAddress discovery, InetSocketAddress counter, long seed,
+/** What a front door is told at its start: on the platform, the file that {@code GW_CONFIG} names. */
+public record Config(InetSocketAddress listen, InetSocketAddress discovery, InetSocketAddress counter,
+    long seed,
     Settings settings, Bounds limits, double connectLimitMs, double idleLimitMs, RosterNews known) {
 
   /** The addresses that a new configuration may move. */
--- a/door/src/main/java/willowdoor/net/FrontDoor.java
+++ b/door/src/main/java/willowdoor/net/FrontDoor.java
@@ -5,6 +5,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
@@ -12,7 +13,11 @@
 import java.util.logging.Logger;
 import willowdoor.policy.QuotaPolicy;
 
-/** One real front door: its wiring, its start and its planned end. */
+/**
+ * One real front door: its wiring, and the steps of its life. The platform's {@link #serve} takes them in one
+ * fixed order; whoever embeds a door takes them as its own life asks, each step on {@link #loop()}, where
+ * nothing of a door may block.
+ */
 public final class FrontDoor {
 
   private static final Logger LOG = Logger.getLogger(FrontDoor.class.getName());
@@ -44,8 +49,8 @@
     Path path = Path.of(file);
     Config config = Config.read(path);
     FrontDoor door = start(config, wired -> {
-      ReloadSignal.handle(() -> wired.reload(path));
-      new WarmUp(config).run(WarmUp.LIMIT_MS);
+      Signals.handle("HUP", () -> wired.reload(path));
+      warmUp(config);
     });
     Runtime.getRuntime().addShutdownHook(new Thread(door::drain, "drain"));
   }
@@ -61,24 +66,38 @@
   /** Starts it; what is to be ready before the first client is done between its wiring and its listening. */
   private static FrontDoor start(Config config, Preparation beforeListening)
       throws IOException, InterruptedException {
+    FrontDoor door = wired(config);
+    try {
+      beforeListening.of(door);
+      door.bind(config.listen());
+    } catch (IOException | RuntimeException e) {
+      door.stop();
+      throw e;
+    }
+    door.loop.execute(() -> {
+      door.accept();
+      door.beFound();
+    });
+    return door;
+  }
+
+  /** A door with its peers' connections under way, that has no listening socket yet. */
+  public static FrontDoor wired(Config config) throws InterruptedException {
     FrontDoor door = new FrontDoor();
     try {
       door.loop.submit(() -> door.wire(config)).sync();
-      beforeListening.of(door);
-      door.listening = door.clients.listen(door.group, config.listen()).sync().channel();
+      return door;
     } catch (RuntimeException e) {
-      door.group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+      door.stop();
       throw e;
-    } catch (Exception e) {
-      door.group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
-      throw new IOException("cannot listen on " + config.listen() + ": " + e.getMessage(), e);
     }
-    door.loop.execute(door.clients::serve);
-    return door;
   }
 
-  SocketAddress address() {
-    return listening.localAddress();
+  /**
+   * Warms this process up for such a configuration, 0.7 s at most; for a thread that may wait, not the loop.
+   */
+  public static void warmUp(Config config) {
+    new WarmUp(config).run(WarmUp.LIMIT_MS);
   }
 
   private void wire(Config config) {
@@ -98,6 +117,109 @@
     discovery.start();
   }
 
+  /** The one thread that all of the door is on. */
+  public EventLoop loop() {
+    return loop;
+  }
+
+  /** The loop as a group, for what shares the door's thread. */
+  public EventLoopGroup group() {
+    return group;
+  }
+
+  public SocketAddress address() {
+    return listening.localAddress();
+  }
+
+  /** Milliseconds on the door's clock. */
+  public double now() {
+    return clock.now();
+  }
+
+  /** Listens, and leaves what comes in the accept queue until {@link #accept}; not for the loop's thread. */
+  public void bind(InetSocketAddress address) throws IOException, InterruptedException {
+    try {
+      listening = clients.listen(group, address).sync().channel();
+    } catch (InterruptedException e) {
+      throw e;
+    } catch (Exception e) {
+      throw new IOException("cannot listen on " + address + ": " + e.getMessage(), e);
+    }
+  }
+
+  /**
+   * Takes a listening socket that another process has handed over, as {@link #bind} would have made one.
+   *
+   * @param descriptor the socket's descriptor in this process, which this door owns from here on
+   */
+  public void adopt(int descriptor) throws IOException, InterruptedException {
+    try {
+      listening = clients.adopt(group, descriptor).sync().channel();
+    } catch (InterruptedException e) {
+      throw e;
+    } catch (Exception e) {
+      throw new IOException("cannot listen on descriptor " + descriptor + ": " + e.getMessage(), e);
+    }
+  }
+
+  /** The descriptor of the listening socket, to be handed to a successor; -1 where the transport has none. */
+  public int descriptor() {
+    return Transport.descriptor(listening);
+  }
+
+  /** Takes connections from here on. */
+  public void accept() {
+    listening.config().setAutoRead(true);
+  }
+
+  /** Answers {@code GET /up} with 200 from here on, as soon as a backend is known. */
+  public void beFound() {
+    clients.serve();
+  }
+
+  /** Leaves new connections to whoever else holds the listening socket; {@link #accept} takes it back. */
+  public void leaveListening() {
+    listening.config().setAutoRead(false);
+  }
+
+  /** Answers {@code GET /up} with 503, and ends each connection with its next answer. */
+  public void beginDrain() {
+    clients.drain(true);
+  }
+
+  /** Serves on as before {@link #beginDrain}. */
+  public void resume() {
+    clients.drain(false);
+  }
+
+  /** Closes this process's hold of the listening socket, and ends connections that no request is on. */
+  public void stopAccepting() {
+    clients.stopAccepting(listening);
+  }
+
+  /** Answers all that is out as failed. */
+  public void failAll() {
+    driver.failAll();
+  }
+
+  /** True when no client's connection is open. */
+  public boolean idle() {
+    return clients.idle();
+  }
+
+  /** Requests without their final answer, or with an attempt out. */
+  public int held() {
+    return driver.held();
+  }
+
+  /**
+   * Moves to other addresses of discovery and counter: new links first, the old ones finish what they owe.
+   */
+  public void moveTo(InetSocketAddress otherDiscovery, InetSocketAddress otherCounter) {
+    counter.moveTo(otherCounter);
+    discovery.moveTo(otherDiscovery);
+  }
+
   /**
    * Takes the addresses of discovery and of the counter from the replaced file; nothing else of it changes
    * while the process lives. Guards against a file that cannot be read: the old addresses stay.
@@ -106,8 +228,7 @@
     loop.execute(() -> {
       try {
         Config.Peers peers = Config.readPeers(file);
-        counter.moveTo(peers.counter());
-        discovery.moveTo(peers.discovery());
+        moveTo(peers.discovery(), peers.counter());
       } catch (IOException | RuntimeException e) {
         LOG.warning("the new configuration is not taken: " + e.getMessage());
       }
@@ -116,8 +237,8 @@
 
   /** The planned end: accept a little longer, answer all that was taken, then let the process go. */
   void drain() {
-    loop.execute(clients::beginDrain);
-    loop.schedule(clients::stopAccepting, ACCEPT_MS, TimeUnit.MILLISECONDS);
+    loop.execute(this::beginDrain);
+    loop.schedule(this::stopAccepting, ACCEPT_MS, TimeUnit.MILLISECONDS);
     loop.scheduleWithFixedDelay(() -> {
       if (clients.idle()) {
         drained.countDown();
@@ -134,7 +255,8 @@
     stop();
   }
 
-  void stop() {
+  /** Ends the loop, and with it every socket. */
+  public void stop() {
     group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
   }
 }
--- a/door/src/main/java/willowdoor/net/RosterNews.java
+++ b/door/src/main/java/willowdoor/net/RosterNews.java
@@ -17,7 +17,7 @@
 import willowdoor.wire.JsonFields;
 
 /** One message of discovery: the entries for the module, and where each backend listens, seen from here. */
-record RosterNews(long version, boolean full, List<BackendEntry> entries,
+public record RosterNews(long version, boolean full, List<BackendEntry> entries,
     Map<Long, InetSocketAddress> places) {
 
   private static final JsonFactory JSON = new JsonFactory();
@@ -66,7 +66,7 @@
   }
 
   /** A backend's name as the number that the module knows it by: FNV-1a, alike at every front door. */
-  private static long number(String id) {
+  public static long number(String id) {
     long hash = 0xcbf29ce484222325L;
     for (byte b : id.getBytes(StandardCharsets.UTF_8)) {
       hash = (hash ^ b & 0xff) * 0x100000001b3L;
@@ -75,7 +75,7 @@
   }
 
   /** A numeric address and port, or null; names are not looked up, as there is no DNS. */
-  static InetSocketAddress address(String text) {
+  public static InetSocketAddress address(String text) {
     int colon = text.lastIndexOf(':');
     byte[] ip = colon < 0 ? null : NetUtil.createByteArrayFromIpAddressString(text.substring(0, colon));
     try {
--- /dev/null
+++ b/door/src/main/java/willowdoor/net/Signals.java
@@ -0,0 +1,36 @@
+package willowdoor.net;
+
+import java.io.IOException;
+import java.lang.reflect.Proxy;
+
+/**
+ * Signals to this process. SIGHUP would end the JVM where nothing handles it; SIGTERM runs its shutdown hooks
+ * once and never tells of a second one. The JDK's one interface to signals is reached by reflection, as the
+ * compiler warns of every other use of it, and warnings are errors here.
+ */
+public final class Signals {
+
+  private Signals() {
+  }
+
+  /**
+   * Runs the handler at each signal of that name, on a thread of the JVM's own.
+   *
+   * @param name without the leading SIG, such as HUP
+   */
+  public static void handle(String name, Runnable handler) throws IOException {
+    try {
+      Class<?> signal = Class.forName("sun.misc.Signal");
+      Class<?> type = Class.forName("sun.misc.SignalHandler");
+      Object handling = Proxy.newProxyInstance(Signals.class.getClassLoader(), new Class<?>[] {type},
+          (proxy, method, arguments) -> {
+            handler.run();
+            return null;
+          });
+      signal.getMethod("handle", signal, type)
+          .invoke(null, signal.getConstructor(String.class).newInstance(name), handling);
+    } catch (ReflectiveOperationException e) {
+      throw new IOException("cannot handle SIG" + name, e);
+    }
+  }
+}
--- a/door/src/main/java/willowdoor/net/Transport.java
+++ b/door/src/main/java/willowdoor/net/Transport.java
@@ -3,6 +3,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelException;
 import io.netty.channel.IoHandlerFactory;
+import io.netty.channel.ServerChannel;
 import io.netty.channel.epoll.Epoll;
 import io.netty.channel.epoll.EpollIoHandler;
 import io.netty.channel.epoll.EpollServerSocketChannel;
@@ -12,6 +13,7 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.channel.unix.UnixChannel;
 
 /**
  * The sockets that the event loop drives: native epoll, which took a quarter less CPU on a calm day, or NIO
@@ -24,6 +26,19 @@
       ? new Transport(EpollIoHandler.newFactory(), EpollSocketChannel.class, EpollServerSocketChannel.class)
       : new Transport(NioIoHandler.newFactory(), NioSocketChannel.class, NioServerSocketChannel.class);
 
+  /** A server socket's channel on a descriptor that listens already; for epoll alone. */
+  static ServerChannel listening(int descriptor) {
+    if (!Epoll.isAvailable()) {
+      throw new ChannelException("a listening socket can be taken over with epoll only");
+    }
+    return new EpollServerSocketChannel(descriptor);
+  }
+
+  /** The descriptor of a channel, or -1 where it tells none. */
+  static int descriptor(Channel channel) {
+    return channel instanceof UnixChannel unix ? unix.fd().intValue() : -1;
+  }
+
   /**
    * For how long the newest bytes of a connection had been with the kernel, in milliseconds; 0 where it does
    * not tell. A loop that is short of CPU reads late, and only the kernel knows how late.
--- a/policy/src/main/java/willowdoor/life/InstanceLife.java
+++ b/policy/src/main/java/willowdoor/life/InstanceLife.java
@@ -34,11 +34,11 @@
  * </pre>
  *
  * <p>It guards against three losses. Connections that wait in the accept queue belong to this instance, so an
- * end that comes while it is warming still opens the door for its accept window, and what came is served. What
- * was taken is answered: as it would have been until the bound, as failed at the bound, and only a last bound,
- * for clients that read nothing, ends the process over an answer that is not out. And an instance that was
- * replaced serves again if its successor dies within its accept window; after that it has let go of the socket.
- * A second signal moves the bound to the hurried one, counted from itself.
+ * end that comes while it is warming still opens the door for its accept window, and what came is served.
+ * What was taken is answered: as it would have been until the bound, as failed at the bound, and only a last
+ * bound, for clients that read nothing, ends the process over an answer that is not out. And an instance that
+ * was replaced serves again if its successor dies within its accept window; after that it has let go of the
+ * socket. A second signal moves the bound to the hurried one, counted from itself.
  */
 public final class InstanceLife {
 
