--- /dev/null
+++ b/daemon/src/main/java/willowdoor/daemon/config/DaemonConfig.java
@@ -0,0 +1,256 @@
+package willowdoor.daemon.config;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.CharacterCodingException;
+import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import org.tomlj.Toml;
+import org.tomlj.TomlParseResult;
+import willowdoor.life.InstanceLife;
+import willowdoor.net.Bounds;
+import willowdoor.net.Config;
+import willowdoor.net.RosterNews;
+import willowdoor.policy.GatewayApi.Allowed;
+import willowdoor.policy.GatewayApi.BackendEntry;
+import willowdoor.policy.GatewayApi.Group;
+import willowdoor.policy.GatewayApi.Phase;
+import willowdoor.policy.GatewayApi.Plan;
+import willowdoor.policy.GatewayApi.Repeat;
+import willowdoor.policy.GatewayApi.RequestClass;
+import willowdoor.policy.GatewayApi.Rules;
+import willowdoor.policy.GatewayApi.Settings;
+
+/**
+ * The daemon's configuration, read from TOML. {@code deploy/willowdoor.toml} documents every key. All errors
+ * of a file are told at once ({@link ConfigException}).
+ *
+ * @param effective every key with the value in force, defaults included
+ */
+public record DaemonConfig(Instance instance, InetSocketAddress discovery, Counter counter, Limits limits,
+    InstanceLife.Bounds end, TakeOver takeOver, Backends backends, Settings settings,
+    Map<String, Object> effective) {
+
+  /** Who this instance is in its fleet; zone may be empty. */
+  public record Instance(String name, InetSocketAddress listen, int doors, int index, String zone) { }
+
+  /** The shared counter: where, and for how long a call is waited for. */
+  public record Counter(InetSocketAddress address, double callLimitMs) { }
+
+  /** What the process may hold. */
+  public record Limits(int descriptors, int memoryMb) { }
+
+  /** Handing the listening socket over; an empty path means that it is never handed over. */
+  public record TakeOver(String controlSocket, int readyLimitMs) { }
+
+  /** How backends are reached, and those known before discovery has told any. */
+  public record Backends(double connectLimitMs, double idleLimitMs, RosterNews known) { }
+
+  /** Keys that a reload takes; any other that has changed needs a restart. */
+  public static final Set<String> RELOADABLE = Set.of("discovery.address", "counter.address");
+
+  private static final int LARGEST_FILE = 1 << 20;
+  private static final int MOST_TABLES = 256;
+  private static final int MOST_BACKENDS = 10_000;
+  private static final double MOST_MS = 3_600_000;
+  private static final double MOST_UNITS = 1e9;
+  /** A unix socket's path may be so long, with an ending for the one that is about to take its place. */
+  private static final int LONGEST_SOCKET_PATH = 100;
+
+  /** Reads a file. */
+  public static DaemonConfig read(Path file) throws IOException, ConfigException {
+    try {
+      if (Files.size(file) > LARGEST_FILE) {
+        throw new IOException(file + " has " + Files.size(file) + " bytes (expected: at most " + LARGEST_FILE
+            + ")");
+      }
+      return parse(file, Files.readString(file));
+    } catch (NoSuchFileException e) {
+      throw new IOException("there is no file " + file, e);
+    } catch (CharacterCodingException e) {
+      throw new IOException(file + " is not UTF-8 text", e);
+    }
+  }
+
+  /** Reads a text; the file is named in errors only. */
+  public static DaemonConfig parse(Path file, String text) throws ConfigException {
+    TomlParseResult toml = Toml.parse(text);
+    List<Problem> problems = new ArrayList<>();
+    toml.errors().forEach(e -> problems.add(
+        new Problem("syntax", e.position().line(), firstLine(e.getMessage()), "TOML 1.0")));
+    DaemonConfig config = null;
+    if (problems.isEmpty()) {
+      config = new Reader(toml, problems).read();
+    }
+    if (!problems.isEmpty()) {
+      problems.sort(null);
+      throw new ConfigException(file, problems);
+    }
+    return config;
+  }
+
+  private static String firstLine(String text) {
+    return String.valueOf(text).lines().findFirst().orElse("");
+  }
+
+  /** Keys whose values differ, with those that are in one of both only. */
+  public Set<String> changedIn(DaemonConfig other) {
+    Set<String> keys = new TreeSet<>(effective.keySet());
+    keys.addAll(other.effective.keySet());
+    keys.removeIf(k -> java.util.Objects.equals(effective.get(k), other.effective.get(k)));
+    return keys;
+  }
+
+  /** As the door takes it, with a seed for its random choices. */
+  public Config door(long seed) {
+    return new Config(instance.listen(), discovery, counter.address(), seed, settings,
+        Bounds.of(limits.descriptors(), limits.memoryMb()), backends.connectLimitMs(), backends.idleLimitMs(),
+        backends.known());
+  }
+
+  /** Reads one file's tables in the order of the records. */
+  private static final class Reader {
+    private final List<Problem> problems;
+    private final Map<String, Object> effective = Section.newEffective();
+    private final Section root;
+
+    Reader(TomlParseResult toml, List<Problem> problems) {
+      this.problems = problems;
+      root = new Section("", toml, 0, problems, effective);
+    }
+
+    DaemonConfig read() {
+      Section i = root.table("instance");
+      int doors = i.whole("doors", 1, 1, 10_000);
+      Instance instance = new Instance(i.text("name", null), i.address("listen"), doors,
+          i.whole("index", 0, 0, doors - 1), i.text("zone", ""));
+      i.end();
+      Section d = root.table("discovery");
+      InetSocketAddress discovery = d.address("address");
+      d.end();
+      Section c = root.table("counter");
+      Counter counter = new Counter(c.address("address"), c.number("call_limit_ms", 50, 1, 10_000));
+      c.end();
+      Section l = root.table("limits");
+      Limits limits = new Limits(l.whole("descriptors", 1_024, 128, 1_000_000),
+          l.whole("memory_mb", 192, 32, 1_000_000));
+      l.end();
+      Section e = root.table("end");
+      double accept = e.number("accept_ms", 550, 0, MOST_MS);
+      InstanceLife.Bounds end = new InstanceLife.Bounds(accept, Math.max(accept, answerMs(e, accept)),
+          e.number("hurried_ms", 500, 0, MOST_MS), e.number("last_ms", 400, 1, MOST_MS));
+      e.end();
+      Section t = root.table("take_over");
+      TakeOver takeOver = new TakeOver(socketPath(t), t.whole("ready_limit_ms", 15_000, 100, 600_000));
+      t.end();
+      Section b = root.table("backends");
+      Backends backends = new Backends(b.number("connect_limit_ms", 250, 1, 60_000),
+          b.number("idle_limit_ms", 15_000, 10, MOST_MS), known());
+      Settings settings = settings(instance, counter, b);
+      b.end();
+      root.end();
+      return new DaemonConfig(instance, discovery, counter, limits, end, takeOver, backends, settings,
+          Map.copyOf(effective));
+    }
+
+    private static double answerMs(Section e, double accept) {
+      double answer = e.number("answer_ms", Math.max(3_300, accept), 0, MOST_MS);
+      if (answer < accept) {
+        e.problem("answer_ms", answer, "at least end.accept_ms, " + accept);
+      }
+      return answer;
+    }
+
+    private static String socketPath(Section t) {
+      String path = t.text("control_socket", "");
+      if (path.length() > LONGEST_SOCKET_PATH) {
+        t.problem("control_socket", path.length() + " characters", "at most " + LONGEST_SOCKET_PATH);
+      }
+      return path;
+    }
+
+    private RosterNews known() {
+      List<BackendEntry> entries = new ArrayList<>();
+      Map<Long, InetSocketAddress> places = new HashMap<>();
+      Set<String> ids = new HashSet<>();
+      for (Section s : root.tables("backend", 0, MOST_BACKENDS)) {
+        String id = unique(s, "id", ids);
+        InetSocketAddress address = s.address("address");
+        String zone = s.text("zone", "");
+        if (address != null) {
+          long number = RosterNews.number(id);
+          places.put(number, address);
+          entries.add(new BackendEntry(number, zone, s.whole("cell", 0, 0, 1_000_000), Phase.SERVING,
+              s.number("weight", 1, 0.001, 1_000), 0));
+        }
+        s.end();
+      }
+      return new RosterNews(0, true, entries, places);
+    }
+
+    private static String unique(Section s, String key, Set<String> taken) {
+      String value = s.text(key, null);
+      if (!value.isEmpty() && !taken.add(value)) {
+        s.problem(key, '"' + value + '"', "a name that no other table has");
+      }
+      return value;
+    }
+
+    private Settings settings(Instance instance, Counter counter, Section b) {
+      Section u = root.table("units");
+      double mostUnits = u.number("most", 8, 1, MOST_UNITS);
+      u.end();
+      Section a = root.table("answers");
+      boolean advise = a.flag("retry_after", true);
+      double mostAdvice = a.number("most_retry_after_ms", 2_000, 0, MOST_MS);
+      double slack = a.number("slack_ms", 8, 0, 1_000);
+      a.end();
+      Allowed allowed = new Allowed(true, counter.callLimitMs(), true, false, b.whole("attempts", 6, 1, 20),
+          b.whole("open_attempts", 20_000, 1, 1_000_000), advise, mostAdvice, false);
+      Rules rules = new Rules(slack, b.number("cold_share", 0.21, 0.01, 1), b.number("cold_ms", 18_000, 0,
+          MOST_MS),
+          b.number("tip_multiple", 2.5, 1, 1_000), b.number("tip_after_ms", 2_000, 1, MOST_MS));
+      return new Settings(instance.doors(), instance.index(), instance.zone(), mostUnits,
+          b.number("cross_zone_price", 0.01, 0, 1), false, classes(), plans(), allowed, rules);
+    }
+
+    private List<RequestClass> classes() {
+      List<RequestClass> classes = new ArrayList<>();
+      Set<String> names = new HashSet<>();
+      for (Section s : root.tables("class", 1, MOST_TABLES)) {
+        Repeat repeat = s.choice("repeat", Repeat.class, Repeat.UNSAFE);
+        classes.add(new RequestClass(unique(s, "name", names), s.number("worth", 1, 0, 1e6),
+            s.number("late_worth", 0, 0, 1e6), s.number("aim_ms", Double.NaN, 1, MOST_MS),
+            s.number("deadline_ms", Double.NaN, 1, MOST_MS), repeat, s.choice("group", Group.class,
+                Group.ALL),
+            s.number("repeat_window_ms", repeat == Repeat.KEYED ? Double.NaN : 0, 0, MOST_MS), false));
+        s.end();
+      }
+      return classes;
+    }
+
+    private List<Plan> plans() {
+      List<Plan> plans = new ArrayList<>();
+      Set<String> names = new HashSet<>();
+      for (Section s : root.tables("plan", 1, MOST_TABLES)) {
+        double ceiling = s.number("ceiling_units_per_s", 0, 0, MOST_UNITS);
+        plans.add(new Plan(unique(s, "name", names), s.number("units_per_s", Double.NaN, 0, MOST_UNITS),
+            s.number("burst_units", Double.NaN, 0, MOST_UNITS), s.whole("open_requests", 0, 0, 1_000_000),
+            s.number("worth_factor", 1, 0, 1e6), s.number("beyond_earns", 0, 0, 1), s.number("beyond_cost", 1,
+                0, 1),
+            ceiling, s.number("ceiling_burst_units", ceiling > 0 ? Double.NaN : 0, 0, MOST_UNITS),
+            s.number("ceiling_slack_units", 0, 0, MOST_UNITS)));
+        s.end();
+      }
+      return plans;
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/willowdoor/daemon/fleet/DoorFiles.java
@@ -0,0 +1,103 @@
+package willowdoor.daemon.fleet;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Locale;
+import willowdoor.testkit.Rig;
+import willowdoor.testkit.StandInDiscovery.Listed;
+import willowdoor.testkit.Terms;
+import willowdoor.testkit.Terms.PlanTerms;
+
+/** Writes the configurations of a rig's doors: the rig's terms in the daemon's own form. */
+public final class DoorFiles {
+
+  private final Rig rig;
+  private final Path folder;
+  private final int doors;
+
+  public DoorFiles(Rig rig, Path folder, int doors) {
+    this.rig = rig;
+    this.folder = folder;
+    this.doors = doors;
+  }
+
+  /** Writes door number index's file, with the backends that discovery lists now. */
+  public Path write(int index, InetSocketAddress listen) {
+    Path file = folder.resolve("d" + index + ".toml");
+    try {
+      return Files.writeString(file, text(index, listen));
+    } catch (IOException e) {
+      throw new UncheckedIOException("cannot write " + file, e);
+    }
+  }
+
+  /** The control socket of door number index. */
+  public Path control(int index) {
+    return folder.resolve("d" + index + ".sock");
+  }
+
+  String text(int index, InetSocketAddress listen) {
+    Terms t = rig.terms();
+    StringBuilder text = new StringBuilder(String.format(Locale.ROOT, """
+        [instance]
+        name = "d%d"
+        listen = "%s"
+        doors = %d
+        index = %d
+        zone = "%s"
+        [discovery]
+        address = "%s"
+        [counter]
+        address = "%s"
+        call_limit_ms = %s
+        [limits]
+        descriptors = 1024
+        memory_mb = 128
+        [take_over]
+        control_socket = "%s"
+        [backends]
+        cold_share = %s
+        cold_ms = %s
+        tip_multiple = %s
+        tip_after_ms = %s
+        [units]
+        most = %d
+        [[class]]
+        name = "check-quote"
+        worth = 1
+        aim_ms = 1500
+        deadline_ms = %s
+        repeat = "safe"
+        [[class]]
+        name = "register-buy"
+        worth = 5
+        aim_ms = 1200
+        deadline_ms = %s
+        repeat = "keyed"
+        repeat_window_ms = %s
+        """, index, text(listen), doors, index, index % 2 == 0 ? "a" : "b", text(rig.discovery().agentOf("d" + index)),
+        text(rig.counter().address()), t.counterLimitMs(), control(index), t.coldFrom(), t.coldMs(),
+            t.tipMultiple(),
+        t.tipAfterMs(), Terms.MOST_UNITS, t.deadlineMs(), t.deadlineMs(), t.keyWindowMs()));
+    for (PlanTerms p : t.plans()) {
+      text.append(String.format(Locale.ROOT, "[[plan]]%nname = \"%s\"%nunits_per_s = %s%nburst_units = %s%n"
+          + "worth_factor = 1.5%nceiling_units_per_s = %s%nceiling_burst_units = %s%n"
+          + "ceiling_slack_units = %s%n",
+          p.name(), p.rate(), p.burst(), p.ceilingRate(), p.ceilingBurst(), p.ceilingSlack()));
+    }
+    for (Listed b : rig.discovery().listed()) {
+      if (b.state().equals("active")) {
+        text.append(String.format("[[backend]]%nid = \"%s\"%naddress = \"%s\"%nzone = \"%s\"%n", b.id(),
+            text(b.address()), b.zone()));
+      }
+    }
+    return text.toString();
+  }
+
+  private static String text(InetSocketAddress a) {
+    return a.getAddress().getHostAddress() + ':' + a.getPort();
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/willowdoor/daemon/fleet/FleetCommand.java
@@ -0,0 +1,186 @@
+package willowdoor.daemon.fleet;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Spec;
+import willowdoor.testkit.BackendPark;
+import willowdoor.testkit.ClientFleet;
+import willowdoor.testkit.DoorProcess;
+import willowdoor.testkit.Faults;
+import willowdoor.testkit.Faults.Fault;
+import willowdoor.testkit.Judge.Verdict;
+import willowdoor.testkit.Tally;
+import willowdoor.testkit.Tally.Stretch;
+import willowdoor.testkit.Terms;
+
+/** Runs a fleet of daemons on this machine under load, breaks it by a seed, and judges what came of it. */
+@Command(name = "fleet", mixinStandardHelpOptions = true,
+    description = "Runs a fleet on loopback under load, kills or rolls it, and judges the rules.")
+public final class FleetCommand implements Callable<Integer> {
+
+  private static final double QUIET_PART = 0.25;
+  private static final double KILL_PART = 0.35;
+  private static final double LEAST_AWAY_MS = 1_000;
+  private static final double MOST_AWAY_MS = 6_000;
+  private static final double RECOVERED = 0.95;
+  private static final long REPLACE_LIMIT_MS = 30_000;
+
+  @Option(names = "--doors", defaultValue = "10", description = "Instances (default: ${DEFAULT-VALUE}).")
+  private int doorCount;
+  @Option(names = "--seconds", defaultValue = "60", description =
+      "Length of the load (default: ${DEFAULT-VALUE}).")
+  private int seconds;
+  @Option(names = "--rate", defaultValue = "50", description = "Requests a second for each door (default: "
+      + "${DEFAULT-VALUE}).")
+  private double rate;
+  @Option(names = "--kills", defaultValue = "0", description = "Doors killed at random and started again "
+      + "(default: ${DEFAULT-VALUE}).")
+  private int kills;
+  @Option(names = "--within", defaultValue = "0", description =
+      "Kill them within so many ms (default: a third of "
+      + "the run).")
+  private double withinMs;
+  @Option(names = "--slow-counter", description = "The counter needs 30 ms a call while doors are killed.")
+  private boolean slowCounter;
+  @Option(names = "--backend-faults", defaultValue = "0", description = "Faults of backends (default: "
+      + "${DEFAULT-VALUE}).")
+  private int backendFaults;
+  @Option(names = "--roll", description = "Replace all doors one by one without a gap, in the second half.")
+  private boolean roll;
+  @Option(names = "--seed", defaultValue = "1", description =
+      "Of load and faults (default: ${DEFAULT-VALUE}).")
+  private long seed;
+  @Spec
+  private CommandSpec spec;
+
+  @Override
+  public Integer call() throws IOException {
+    PrintWriter out = spec.commandLine().getOut();
+    double all = rate * doorCount;
+    // Backends can do about half as much again as is asked: 110 to 200 ms of work on four cores each.
+    int backends = Math.max(6, (int) Math.ceil(all * 0.155 * 1.6 / 4));
+    int firms = Math.max(20, (int) (all / 3));
+    BackendPark.Make make = new BackendPark.Make(backends, 4, 32, 110, 200);
+    out.printf("%d doors, %d backends of 4 cores, %d firms, %.0f requests/s for %d s, seed %d%n", doorCount,
+        backends,
+        firms, all, seconds, seed);
+    out.flush();
+    try (FleetRun run = new FleetRun(Terms.usual(), make, doorCount, seed)) {
+      long began = System.nanoTime();
+      run.start(new ClientFleet.Load(all, firms, 0.1, 5, 4));
+      out.printf("all doors up after %.1f s%n", (System.nanoTime() - began) / 1e9);
+      out.flush();
+      return run(run, out);
+    }
+  }
+
+  private int run(FleetRun run, PrintWriter out) {
+    double[] cpu = cpu(run);
+    double from = run.rig().ledger().now();
+    double lengthMs = seconds * 1_000.0;
+    double quietEnd = from + lengthMs * QUIET_PART;
+    double span = withinMs > 0 ? withinMs : lengthMs * KILL_PART;
+    double faultsEnd = quietEnd + span + (kills > 0 ? MOST_AWAY_MS : 0);
+    run.clients().begin();
+    int rolled = 0;
+    try (Faults faults = new Faults(run.rig(), run.doors())) {
+      if (kills > 0) {
+        faults.cause(Faults.kills(seed, doorCount, kills, lengthMs * QUIET_PART, span, LEAST_AWAY_MS,
+            MOST_AWAY_MS));
+      }
+      if (slowCounter) {
+        faults.cause(List.of(new Fault(lengthMs * QUIET_PART, Faults.What.SLOW_COUNTER, 0, span
+            + MOST_AWAY_MS)));
+      }
+      if (backendFaults > 0) {
+        faults.cause(Faults.draw(seed + 1, backendFaults, List.of(Faults.What.KILL_BACKEND,
+            Faults.What.DRAIN_BACKEND, Faults.What.ERRORS_BACKEND, Faults.What.RESETS_BACKEND,
+            Faults.What.SPOILS_BACKEND, Faults.What.SLOW_BACKEND), run.rig().park().all().size(),
+            lengthMs * QUIET_PART, lengthMs * (QUIET_PART + KILL_PART), 3_000, 8_000));
+      }
+      if (roll) {
+        FleetRun.sleep((long) (lengthMs * QUIET_PART));
+        for (int i = 0; i < doorCount; i++) {
+          if (run.replace(i, REPLACE_LIMIT_MS)) {
+            rolled++;
+          } else {
+            out.printf("door d%d was not replaced in order%n", i);
+          }
+        }
+        faultsEnd = run.rig().ledger().now();
+      }
+      while (run.rig().ledger().now() < from + lengthMs) {
+        FleetRun.sleep(50);
+      }
+    }
+    double to = run.rig().ledger().now();
+    double used = used(run, cpu);
+    double resident = run.doors().stream().mapToDouble(DoorProcess::residentMb).average().orElse(0);
+    Verdict verdict = run.finish();
+    report(run, out, from, quietEnd, faultsEnd, to);
+    if (roll) {
+      out.printf("replaced without a gap: %d of %d doors%n", rolled, doorCount);
+    }
+    // What killed processes had used is not known any more, so CPU is told of runs without kills.
+    if (kills == 0 && !roll) {
+      out.printf("CPU %.0f us a request over all doors; ", 1e6 * used / Math.max(1, run.clients().sent()));
+    }
+    out.printf("resident %.1f MB a door; counter calls %d, tries %d, not begun for want of room %d%n",
+        resident,
+        run.rig().counter().calls(), run.clients().sent(), run.clients().skipped());
+    out.print(verdict);
+    out.flush();
+    return verdict.kept() && (!roll || rolled == doorCount) ? 0 : 1;
+  }
+
+  private void report(FleetRun run, PrintWriter out, double from, double quietEnd, double faultsEnd,
+      double to) {
+    Tally tally = run.clients().tally();
+    Stretch before = tally.stretch(from + 1_000, quietEnd);
+    print(out, "before", before);
+    if (kills > 0 || roll || backendFaults > 0) {
+      print(out, "during", tally.stretch(quietEnd, Math.min(to, faultsEnd)));
+      print(out, "after", tally.stretch(Math.min(to, faultsEnd) + 1_000, to));
+    }
+    if (kills > 0) {
+      double worst = 1;
+      double recovered = quietEnd;
+      for (double s = quietEnd; s + 1_000 <= to; s += 1_000) {
+        double share = tally.stretch(s, s + 1_000).servedShare();
+        worst = Math.min(worst, share);
+        if (share < RECOVERED * before.servedShare()) {
+          recovered = s + 1_000;
+        }
+      }
+      out.printf(Locale.ROOT,
+          "worst second served %.3f; within %.0f%% of before again %.0f s after the first kill%n",
+          worst, 100 * RECOVERED, (recovered - quietEnd) / 1_000);
+    }
+  }
+
+  private static void print(PrintWriter out, String name, Stretch s) {
+    out.printf(Locale.ROOT,
+        "%-7s offered %6d  served %.4f  refused %d  failed %d  unanswered %d  not taken %d  "
+        + "p50 %.0f ms  p99 %.0f ms%n", name, s.offered(), s.servedShare(), s.refused(), s.failed(),
+            s.unanswered(),
+        s.notTaken(), s.p50Ms(), s.p99Ms());
+  }
+
+  private static double[] cpu(FleetRun run) {
+    return run.doors().stream().mapToDouble(DoorProcess::cpuSeconds).toArray();
+  }
+
+  private static double used(FleetRun run, double[] before) {
+    double used = 0;
+    for (int i = 0; i < before.length; i++) {
+      used += Math.max(0, run.doors().get(i).cpuSeconds() - before[i]);
+    }
+    return used;
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/willowdoor/daemon/fleet/FleetRun.java
@@ -0,0 +1,152 @@
+package willowdoor.daemon.fleet;
+
+import java.io.File;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BooleanSupplier;
+import java.util.stream.Stream;
+import willowdoor.testkit.BackendPark;
+import willowdoor.testkit.ClientFleet;
+import willowdoor.testkit.DoorProcess;
+import willowdoor.testkit.Judge.Verdict;
+import willowdoor.testkit.Rig;
+import willowdoor.testkit.Terms;
+
+/**
+ * A fleet of daemons as child processes on loopback addresses of their own, in the rig's world. Every process
+ * and file of it goes with it.
+ */
+public final class FleetRun implements AutoCloseable {
+
+  /** Options of the doors' JVMs: small, as many share a machine here. */
+  private static final List<String> JVM = List.of("-XX:+UseSerialGC", "-Xms32m", "-Xmx64m", "-Xss256k",
+      "-XX:MaxDirectMemorySize=32m", "-XX:-UsePerfData", "-Xshare:auto", "-XX:TieredStopAtLevel=1",
+      "-Dio.netty.leakDetection.level=disabled");
+  private static final int PORT = 7070;
+  private static final long START_LIMIT_MS = 120_000;
+  private static final long QUIET_LIMIT_MS = 8_000;
+
+  private final Rig rig;
+  private final Path folder;
+  private final DoorFiles files;
+  private final List<DoorProcess> doors = new ArrayList<>();
+  private ClientFleet clients;
+
+  public FleetRun(Terms terms, BackendPark.Make backends, int doorCount, long seed) throws IOException {
+    rig = new Rig(terms, backends, seed);
+    folder = Files.createTempDirectory("willowdoor-fleet");
+    files = new DoorFiles(rig, folder, doorCount);
+    int net = 64 + (int) (ProcessHandle.current().pid() % 128);
+    for (int i = 0; i < doorCount; i++) {
+      int index = i;
+      InetSocketAddress address = new InetSocketAddress("127." + net + '.' + i / 200 + '.' + (1 + i % 200),
+          PORT);
+      File log = folder.resolve("d" + i + ".log").toFile();
+      doors.add(new DoorProcess("d" + i, address, rig.ledger(),
+          () -> command(files.write(index, address), false), Map.of(), log));
+    }
+  }
+
+  /** The command that runs a daemon by that file, from the classes of this process. */
+  public static List<String> command(Path config, boolean takeOver) {
+    List<String> words = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java")
+        .toString()));
+    words.addAll(JVM);
+    words.addAll(List.of("-cp", System.getProperty("java.class.path"), "willowdoor.daemon.Cli", "daemon",
+        "--config", config.toString()));
+    if (takeOver) {
+      words.add("--take-over");
+    }
+    return words;
+  }
+
+  public Rig rig() {
+    return rig;
+  }
+
+  public List<DoorProcess> doors() {
+    return doors;
+  }
+
+  public ClientFleet clients() {
+    return clients;
+  }
+
+  /** What one door has printed. */
+  public String log(int door) throws IOException {
+    Path log = folder.resolve("d" + door + ".log");
+    return Files.exists(log) ? Files.readString(log) : "";
+  }
+
+  /** Starts all doors and waits until each takes requests. */
+  public void start(ClientFleet.Load load) throws IOException {
+    doors.forEach(DoorProcess::start);
+    clients = rig.fleet(doors, load);
+    if (!until(() -> clients.doorsUp() == doors.size(), START_LIMIT_MS)) {
+      for (int i = 0; i < doors.size(); i++) {
+        if (!clients.up(i)) {
+          throw new IOException("door d" + i + " is not up after " + START_LIMIT_MS + " ms; it printed: "
+              + log(i));
+        }
+      }
+    }
+  }
+
+  /** Asks nothing new, waits until all that is out has ended, and judges. */
+  public Verdict finish() {
+    clients.end();
+    until(() -> clients.out() == 0, QUIET_LIMIT_MS);
+    sleep(200);
+    return rig.verdict();
+  }
+
+  /**
+   * Replaces a door's process by a new one that takes its listening socket over, and waits until the old one
+   * has ended; true when it ended in order and the new one takes requests.
+   */
+  public boolean replace(int number, long limitMs) {
+    DoorProcess door = doors.get(number);
+    Process old = door.process();
+    door.replace(command(files.write(number, door.address()), true));
+    return DoorProcess.join(old, limitMs) && old.exitValue() == 0
+        && until(() -> door.alive() && clients.up(number), limitMs);
+  }
+
+  /** Waits for a condition, looking every 20 ms; false when the limit passed first. */
+  public static boolean until(BooleanSupplier condition, long limitMs) {
+    long end = System.nanoTime() + limitMs * 1_000_000;
+    while (!condition.getAsBoolean()) {
+      if (System.nanoTime() > end) {
+        return false;
+      }
+      sleep(20);
+    }
+    return true;
+  }
+
+  /** Lets a stretch of the run go by. */
+  static void sleep(long ms) {
+    try {
+      Thread.sleep(ms);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  @Override
+  public void close() throws IOException {
+    rig.close();
+    doors.forEach(DoorProcess::close);
+    try (Stream<Path> all = Files.walk(folder)) {
+      for (Path p : all.sorted(Comparator.reverseOrder()).toList()) {
+        Files.deleteIfExists(p);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/willowdoor/daemon/life/ControlSocket.java
@@ -0,0 +1,178 @@
+package willowdoor.daemon.life;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.epoll.EpollServerDomainSocketChannel;
+import io.netty.channel.unix.DomainSocketAddress;
+import io.netty.channel.unix.DomainSocketChannel;
+import io.netty.channel.unix.FileDescriptor;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.attribute.PosixFilePermissions;
+import java.util.concurrent.TimeUnit;
+import java.util.logging.Logger;
+import willowdoor.life.InstanceLife.Phase;
+import willowdoor.life.LifeEvent.SuccessorLost;
+import willowdoor.life.LifeEvent.SuccessorReady;
+
+/**
+ * The holder's side of a handover: hands the listening socket to one successor at a time, and tells the
+ * instance's life what becomes of that one. The socket's file is for this user only; it takes its place by a
+ * rename, so that there is never a moment without one, and a file left by a killed process is no obstacle.
+ *
+ * <p>Guards against a successor that stalls between taking the socket and being ready: after the limit it is
+ * told to give up. Bound: {@value #MOST_CONNECTIONS} connections, more are refused.
+ */
+final class ControlSocket {
+
+  private static final Logger LOG = Logger.getLogger(ControlSocket.class.getName());
+  private static final int MOST_CONNECTIONS = 8;
+
+  private final Instance instance;
+  private final willowdoor.net.FrontDoor door;
+  private final Path path;
+  private final String listen;
+  private final long readyLimitMs;
+  private Channel listening;
+  private int connections;
+  /** The one connection over which the listening socket was handed on, or null. */
+  private Successor successor;
+
+  ControlSocket(willowdoor.net.FrontDoor door, Instance instance, Path path, String listen,
+      long readyLimitMs) {
+    this.door = door;
+    this.instance = instance;
+    this.path = path;
+    this.listen = listen;
+    this.readyLimitMs = readyLimitMs;
+  }
+
+  /** Listens in the file's place; not for the loop's thread. */
+  void open() throws IOException {
+    Path fresh = path.resolveSibling(path.getFileName() + "." + ProcessHandle.current().pid());
+    Files.deleteIfExists(fresh);
+    try {
+      listening = new ServerBootstrap().group(door.group()).channel(EpollServerDomainSocketChannel.class)
+          .childHandler(new ChannelInitializer<Channel>() {
+            @Override
+            protected void initChannel(Channel ch) {
+              Handover.lines(ch.pipeline());
+              ch.pipeline().addLast(new Successor());
+            }
+          }).bind(new DomainSocketAddress(fresh.toFile())).sync().channel();
+      Files.setPosixFilePermissions(fresh, PosixFilePermissions.fromString("rw-------"));
+      Files.move(fresh, path, StandardCopyOption.ATOMIC_MOVE);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new IOException("interrupted", e);
+    } catch (Exception e) {
+      Files.deleteIfExists(fresh);
+      throw new IOException("take_over.control_socket: cannot listen on " + path + ": " + e.getMessage(), e);
+    }
+  }
+
+  /** Takes the file's place again, after a successor that had taken it is gone. */
+  void reopen() {
+    Channel old = listening;
+    Thread opening = new Thread(() -> {
+      try {
+        open();
+        old.close();
+      } catch (IOException e) {
+        LOG.warning("no successor can take over: " + e.getMessage());
+      }
+    }, "control-socket");
+    opening.setDaemon(true);
+    opening.start();
+  }
+
+  /** One process that asks to take over; on the door's loop. */
+  private final class Successor extends SimpleChannelInboundHandler<String> {
+    private String pid = "?";
+    private boolean counted;
+    private boolean handed;
+    private boolean ready;
+
+    @Override
+    public void channelActive(ChannelHandlerContext ctx) {
+      counted = true;
+      if (++connections > MOST_CONNECTIONS) {
+        refuse(ctx, "too many processes ask at once");
+      }
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, String line) {
+      String[] words = line.split(" ");
+      if (words[0].equals(Handover.TAKE_OVER) && words.length == 4) {
+        ask(ctx, words);
+      } else if (line.equals(Handover.SEND) && successor == this && !handed) {
+        handed = true;
+        ctx.writeAndFlush(new FileDescriptor(door.descriptor()));
+      } else if (line.equals(Handover.READY) && handed && !ready) {
+        ready = true;
+        LOG.info("process " + pid + " has taken over " + listen);
+        instance.tell(new SuccessorReady());
+        Handover.say(ctx, Handover.YOURS);
+      } else {
+        refuse(ctx, "not understood: " + line);
+      }
+    }
+
+    private void ask(ChannelHandlerContext ctx, String[] words) {
+      pid = words[2];
+      if (!words[1].equals(Handover.VERSION)) {
+        refuse(ctx, "handover version " + words[1] + " (expected: " + Handover.VERSION + ")");
+      } else if (!words[3].equals(listen)) {
+        refuse(ctx, "process " + ProcessHandle.current().pid() + " listens on " + listen + ", not on "
+            + words[3]);
+      } else if (successor != null) {
+        refuse(ctx, "process " + successor.pid + " is taking over already");
+      } else if (instance.phase() != Phase.READY) {
+        refuse(ctx, "process " + ProcessHandle.current().pid() + " is " + instance.phase());
+      } else {
+        successor = this;
+        ctx.executor().schedule(() -> {
+          if (!ready && ctx.channel().isActive()) {
+            refuse(ctx, "not ready within " + readyLimitMs + " ms");
+          }
+        }, readyLimitMs, TimeUnit.MILLISECONDS);
+        Handover.say(ctx, Handover.HANDING + " " + ProcessHandle.current().pid());
+      }
+    }
+
+    private void refuse(ChannelHandlerContext ctx, String reason) {
+      ctx.writeAndFlush(Handover.REFUSED + " " + reason + '\n').addListener(ChannelFutureListener.CLOSE);
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+      connections -= counted ? 1 : 0;
+      if (successor == this) {
+        successor = null;
+        if (ready) {
+          instance.tell(new SuccessorLost());
+        } else {
+          LOG.warning("process " + pid + " did not become ready; serving on");
+        }
+      }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+      ctx.close();
+    }
+  }
+
+  /** What the domain socket's channel is: named here so that the class path's lack of it shows at once. */
+  static boolean available() {
+    return io.netty.channel.epoll.Epoll.isAvailable()
+        && DomainSocketChannel.class.isAssignableFrom(io.netty.channel.epoll.EpollDomainSocketChannel.class);
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/willowdoor/daemon/life/Daemon.java
@@ -0,0 +1,176 @@
+package willowdoor.daemon.life;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.security.SecureRandom;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.CompletableFuture;
+import java.util.logging.Logger;
+import willowdoor.daemon.config.ConfigException;
+import willowdoor.daemon.config.DaemonConfig;
+import willowdoor.life.InstanceLife;
+import willowdoor.life.LifeEvent.Bound;
+import willowdoor.life.LifeEvent.Broken;
+import willowdoor.life.LifeEvent.EndSignal;
+import willowdoor.net.Config;
+import willowdoor.net.FrontDoor;
+
+/**
+ * One instance of the daemon: a door by a checked configuration, its life, its control socket and what
+ * signals mean to it.
+ */
+public final class Daemon {
+
+  private static final Logger LOG = Logger.getLogger(Daemon.class.getName());
+
+  private final DaemonConfig config;
+  private final Path file;
+  private final FrontDoor door;
+  private final Instance instance;
+  private final ControlSocket control;
+  private TakeOver takeOver;
+
+  private Daemon(DaemonConfig config, Path file) throws InterruptedException {
+    this.config = config;
+    this.file = file;
+    Config wired = config.door(new SecureRandom().nextLong());
+    door = FrontDoor.wired(wired);
+    instance = new Instance(door, new InstanceLife(config.end()), new Instance.Surroundings() {
+      @Override
+      public void warmUp() {
+        FrontDoor.warmUp(wired);
+      }
+
+      @Override
+      public void found() {
+        Thread opening = new Thread(Daemon.this::openControl, "control-socket");
+        opening.setDaemon(true);
+        opening.start();
+      }
+
+      @Override
+      public void resumed() {
+        if (control != null) {
+          control.reopen();
+        }
+      }
+    });
+    String path = config.takeOver().controlSocket();
+    control = path.isEmpty() ? null : new ControlSocket(door, instance, Path.of(path),
+        text(config.instance().listen()), config.takeOver().readyLimitMs());
+  }
+
+  /**
+   * An instance that holds nothing yet but its connections to discovery and counter. Signals may be told to
+   * it from here on; one that comes now ends it as soon as it has its socket.
+   *
+   * @param file where a reload reads the configuration again
+   */
+  public static Daemon create(DaemonConfig config, Path file) throws InterruptedException {
+    return new Daemon(config, file);
+  }
+
+  /**
+   * Has it listen, warm up and serve.
+   *
+   * @param mayTakeOver take the listening socket over from an instance that runs, if there is one
+   * @throws IOException in plain words, when it can't have its address
+   */
+  public Daemon start(boolean mayTakeOver) throws IOException, InterruptedException {
+    try {
+      listen(mayTakeOver);
+    } catch (IOException | RuntimeException e) {
+      door.stop();
+      throw e;
+    }
+    instance.tell(new Bound());
+    return this;
+  }
+
+  private void listen(boolean mayTakeOver) throws IOException, InterruptedException {
+    InetSocketAddress address = config.instance().listen();
+    if (mayTakeOver) {
+      if (control == null || !ControlSocket.available()) {
+        throw new IOException(
+            "cannot take over: take_over.control_socket is not set, or this machine has no epoll");
+      }
+      takeOver = TakeOver.ask(door.group(), Path.of(config.takeOver().controlSocket()), text(address),
+          () -> instance.tell(new Broken("the running instance took its word back")));
+    }
+    if (takeOver != null) {
+      door.adopt(takeOver.descriptor());
+      return;
+    }
+    try {
+      door.bind(address);
+    } catch (IOException e) {
+      if (!String.valueOf(e.getMessage()).contains("in use")) {
+        throw e;
+      }
+      throw new IOException(text(address) + " is held by " + AddressHolder.of(address)
+          + (mayTakeOver ? ", which hands nothing over" : "; --take-over replaces a running instance"), e);
+    }
+  }
+
+  /** The control socket's file is this instance's from when it serves: a successor asks whoever serves. */
+  private void openControl() {
+    if (control != null) {
+      try {
+        control.open();
+      } catch (IOException e) {
+        LOG.warning("no successor can take over: " + e.getMessage());
+      }
+    }
+    if (takeOver != null) {
+      takeOver.ready();
+    }
+  }
+
+  private static String text(InetSocketAddress address) {
+    return address.getAddress().getHostAddress() + ':' + address.getPort();
+  }
+
+  /** Where it listens. */
+  public InetSocketAddress address() {
+    return (InetSocketAddress) door.address();
+  }
+
+  /** A signal to end: the first drains, a second one shortens the bound. */
+  public void end() {
+    instance.tell(new EndSignal());
+  }
+
+  /** Completed with the exit code when the instance has ended. */
+  public CompletableFuture<Integer> ended() {
+    return instance.ended();
+  }
+
+  /** Ends the loop, with all that is left. */
+  public void close() {
+    door.stop();
+  }
+
+  /**
+   * Reads the file again and takes what may change while serving. A bad file changes nothing, and neither
+   * does one in which a key has changed that needs a restart, but for the keys that need none.
+   *
+   * @return what was done, in words; also logged
+   */
+  public String reload() {
+    String done;
+    try {
+      DaemonConfig fresh = DaemonConfig.read(file);
+      Set<String> changed = config.changedIn(fresh);
+      Set<String> restart = new TreeSet<>(changed);
+      restart.removeAll(DaemonConfig.RELOADABLE);
+      door.loop().execute(() -> door.moveTo(fresh.discovery(), fresh.counter().address()));
+      done = "reloaded " + file + (restart.isEmpty() ? "" : "; these keys need a restart: " + restart);
+    } catch (IOException | ConfigException e) {
+      done = "nothing is reloaded: " + e.getMessage();
+    }
+    LOG.info(done);
+    return done;
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/willowdoor/daemon/life/Instance.java
@@ -0,0 +1,135 @@
+package willowdoor.daemon.life;
+
+import io.netty.channel.EventLoop;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+import willowdoor.life.InstanceLife;
+import willowdoor.life.InstanceLife.Phase;
+import willowdoor.life.LifeAction;
+import willowdoor.life.LifeAction.Accept;
+import willowdoor.life.LifeAction.BeFound;
+import willowdoor.life.LifeAction.BeginDrain;
+import willowdoor.life.LifeAction.Close;
+import willowdoor.life.LifeAction.FailAll;
+import willowdoor.life.LifeAction.LeaveListening;
+import willowdoor.life.LifeAction.Resume;
+import willowdoor.life.LifeAction.StopAccepting;
+import willowdoor.life.LifeAction.WakeAt;
+import willowdoor.life.LifeAction.WarmUp;
+import willowdoor.life.LifeEvent;
+import willowdoor.life.LifeEvent.AllAnswered;
+import willowdoor.life.LifeEvent.Warmed;
+import willowdoor.life.LifeEvent.Woken;
+import willowdoor.net.FrontDoor;
+
+/**
+ * Drives one door by its {@link InstanceLife}: takes events to it and does what it says, all on the door's
+ * loop. It chooses nothing.
+ */
+final class Instance {
+
+  private static final Logger LOG = Logger.getLogger(Instance.class.getName());
+  /** How often it looks whether all that was taken is answered, once connections are no longer taken. */
+  private static final long LOOK_MS = 10;
+
+  /** What an instance has done beside its door. */
+  interface Surroundings {
+    /** Warms the process up; on a thread of its own. */
+    void warmUp();
+
+    /** The instance serves. */
+    void found();
+
+    /** The instance serves again after it had been left for a successor. */
+    void resumed();
+  }
+
+  private final FrontDoor door;
+  private final EventLoop loop;
+  private final InstanceLife life;
+  private final Surroundings surroundings;
+  private final CompletableFuture<Integer> ended = new CompletableFuture<>();
+  private double wakeAt;
+
+  Instance(FrontDoor door, InstanceLife life, Surroundings surroundings) {
+    this.door = door;
+    this.loop = door.loop();
+    this.life = life;
+    this.surroundings = surroundings;
+    loop.scheduleWithFixedDelay(this::look, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
+  }
+
+  /** Completed with the exit code. */
+  CompletableFuture<Integer> ended() {
+    return ended;
+  }
+
+  /** Tells an event, from any thread. */
+  void tell(LifeEvent event) {
+    loop.execute(() -> on(event));
+  }
+
+  /** Where it is in its life; on the loop only. */
+  Phase phase() {
+    return life.phase();
+  }
+
+  private void on(LifeEvent event) {
+    Phase before = life.phase();
+    for (LifeAction action : life.on(door.now(), event)) {
+      execute(action);
+    }
+    if (life.phase() != before) {
+      LOG.log(Level.INFO, "{0} on {1}; {2} requests held",
+          new Object[] {life.phase().name().toLowerCase(java.util.Locale.ROOT), event, door.held()});
+    }
+  }
+
+  private void execute(LifeAction action) {
+    if (action instanceof WarmUp) {
+      Thread warming = new Thread(() -> {
+        surroundings.warmUp();
+        tell(new Warmed());
+      }, "warm-up");
+      warming.setDaemon(true);
+      warming.start();
+    } else if (action instanceof Accept) {
+      door.accept();
+    } else if (action instanceof BeFound) {
+      door.beFound();
+      surroundings.found();
+    } else if (action instanceof BeginDrain) {
+      door.beginDrain();
+    } else if (action instanceof Resume) {
+      door.resume();
+      surroundings.resumed();
+    } else if (action instanceof LeaveListening) {
+      door.leaveListening();
+    } else if (action instanceof StopAccepting) {
+      door.stopAccepting();
+    } else if (action instanceof FailAll) {
+      door.failAll();
+    } else if (action instanceof WakeAt a) {
+      wake(a.atMs());
+    } else if (action instanceof Close a) {
+      ended.complete(a.exitCode());
+    }
+  }
+
+  private void wake(double atMs) {
+    wakeAt = atMs;
+    loop.schedule(() -> {
+      if (wakeAt == atMs) {
+        on(new Woken());
+      }
+    }, (long) Math.ceil(Math.max(0, atMs - door.now()) * 1000) + 1, TimeUnit.MICROSECONDS);
+  }
+
+  private void look() {
+    if ((life.phase() == Phase.ANSWERING || life.phase() == Phase.FAILING) && door.idle()) {
+      on(new AllAnswered());
+    }
+  }
+}
