Ends and take-overs at the worst moment are tested; a holder is named on dual-stack sockets too

Need: the issue's hard cases of SIGTERM and replacement must each be caused.

They found: the control socket compared with the configured port 0, and a listener of the sixth family was not found by its holder.

--- a/daemon/src/main/java/willowdoor/daemon/fleet/DemoCommand.java
+++ b/daemon/src/main/java/willowdoor/daemon/fleet/DemoCommand.java
@@ -67,7 +67,7 @@
   private static void report(FleetRun run, PrintWriter out, Verdict verdict, double from) {
     Stretch all = run.clients().tally().stretch(from, from + 1e6);
     out.println();
-    out.printf("offered            %6d%n", all.offered());
+    out.printf("offered            %6d   requests, in %d tries%n", all.offered(), all.tries());
     out.printf("served             %6d%n", all.served());
     out.printf("refused            %6d   beyond a quota, or none could take it: asking again is harmless%n",
         all.refused());
--- a/daemon/src/main/java/willowdoor/daemon/fleet/DoorFiles.java
+++ b/daemon/src/main/java/willowdoor/daemon/fleet/DoorFiles.java
@@ -78,10 +78,16 @@
         deadline_ms = %s
         repeat = "keyed"
         repeat_window_ms = %s
+        [[class]]
+        name = "move-title"
+        worth = 3
+        aim_ms = 1500
+        deadline_ms = %s
+        repeat = "unsafe"
         """, index, text(listen), doors, index, index % 2 == 0 ? "a" : "b", text(rig.discovery().agentOf("d" + index)),
         text(rig.counter().address()), t.counterLimitMs(), control(index), t.coldFrom(), t.coldMs(),
             t.tipMultiple(),
-        t.tipAfterMs(), Terms.MOST_UNITS, t.deadlineMs(), t.deadlineMs(), t.keyWindowMs()));
+        t.tipAfterMs(), Terms.MOST_UNITS, t.deadlineMs(), t.deadlineMs(), t.keyWindowMs(), t.deadlineMs()));
     for (PlanTerms p : t.plans()) {
       text.append(String.format(Locale.ROOT, "[[plan]]%nname = \"%s\"%nunits_per_s = %s%nburst_units = %s%n"
           + "worth_factor = 1.5%nceiling_units_per_s = %s%nceiling_burst_units = %s%n"
--- a/daemon/src/main/java/willowdoor/daemon/fleet/FleetCommand.java
+++ b/daemon/src/main/java/willowdoor/daemon/fleet/FleetCommand.java
@@ -65,7 +65,7 @@
     double all = rate * doorCount;
     // Backends can do about half as much again as is asked: 110 to 200 ms of work on four cores each.
     int backends = Math.max(6, (int) Math.ceil(all * 0.155 * 1.6 / 4));
-    int firms = Math.max(20, (int) (all / 3));
+    int firms = Math.max(20, (int) (all / 2));
     BackendPark.Make make = new BackendPark.Make(backends, 4, 32, 110, 200);
     out.printf("%d doors, %d backends of 4 cores, %d firms, %.0f requests/s for %d s, seed %d%n", doorCount,
         backends,
@@ -166,8 +166,9 @@
 
   private static void print(PrintWriter out, String name, Stretch s) {
     out.printf(Locale.ROOT,
-        "%-7s offered %6d  served %.4f  refused %d  failed %d  unanswered %d  not taken %d  "
-        + "p50 %.0f ms  p99 %.0f ms%n", name, s.offered(), s.servedShare(), s.refused(), s.failed(),
+        "%-7s requests %6d  tries %6d  served %.4f  refused %d  failed %d  unanswered %d  not taken %d  "
+        + "p50 %.0f ms  p99 %.0f ms%n", name, s.offered(), s.tries(), s.servedShare(), s.refused(),
+            s.failed(),
             s.unanswered(),
         s.notTaken(), s.p50Ms(), s.p99Ms());
   }
--- a/daemon/src/main/java/willowdoor/daemon/life/AddressHolder.java
+++ b/daemon/src/main/java/willowdoor/daemon/life/AddressHolder.java
@@ -18,6 +18,8 @@
 final class AddressHolder {
 
   private static final String LISTENS = "0A";
+  /** A socket of the sixth family that is bound to an address of the fourth. */
+  private static final String MAPPED = "0000000000000000FFFF0000";
   private static final int LOCAL = 1;
   private static final int STATE = 3;
   private static final int USER = 7;
@@ -50,7 +52,7 @@
     String ip = local.substring(0, colon);
     boolean any = ip.chars().allMatch(c -> c == '0');
     return Integer.parseInt(local.substring(colon + 1), 16) == wanted.getPort()
-        && (any || ip.equals(hex(wanted.getAddress())));
+        && (any || ip.equals(hex(wanted.getAddress())) || ip.equals(MAPPED + hex(wanted.getAddress())));
   }
 
   /** As the kernel prints it: words of four bytes, each in the machine's (little-endian) order. */
--- a/daemon/src/main/java/willowdoor/daemon/life/ControlSocket.java
+++ b/daemon/src/main/java/willowdoor/daemon/life/ControlSocket.java
@@ -11,6 +11,7 @@
 import io.netty.channel.unix.DomainSocketChannel;
 import io.netty.channel.unix.FileDescriptor;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
@@ -20,6 +21,7 @@
 import willowdoor.life.InstanceLife.Phase;
 import willowdoor.life.LifeEvent.SuccessorLost;
 import willowdoor.life.LifeEvent.SuccessorReady;
+import willowdoor.net.FrontDoor;
 
 /**
  * The holder's side of a handover: hands the listening socket to one successor at a time, and tells the
@@ -35,21 +37,18 @@
   private static final int MOST_CONNECTIONS = 8;
 
   private final Instance instance;
-  private final willowdoor.net.FrontDoor door;
+  private final FrontDoor door;
   private final Path path;
-  private final String listen;
   private final long readyLimitMs;
   private Channel listening;
   private int connections;
   /** The one connection over which the listening socket was handed on, or null. */
   private Successor successor;
 
-  ControlSocket(willowdoor.net.FrontDoor door, Instance instance, Path path, String listen,
-      long readyLimitMs) {
+  ControlSocket(FrontDoor door, Instance instance, Path path, long readyLimitMs) {
     this.door = door;
     this.instance = instance;
     this.path = path;
-    this.listen = listen;
     this.readyLimitMs = readyLimitMs;
   }
 
@@ -77,6 +76,10 @@
     }
   }
 
+  private String listen() {
+    return Daemon.text((InetSocketAddress) door.address());
+  }
+
   /** Takes the file's place again, after a successor that had taken it is gone. */
   void reopen() {
     Channel old = listening;
@@ -117,7 +120,7 @@
         ctx.writeAndFlush(new FileDescriptor(door.descriptor()));
       } else if (line.equals(Handover.READY) && handed && !ready) {
         ready = true;
-        LOG.info("process " + pid + " has taken over " + listen);
+        LOG.info("process " + pid + " has taken over " + listen());
         instance.tell(new SuccessorReady());
         Handover.say(ctx, Handover.YOURS);
       } else {
@@ -129,8 +132,8 @@
       pid = words[2];
       if (!words[1].equals(Handover.VERSION)) {
         refuse(ctx, "handover version " + words[1] + " (expected: " + Handover.VERSION + ")");
-      } else if (!words[3].equals(listen)) {
-        refuse(ctx, "process " + ProcessHandle.current().pid() + " listens on " + listen + ", not on "
+      } else if (!words[3].equals(listen())) {
+        refuse(ctx, "process " + ProcessHandle.current().pid() + " listens on " + listen() + ", not on "
             + words[3]);
       } else if (successor != null) {
         refuse(ctx, "process " + successor.pid + " is taking over already");
--- a/daemon/src/main/java/willowdoor/daemon/life/Daemon.java
+++ b/daemon/src/main/java/willowdoor/daemon/life/Daemon.java
@@ -58,8 +58,8 @@
       }
     });
     String path = config.takeOver().controlSocket();
-    control = path.isEmpty() ? null : new ControlSocket(door, instance, Path.of(path),
-        text(config.instance().listen()), config.takeOver().readyLimitMs());
+    control = path.isEmpty() ? null : new ControlSocket(door, instance, Path.of(path), config.takeOver()
+        .readyLimitMs());
   }
 
   /**
@@ -101,6 +101,7 @@
     }
     if (takeOver != null) {
       door.adopt(takeOver.descriptor());
+      LOG.info("holds the listening socket of " + text(address) + " too; warming up");
       return;
     }
     try {
@@ -128,7 +129,7 @@
     }
   }
 
-  private static String text(InetSocketAddress address) {
+  static String text(InetSocketAddress address) {
     return address.getAddress().getHostAddress() + ':' + address.getPort();
   }
 
--- /dev/null
+++ b/daemon/src/test/java/willowdoor/daemon/life/World.java
@@ -0,0 +1,202 @@
+package willowdoor.daemon.life;
+
+import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Locale;
+import java.util.function.BooleanSupplier;
+import java.util.stream.Stream;
+import willowdoor.daemon.config.DaemonConfig;
+import willowdoor.daemon.fleet.DoorFiles;
+import willowdoor.daemon.fleet.FleetRun;
+import willowdoor.testkit.BackendPark;
+import willowdoor.testkit.Judge;
+import willowdoor.testkit.Ledger.Asked;
+import willowdoor.testkit.Ledger.Entry;
+import willowdoor.testkit.Ledger.Kind;
+import willowdoor.testkit.RequestKind;
+import willowdoor.testkit.Rig;
+import willowdoor.testkit.Terms;
+
+/** A rig with daemons inside this process, and single clients whose every step a test decides. */
+final class World implements AutoCloseable {
+
+  static final long LIMIT_MS = 20_000;
+
+  final Rig rig;
+  final Path folder;
+  final DoorFiles files;
+  private final List<Daemon> daemons = new ArrayList<>();
+  private final List<Caller> callers = new ArrayList<>();
+
+  World(int backends, double workMs) throws IOException {
+    rig = new Rig(Terms.usual(), new BackendPark.Make(backends, 4, 32, workMs, workMs + 1), 11);
+    folder = Files.createTempDirectory("willowdoor-test");
+    files = new DoorFiles(rig, folder, 1);
+  }
+
+  /** A daemon on that address by the rig's terms, with other lines in its file's place for some. */
+  Daemon daemon(InetSocketAddress listen, String end) throws Exception {
+    Path file = files.write(0, listen);
+    Files.writeString(file, Files.readString(file) + end);
+    Daemon daemon = Daemon.create(DaemonConfig.read(file), file);
+    daemons.add(daemon);
+    return daemon;
+  }
+
+  Daemon started() throws Exception {
+    Daemon daemon = daemon(new InetSocketAddress("127.0.0.1", 0), "[end]\naccept_ms = 150\n").start(false);
+    awaitUp(daemon.address());
+    return daemon;
+  }
+
+  static void awaitUp(InetSocketAddress address) {
+    await("door up at " + address, () -> up(address));
+  }
+
+  static boolean up(InetSocketAddress address) {
+    try (Socket s = new Socket(address.getAddress(), address.getPort())) {
+      s.setSoTimeout(2_000);
+      s.getOutputStream().write("GET /up HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n".getBytes(
+          StandardCharsets.US_ASCII));
+      return line(s.getInputStream()).contains(" 200 ");
+    } catch (IOException e) {
+      return false;
+    }
+  }
+
+  static void await(String what, BooleanSupplier condition) {
+    if (!FleetRun.until(condition, LIMIT_MS)) {
+      throw new AssertionError("not within " + LIMIT_MS + " ms: " + what);
+    }
+  }
+
+  boolean saw(String id, Kind kind) {
+    return rig.ledger().history(id).stream().anyMatch(e -> e.kind() == kind);
+  }
+
+  void awaitSaw(String id, Kind kind) {
+    await(id + " " + kind, () -> saw(id, kind));
+  }
+
+  Judge.Verdict verdict() {
+    return rig.verdict();
+  }
+
+  /** A client's connection; its history goes to the ledger as the fleet's does. */
+  final class Caller implements AutoCloseable {
+    final Socket socket;
+    final String door;
+    private final InputStream in;
+    private boolean kept;
+    private String current;
+
+    Caller(InetSocketAddress address, String door) throws IOException {
+      this.door = door;
+      socket = new Socket(address.getAddress(), address.getPort());
+      socket.setSoTimeout((int) LIMIT_MS);
+      in = new BufferedInputStream(socket.getInputStream());
+      callers.add(this);
+    }
+
+    String message(String id, RequestKind kind, int timeoutMs) {
+      boolean post = kind.method().equals("POST");
+      rig.ledger().open(new Asked(id, "0000000000000042", "full", kind, kind.keyed() ? "key-" + id : null, 1,
+          timeoutMs, 0, rig.ledger().now()));
+      return kind.method() + " /" + kind.className() + "/1 HTTP/1.1\r\nHost: b\r\nRequest-Id: " + id
+          + "\r\nRequest-Class: " + kind.className() + "\r\nX-Plan: full\r\nX-Customer: 0000000000000042"
+          + "\r\nRequest-Timeout-Ms: " + timeoutMs + "\r\nX-Quota: units=1,spread=1,first=0\r\n"
+          + (kind.keyed() ? "Idempotency-Key: key-" + id + "\r\n" : "")
+          + (post ? "Content-Length: 4\r\n" : "") + "\r\n" + (post ? "body" : "");
+    }
+
+    void send(String id, RequestKind kind, int timeoutMs) throws IOException {
+      current = id;
+      raw(message(id, kind, timeoutMs));
+      rig.ledger().request(Kind.ASKED, id, door, 0, kept ? "kept" : "");
+    }
+
+    void raw(String text) throws IOException {
+      socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+      socket.getOutputStream().flush();
+    }
+
+    /** The answer's status; -1 when the connection ended without one. */
+    int receive() throws IOException {
+      int length = 0;
+      int status = -1;
+      try {
+        String first = line(in);
+        status = first.isEmpty() ? -1 : Integer.parseInt(first.split(" ")[1]);
+        for (String l = line(in); !l.isEmpty(); l = line(in)) {
+          if (l.toLowerCase(Locale.ROOT).startsWith("content-length:")) {
+            length = Integer.parseInt(l.substring(15).trim());
+          }
+        }
+      } catch (java.net.SocketException e) {
+        status = -1;
+      }
+      if (status < 0) {
+        rig.ledger().request(Kind.CUT, current, door, 0, kept ? "kept" : "");
+        return -1;
+      }
+      String body = new String(in.readNBytes(length), StandardCharsets.US_ASCII);
+      rig.ledger().request(Kind.ANSWERED, current, door, status, "");
+      if (status == 200 && !body.startsWith("made for " + current + " by")) {
+        rig.ledger().request(Kind.FORGED, current, door, 0, "");
+      }
+      kept = true;
+      return status;
+    }
+
+    boolean ended() throws IOException {
+      try {
+        return in.read() < 0;
+      } catch (java.net.SocketException e) {
+        return true;
+      }
+    }
+
+    @Override
+    public void close() throws IOException {
+      socket.close();
+    }
+  }
+
+  private static String line(InputStream in) throws IOException {
+    ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+    for (int b = in.read(); b >= 0 && b != '\n'; b = in.read()) {
+      if (b != '\r') {
+        bytes.write(b);
+      }
+    }
+    return bytes.toString(StandardCharsets.US_ASCII);
+  }
+
+  List<Entry> history(String id) {
+    return rig.ledger().history(id);
+  }
+
+  @Override
+  public void close() throws IOException {
+    for (Caller c : callers) {
+      c.close();
+    }
+    daemons.forEach(Daemon::close);
+    rig.close();
+    try (Stream<Path> all = Files.walk(folder)) {
+      for (Path p : all.sorted(Comparator.reverseOrder()).toList()) {
+        Files.deleteIfExists(p);
+      }
+    }
+  }
+}
--- a/testkit/src/main/java/willowdoor/testkit/Tally.java
+++ b/testkit/src/main/java/willowdoor/testkit/Tally.java
@@ -6,7 +6,8 @@
 import org.HdrHistogram.Histogram;
 
 /**
- * The client fleet's figures of a run: per second of asking, and per firm. The times of answers are those of
+ * The client fleet's figures of a run: per second of asking, and per firm. A request counts once, in the
+ * second of its first try, by how its last try ended. The times of answers are those of
  * first tries and retries alike, from when a try was due to its last byte, in microseconds, to 60 s at most.
  */
 public final class Tally {
@@ -18,6 +19,7 @@
 
   /** One second of asking. */
   private static final class Second {
+    private int tries;
     private final int[] ends = new int[End.values().length];
     private final Histogram served = new Histogram(MOST_US, 2);
   }
@@ -56,7 +58,8 @@
   }
 
   /** Figures of a stretch of the run. */
-  public record Stretch(int offered, int served, int refused, int failed, int unanswered, int notTaken,
+  public record Stretch(int tries, int offered, int served, int refused, int failed, int unanswered,
+      int notTaken,
       double p50Ms, double p99Ms) {
 
     /** Served as a share of offered; 1 when nothing was offered. */
@@ -68,11 +71,25 @@
   private final TreeMap<Integer, Second> seconds = new TreeMap<>();
   private final Map<String, Firm> firms = new ConcurrentHashMap<>();
 
-  synchronized void end(double dueMs, End end, double tookMs, String firm, String plan, int units) {
-    Second s = seconds.computeIfAbsent((int) (dueMs / 1000), k -> new Second());
-    s.ends[end.ordinal()]++;
-    Firm f = firms.computeIfAbsent(firm, k -> new Firm(plan));
-    f.offeredUnits += units;
+  /** A request's last try ended so; its first try was due at that moment. */
+  synchronized void request(double firstDueMs, End end, String firm, String plan, int units) {
+    second(firstDueMs).ends[end.ordinal()]++;
+    firm(firm, plan).offeredUnits += units;
+  }
+
+  private Second second(double dueMs) {
+    return seconds.computeIfAbsent((int) (dueMs / 1000), k -> new Second());
+  }
+
+  private Firm firm(String firm, String plan) {
+    return firms.computeIfAbsent(firm, k -> new Firm(plan));
+  }
+
+  /** A try ended so. */
+  synchronized void tried(double dueMs, End end, double tookMs, String firm, String plan, int units) {
+    Second s = second(dueMs);
+    s.tries++;
+    Firm f = firm(firm, plan);
     if (end == End.SERVED) {
       s.served.recordValue(Math.min(MOST_US, Math.max(0, (long) (tookMs * 1000))));
       f.servedUnits += units;
@@ -82,21 +99,25 @@
     }
   }
 
-  /** Figures of the tries that were due between two moments of the ledger's clock, in whole seconds. */
+  /**
+   * Figures of the requests that were first due between two moments of the ledger's clock, in whole seconds.
+   */
   public synchronized Stretch stretch(double fromMs, double toMs) {
     int[] ends = new int[End.values().length];
+    int tries = 0;
     Histogram served = new Histogram(MOST_US, 2);
     for (Second s : seconds.subMap((int) (fromMs / 1000), (int) Math.ceil(toMs / 1000)).values()) {
       for (int i = 0; i < ends.length; i++) {
         ends[i] += s.ends[i];
       }
+      tries += s.tries;
       served.add(s.served);
     }
     int offered = 0;
     for (int n : ends) {
       offered += n;
     }
-    return new Stretch(offered, ends[End.SERVED.ordinal()], ends[End.REFUSED.ordinal()],
+    return new Stretch(tries, offered, ends[End.SERVED.ordinal()], ends[End.REFUSED.ordinal()],
         ends[End.FAILED.ordinal()], ends[End.UNANSWERED.ordinal()],
         ends[End.NOT_TAKEN.ordinal()] + ends[End.NO_DOOR.ordinal()],
         served.getTotalCount() == 0 ? 0 : served.getValueAtPercentile(50) / 1e3,
--- a/testkit/src/main/java/willowdoor/testkit/Terms.java
+++ b/testkit/src/main/java/willowdoor/testkit/Terms.java
@@ -47,8 +47,9 @@
          "Profiles":[
           {"Name":"check-quote","Repeat":"pure","AimMs":1500,"DeadlineMs":%s,"Value":1,"Group":"all"},
           {"Name":"register-buy","Repeat":"token","AimMs":1200,"DeadlineMs":%s,"Value":5,"Group":"all",
-           "RepeatWindowMs":%s}],
+           "RepeatWindowMs":%s},
+          {"Name":"move-title","Repeat":"never","AimMs":1500,"DeadlineMs":%s,"Value":3,"Group":"all"}],
          "Tariffs":[%s]}""", doors, self, zone, counterLimitMs, MOST_UNITS, coldFrom, coldMs, tipMultiple,
-        tipAfterMs, deadlineMs, deadlineMs, keyWindowMs, tariffs);
+        tipAfterMs, deadlineMs, deadlineMs, keyWindowMs, deadlineMs, tariffs);
   }
 }
