--- a/daemon/src/main/java/willowdoor/daemon/config/Section.java
+++ b/daemon/src/main/java/willowdoor/daemon/config/Section.java
@@ -19,6 +19,7 @@
  */
 final class Section {
 
+  /** So many edits away a key is likely a slip; more, and another was meant. */
   private static final int LIKELY_EDITS = 3;
 
   private final String path;
@@ -56,7 +57,9 @@
   }
 
   private <T> T note(String key, T value) {
-    effective.put(full(key), value);
+    if (value != null) {
+      effective.put(full(key), value);
+    }
     return value;
   }
 
--- a/daemon/src/main/java/willowdoor/daemon/fleet/DoorFiles.java
+++ b/daemon/src/main/java/willowdoor/daemon/fleet/DoorFiles.java
@@ -89,10 +89,16 @@
             t.tipMultiple(),
         t.tipAfterMs(), Terms.MOST_UNITS, t.deadlineMs(), t.deadlineMs(), t.keyWindowMs(), t.deadlineMs()));
     for (PlanTerms p : t.plans()) {
-      text.append(String.format(Locale.ROOT, "[[plan]]%nname = \"%s\"%nunits_per_s = %s%nburst_units = %s%n"
-          + "worth_factor = 1.5%nceiling_units_per_s = %s%nceiling_burst_units = %s%n"
-          + "ceiling_slack_units = %s%n",
-          p.name(), p.rate(), p.burst(), p.ceilingRate(), p.ceilingBurst(), p.ceilingSlack()));
+      text.append(String.format(Locale.ROOT, """
+          [[plan]]
+          name = "%s"
+          units_per_s = %s
+          burst_units = %s
+          worth_factor = 1.5
+          ceiling_units_per_s = %s
+          ceiling_burst_units = %s
+          ceiling_slack_units = %s
+          """, p.name(), p.rate(), p.burst(), p.ceilingRate(), p.ceilingBurst(), p.ceilingSlack()));
     }
     for (Listed b : rig.discovery().listed()) {
       if (b.state().equals("active")) {
--- /dev/null
+++ b/daemon/src/test/java/willowdoor/daemon/ArchitectureTest.java
@@ -0,0 +1,73 @@
+package willowdoor.daemon;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static com.tngtech.archunit.library.dependencies.SlicesRuleDefinition.slices;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.junit.jupiter.api.Assumptions.assumeTrue;
+
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import java.nio.file.Path;
+import java.util.jar.JarFile;
+import org.junit.jupiter.api.Test;
+
+/** The arrows between packages: docs/design.md draws them. */
+class ArchitectureTest {
+
+  private static final JavaClasses ALL = new ClassFileImporter()
+      .withImportOption(ImportOption.Predefined.DO_NOT_INCLUDE_TESTS).importPackages("willowdoor");
+
+  @Test
+  void decisionsDoNoInputOrOutputReadNoClockAndStartNoThread() {
+    noClasses().that().resideInAnyPackage("willowdoor.policy..", "willowdoor.life..")
+        .should().dependOnClassesThat().resideInAnyPackage("java.io..", "java.net..", "java.nio..",
+            "io.netty..",
+            "com.fasterxml..", "java.util.concurrent..", "java.time..", "java.util.logging..",
+                "willowdoor.net..",
+            "willowdoor.wire..", "willowdoor.benchlink..", "willowdoor.daemon..", "willowdoor.testkit..")
+        .orShould().callMethod(System.class, "nanoTime").orShould().callMethod(System.class,
+            "currentTimeMillis")
+        .orShould().dependOnClassesThat().areAssignableTo(Thread.class).check(ALL);
+  }
+
+  @Test
+  void theDoorKnowsNothingAboveIt() {
+    noClasses().that().resideInAnyPackage("willowdoor", "willowdoor.net..", "willowdoor.wire..",
+        "willowdoor.benchlink..").should().dependOnClassesThat().resideInAnyPackage("willowdoor.daemon..",
+        "willowdoor.testkit..", "willowdoor.life..", "picocli..", "org.tomlj..").check(ALL);
+  }
+
+  @Test
+  void theRigKnowsNoDoor() {
+    noClasses().that().resideInAPackage("willowdoor.testkit..").should().dependOnClassesThat()
+        .resideInAnyPackage("willowdoor", "willowdoor.policy..", "willowdoor.life..", "willowdoor.net..",
+            "willowdoor.wire..", "willowdoor.benchlink..", "willowdoor.daemon..").check(ALL);
+  }
+
+  @Test
+  void whatServesKnowsNoRig() {
+    noClasses().that().resideInAnyPackage("willowdoor.daemon.life..", "willowdoor.daemon.config..")
+        .should().dependOnClassesThat().resideInAnyPackage("willowdoor.testkit..",
+            "willowdoor.daemon.fleet..",
+            "picocli..").check(ALL);
+  }
+
+  @Test
+  void packagesFormNoCircles() {
+    slices().matching("willowdoor.(**)").should().beFreeOfCycles().check(ALL);
+  }
+
+  /** The platform's jar stays lean. */
+  @Test
+  void thePlatformsJarHoldsNoneOfTheProduct() throws Exception {
+    Path jar = Path.of("..", "door", "target", "willowdoor.jar");
+    assumeTrue(jar.toFile().exists(), "made by the package phase");
+    try (JarFile lean = new JarFile(jar.toFile())) {
+      assertTrue(lean.stream().noneMatch(e -> e.getName().startsWith("picocli") || e.getName()
+          .startsWith("org/tomlj")
+          || e.getName().startsWith("willowdoor/daemon") || e.getName().startsWith("willowdoor/testkit")
+          || e.getName().startsWith("willowdoor/life")));
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/test/java/willowdoor/daemon/fleet/FleetTest.java
@@ -0,0 +1,82 @@
+package willowdoor.daemon.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import willowdoor.testkit.BackendPark;
+import willowdoor.testkit.ClientFleet;
+import willowdoor.testkit.Faults;
+import willowdoor.testkit.Faults.Fault;
+import willowdoor.testkit.Faults.What;
+import willowdoor.testkit.Judge.Verdict;
+import willowdoor.testkit.Tally.Stretch;
+import willowdoor.testkit.Terms;
+
+/** A small fleet of real processes; the long runs are commands under bench/. */
+@Timeout(120)
+class FleetTest {
+
+  private static final int DOORS = 6;
+  private static final long SEED = 20261201;
+  private static final double RATE = 240;
+
+  private static FleetRun fleet() throws Exception {
+    FleetRun run = new FleetRun(Terms.usual(), new BackendPark.Make(12, 4, 32, 100, 160), DOORS, SEED);
+    try {
+      run.start(new ClientFleet.Load(RATE, 120, 0.1, 5, 4));
+      run.clients().begin();
+      return run;
+    } catch (Exception e) {
+      run.close();
+      throw e;
+    }
+  }
+
+  private static void sent(FleetRun run, long tries) {
+    assertTrue(FleetRun.until(() -> run.clients().sent() >= tries, 60_000), () -> run.clients().sent()
+        + " sent");
+  }
+
+  /** They remember nothing of what they let in before, and a backend that came back meanwhile is cold. */
+  @Test
+  void halfOfTheFleetIsKilledInASecondWhileTheCounterIsSlowAndAllStartAgainAtOnce() throws Exception {
+    try (FleetRun run = fleet(); Faults faults = new Faults(run.rig(), run.doors())) {
+      sent(run, 500);
+      List<Fault> schedule = new ArrayList<>();
+      for (Fault f : Faults.kills(SEED, DOORS, DOORS / 2, 0, 1_000, 0, 0)) {
+        schedule.add(new Fault(f.atMs(), f.what(), f.target(), 2_500 - f.atMs()));
+      }
+      schedule.add(new Fault(0, What.SLOW_COUNTER, 0, 5_000));
+      schedule.add(new Fault(100, What.KILL_BACKEND, 2, 1_500));
+      schedule.add(new Fault(100, What.KILL_BACKEND, 5, 1_500));
+      faults.cause(schedule);
+      assertTrue(FleetRun.until(() -> faults.begun() == schedule.size(), 30_000));
+      assertTrue(FleetRun.until(() -> run.clients().doorsUp() <= DOORS / 2, 30_000));
+      assertTrue(FleetRun.until(() -> run.clients().doorsUp() == DOORS, 60_000));
+      sent(run, run.clients().sent() + 500);
+      Verdict verdict = run.finish();
+      assertTrue(verdict.kept(), () -> "seed " + SEED + ": " + verdict);
+      assertTrue(verdict.served() > 1_000, verdict::toString);
+    }
+  }
+
+  @Test
+  void aRollReplacesEveryDoorUnderLoadAndCostsNoRequest() throws Exception {
+    try (FleetRun run = fleet()) {
+      sent(run, 400);
+      for (int i = 0; i < DOORS; i++) {
+        assertTrue(run.replace(i, 30_000), "d" + i + " printed: " + run.log(i));
+      }
+      sent(run, run.clients().sent() + 300);
+      Verdict verdict = run.finish();
+      assertTrue(verdict.kept(), () -> "seed " + SEED + ": " + verdict);
+      Stretch all = run.clients().tally().stretch(0, 1e6);
+      assertEquals(0, all.failed() + all.unanswered() + all.notTaken(), all::toString);
+      assertEquals(0, verdict.excused(), verdict::toString);
+    }
+  }
+}
--- a/door/src/main/java/willowdoor/net/DiscoveryClient.java
+++ b/door/src/main/java/willowdoor/net/DiscoveryClient.java
@@ -21,7 +21,8 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.handler.timeout.ReadTimeoutHandler;
+import io.netty.handler.timeout.IdleStateEvent;
+import io.netty.handler.timeout.IdleStateHandler;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.concurrent.ThreadLocalRandom;
@@ -37,6 +38,8 @@
   private static final int MOST_LINE = 4 << 20;
   /** Empty lines come every 2 s; a watch silent for more than two of them is replaced. */
   private static final long SILENT_MS = 5_000;
+  /** For so long a silent watch may still show that its news only waits to be read. */
+  private static final long LAST_LOOK_MS = 100;
   private static final double LEAST_BACKOFF_MS = 100;
   private static final double MOST_BACKOFF_MS = 1_500;
   /** A watch that lasted so long was a good one; junk on each new one must not make a busy loop. */
@@ -142,13 +145,14 @@
 
     @Override
     protected void initChannel(Channel ch) {
-      ch.pipeline().addLast(new ReadTimeoutHandler(SILENT_MS, TimeUnit.MILLISECONDS),
+      ch.pipeline().addLast(new IdleStateHandler(SILENT_MS, 0, 0, TimeUnit.MILLISECONDS),
           new HttpClientCodec(), new Unwrapper(), new LineBasedFrameDecoder(MOST_LINE), new Lines(this));
     }
   }
 
   private final class Lines extends SimpleChannelInboundHandler<ByteBuf> {
     private final Watch source;
+    private long heard;
 
     Lines(Watch source) {
       this.source = source;
@@ -156,6 +160,7 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, ByteBuf line) throws IOException {
+      heard++;
       if (source != watch && source != leaving) {
         return;
       }
@@ -171,6 +176,22 @@
       }
     }
 
+    /**
+     * Guards against a process that was stopped, or short of CPU, for longer than the silence: its timer runs
+     * out before it has read what came meanwhile, and a drain that was told would be dropped unread.
+     */
+    @Override
+    public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+      if (event instanceof IdleStateEvent) {
+        long before = heard;
+        ctx.executor().schedule(() -> {
+          if (heard == before) {
+            ctx.close();
+          }
+        }, LAST_LOOK_MS, TimeUnit.MILLISECONDS);
+      }
+    }
+
     /** Junk, silence or a broken connection: a new watch from the last good version makes up for it. */
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
