--- a/daemon/src/main/java/willowdoor/daemon/Cli.java
+++ b/daemon/src/main/java/willowdoor/daemon/Cli.java
@@ -35,7 +35,11 @@
   }
 
   public static void main(String[] args) {
-    System.exit(new CommandLine(new Cli()).execute(args));
+    System.exit(commandLine().execute(args));
+  }
+
+  static CommandLine commandLine() {
+    return new CommandLine(new Cli());
   }
 
   /** The version that the jar's manifest names. */
--- a/daemon/src/main/java/willowdoor/daemon/fleet/DoorFiles.java
+++ b/daemon/src/main/java/willowdoor/daemon/fleet/DoorFiles.java
@@ -84,10 +84,10 @@
         aim_ms = 1500
         deadline_ms = %s
         repeat = "unsafe"
-        """, index, text(listen), doors, index, index % 2 == 0 ? "a" : "b", text(rig.discovery().agentOf("d" + index)),
-        text(rig.counter().address()), t.counterLimitMs(), control(index), t.coldFrom(), t.coldMs(),
-            t.tipMultiple(),
-        t.tipAfterMs(), Terms.MOST_UNITS, t.deadlineMs(), t.deadlineMs(), t.keyWindowMs(), t.deadlineMs()));
+        """, index, text(listen), doors, index, index % 2 == 0 ? "a" : "b",
+        text(rig.discovery().agentOf("d" + index)), text(rig.counter().address()), t.counterLimitMs(),
+        control(index), t.coldFrom(), t.coldMs(), t.tipMultiple(), t.tipAfterMs(), Terms.MOST_UNITS,
+        t.deadlineMs(), t.deadlineMs(), t.keyWindowMs(), t.deadlineMs()));
     for (PlanTerms p : t.plans()) {
       text.append(String.format(Locale.ROOT, """
           [[plan]]
--- a/daemon/src/main/java/willowdoor/daemon/fleet/FleetRun.java
+++ b/daemon/src/main/java/willowdoor/daemon/fleet/FleetRun.java
@@ -26,8 +26,12 @@
 
   /** Options of the doors' JVMs: small, as many share a machine here. */
   private static final List<String> JVM = List.of("-XX:+UseSerialGC", "-Xms32m", "-Xmx64m", "-Xss256k",
-      "-XX:MaxDirectMemorySize=32m", "-XX:-UsePerfData", "-Xshare:auto", "-XX:TieredStopAtLevel=1",
+      "-XX:MaxDirectMemorySize=32m", "-XX:-UsePerfData", "-Xshare:auto",
       "-Dio.netty.leakDetection.level=disabled");
+  /** Without the optimising compiler, which forty instances on a few cores would wait for. */
+  private static final String NOT_OPTIMISED = "-XX:TieredStopAtLevel=1";
+  /** Set to true, this property of the run allows its doors the optimising compiler, as the launcher does. */
+  private static final String OPTIMISED = "willowdoor.fleet.optimised";
   private static final int PORT = 7070;
   private static final long START_LIMIT_MS = 120_000;
   private static final long QUIET_LIMIT_MS = 8_000;
@@ -58,6 +62,9 @@
     List<String> words = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java")
         .toString()));
     words.addAll(JVM);
+    if (!Boolean.getBoolean(OPTIMISED)) {
+      words.add(NOT_OPTIMISED);
+    }
     words.addAll(List.of("-cp", System.getProperty("java.class.path"), "willowdoor.daemon.Cli", "daemon",
         "--config", config.toString()));
     if (takeOver) {
