Faults by the command line; an instance looks for its end only once it may come

Need: long runs that lose a zone, the counter and a stopped door; and a timer each 10 ms that a serving instance does not need.

--- a/daemon/src/main/java/willowdoor/daemon/fleet/FleetCommand.java
+++ b/daemon/src/main/java/willowdoor/daemon/fleet/FleetCommand.java
@@ -5,6 +5,9 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.Callable;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
@@ -51,6 +54,11 @@
   @Option(names = "--backend-faults", defaultValue = "0", description = "Faults of backends (default: "
       + "${DEFAULT-VALUE}).")
   private int backendFaults;
+  @Option(names = "--fault", paramLabel = "KIND@AT_MS+FOR_MS[/TARGET]", converter = FaultConverter.class,
+      description =
+          "A fault of your own, such as LOSE_ZONE_B@20000+8000 or STOP_DOOR@15000+5000/3; may be given "
+          + "more than once.")
+  private List<Fault> faultsGiven = List.of();
   @Option(names = "--roll", description = "Replace all doors one by one without a gap, in the second half.")
   private boolean roll;
   @Option(names = "--seed", defaultValue = "1", description =
@@ -59,6 +67,27 @@
   @Spec
   private CommandSpec spec;
 
+  /** Reads a fault from the command line. */
+  static final class FaultConverter implements CommandLine.ITypeConverter<Fault> {
+    private static final Pattern FORM = Pattern.compile("([A-Z_]+)@(\\d{1,7})\\+(\\d{1,7})(?:/(\\d{1,4}))?");
+
+    @Override
+    public Fault convert(String text) {
+      Matcher m = FORM.matcher(text);
+      if (m.matches()) {
+        for (Faults.What what : Faults.What.values()) {
+          if (what.name().equals(m.group(1))) {
+            return new Fault(Double.parseDouble(m.group(2)), what,
+                m.group(4) == null ? 0 : Integer.parseInt(m.group(4)), Double.parseDouble(m.group(3)));
+          }
+        }
+      }
+      throw new CommandLine.TypeConversionException(text
+          + " (expected: KIND@AT_MS+FOR_MS[/TARGET], KIND one of "
+          + List.of(Faults.What.values()) + ")");
+    }
+  }
+
   @Override
   public Integer call() throws IOException {
     PrintWriter out = spec.commandLine().getOut();
@@ -85,7 +114,8 @@
     double lengthMs = seconds * 1_000.0;
     double quietEnd = from + lengthMs * QUIET_PART;
     double span = withinMs > 0 ? withinMs : lengthMs * KILL_PART;
-    double faultsEnd = quietEnd + span + (kills > 0 ? MOST_AWAY_MS : 0);
+    double givenEnd = from + faultsGiven.stream().mapToDouble(f -> f.atMs() + f.lastsMs()).max().orElse(0);
+    double faultsEnd = Math.max(givenEnd, quietEnd + span + (kills > 0 ? MOST_AWAY_MS : 0));
     run.clients().begin();
     int rolled = 0;
     double[] cpu;
@@ -105,6 +135,7 @@
             Faults.What.SPOILS_BACKEND, Faults.What.SLOW_BACKEND), run.rig().park().all().size(),
             lengthMs * QUIET_PART, lengthMs * (QUIET_PART + KILL_PART), 3_000, 8_000));
       }
+      faults.cause(faultsGiven);
       if (roll) {
         FleetRun.sleep((long) (lengthMs * QUIET_PART));
         for (int i = 0; i < doorCount; i++) {
@@ -156,7 +187,7 @@
     // A second counts by the first tries due in it, whose retries may be met by what comes next.
     Stretch before = tally.stretch(from + 1_000, quietEnd - 1_000);
     print(out, "before", before);
-    if (kills > 0 || roll || backendFaults > 0) {
+    if (kills > 0 || roll || backendFaults > 0 || !faultsGiven.isEmpty()) {
       print(out, "during", tally.stretch(quietEnd, Math.min(to, faultsEnd)));
       print(out, "after", tally.stretch(Math.min(to, faultsEnd) + 1_000, to));
     }
--- a/daemon/src/main/java/willowdoor/daemon/life/Instance.java
+++ b/daemon/src/main/java/willowdoor/daemon/life/Instance.java
@@ -58,7 +58,6 @@
     this.loop = door.loop();
     this.life = life;
     this.surroundings = surroundings;
-    loop.scheduleWithFixedDelay(this::look, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
   }
 
   /** Completed with the exit code. */
@@ -109,6 +108,7 @@
       door.leaveListening();
     } else if (action instanceof StopAccepting) {
       door.stopAccepting();
+      loop.execute(this::look);
     } else if (action instanceof FailAll) {
       door.failAll();
     } else if (action instanceof WakeAt a) {
@@ -127,9 +127,12 @@
     }, (long) Math.ceil(Math.max(0, atMs - door.now()) * 1000) + 1, TimeUnit.MICROSECONDS);
   }
 
+  /** Looks until all that was taken is answered, and no earlier than it can be. */
   private void look() {
-    if ((life.phase() == Phase.ANSWERING || life.phase() == Phase.FAILING) && door.idle()) {
+    if (door.idle()) {
       on(new AllAnswered());
+    } else if (life.phase() != Phase.STOPPED) {
+      loop.schedule(this::look, LOOK_MS, TimeUnit.MILLISECONDS);
     }
   }
 }
--- a/daemon/src/test/java/willowdoor/daemon/CliTest.java
+++ b/daemon/src/test/java/willowdoor/daemon/CliTest.java
@@ -40,6 +40,13 @@
     assertEquals(CommandLine.ExitCode.USAGE, run());
   }
 
+  @Test
+  void aFaultThatIsNoneIsNamedWithWhatWasExpected() {
+    assertEquals(CommandLine.ExitCode.USAGE, run("fleet", "--fault", "LOSE_ALL@1+1"));
+    assertTrue(err.toString().contains("LOSE_ALL@1+1 (expected: KIND@AT_MS+FOR_MS"), err::toString);
+    assertEquals(CommandLine.ExitCode.USAGE, run("fleet", "--fault", "KILL_DOOR"));
+  }
+
   @Test
   void checksAFileAndChangesNothing(@TempDir Path folder) throws Exception {
     assertEquals(0, run("check-config", Path.of("..", "deploy", "willowdoor.toml").toString()));
