--- /dev/null
+++ b/authz/src/main/java/willowdoor/extauthz/Answers.java
@@ -0,0 +1,196 @@
+package willowdoor.extauthz;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.Struct;
+import com.google.protobuf.Value;
+import io.envoyproxy.envoy.config.core.v3.HeaderValue;
+import io.envoyproxy.envoy.config.core.v3.HeaderValueOption;
+import io.envoyproxy.envoy.service.auth.v3.CheckResponse;
+import io.envoyproxy.envoy.service.auth.v3.DeniedHttpResponse;
+import io.envoyproxy.envoy.service.auth.v3.OkHttpResponse;
+import io.grpc.Status.Code;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import willowdoor.extauthz.ExtAuthzSettings.AnswerBounds;
+import willowdoor.extauthz.Grant.Change;
+import willowdoor.extauthz.Grant.How;
+
+/**
+ * Reads an authoriser's answer.
+ *
+ * <p>Its status decides: OK allows. PERMISSION_DENIED, UNAUTHENTICATED and all codes that say that the
+ * request
+ * is at fault deny; RESOURCE_EXHAUSTED denies with 429. Codes by which the authoriser says that it could not
+ * decide (UNAVAILABLE, DEADLINE_EXCEEDED, CANCELLED, ABORTED, INTERNAL, UNKNOWN, DATA_LOSS, UNIMPLEMENTED)
+ * are
+ * no decision, unless a denied response with a status comes along.
+ *
+ * <p>An allow must be done wholly or not at all: one that can't be read, such as one whose header holds a
+ * line
+ * end, is no decision. Headers that no authoriser may touch are left as they are ({@link HeaderRules}). A
+ * denial stands whatever else is wrong with it; what of it can't be used is left out.
+ */
+final class Answers {
+
+  /** What an answer comes to. */
+  sealed interface Read { }
+
+  /** It allows, and may be used again for so long. */
+  record Allowed(Grant grant, double allowForMs) implements Read { }
+
+  record Denied(Denial denial) implements Read { }
+
+  /** The authoriser tells that it could not decide. */
+  record Undecided(String why) implements Read { }
+
+  /** It breaks the protocol. */
+  record Bad(String why) implements Read { }
+
+  /** The field of dynamic_metadata by which an authoriser permits to use its allow again, milliseconds. */
+  static final String ALLOW_FOR_MS = "allow_for_ms";
+  private static final int LONGEST_METADATA = 1_024;
+  private static final int LEAST_STATUS = 300;
+  private static final int MOST_STATUS = 599;
+
+  private final AnswerBounds bounds;
+
+  Answers(AnswerBounds bounds) {
+    this.bounds = bounds;
+  }
+
+  Read read(CheckResponse answer) {
+    Code code = code(answer.getStatus().getCode());
+    String metadata = answer.hasDynamicMetadata() ? text(answer.getDynamicMetadata()) : null;
+    if (code == Code.OK) {
+      if (answer.hasDeniedResponse()) {
+        return new Bad("status OK with a denied response");
+      }
+      return allowed(answer, metadata);
+    }
+    if (answer.hasOkResponse()) {
+      return new Bad("status " + code + " with an OK response");
+    }
+    return switch (code) {
+      case UNAVAILABLE, DEADLINE_EXCEEDED, CANCELLED, ABORTED, INTERNAL, UNKNOWN, DATA_LOSS, UNIMPLEMENTED ->
+          answer.getDeniedResponse().getStatus().getCodeValue() != 0 ? denied(answer, code, metadata)
+              : new Undecided("status " + code + " " + cut(answer.getStatus().getMessage()));
+      default -> denied(answer, code, metadata);
+    };
+  }
+
+  private static Code code(int number) {
+    return io.grpc.Status.fromCodeValue(number).getCode();
+  }
+
+  private Read allowed(CheckResponse answer, String metadata) {
+    OkHttpResponse ok = answer.getOkResponse();
+    if (ok.getQueryParametersToSetCount() > 0 || ok.getQueryParametersToRemoveCount() > 0) {
+      return new Bad("changes the query (expected: headers only)");
+    }
+    if (ok.getHeadersCount() + ok.getHeadersToRemoveCount() + ok.getResponseHeadersToAddCount()
+        > bounds.headers()) {
+      return new Bad("names more than " + bounds.headers() + " headers");
+    }
+    List<Change> changes = new ArrayList<>();
+    List<Change> forClient = new ArrayList<>();
+    int bytes = 0;
+    for (String name : ok.getHeadersToRemoveList()) {
+      if (!HeaderRules.isName(name)) {
+        return new Bad("removes what is no header: " + cut(name));
+      }
+      if (!HeaderRules.kept(name)) {
+        changes.add(new Change(How.REMOVE, name, null));
+      }
+      bytes += name.length();
+    }
+    for (boolean client : new boolean[] {false, true}) {
+      for (HeaderValueOption o : client ? ok.getResponseHeadersToAddList() : ok.getHeadersList()) {
+        String name = o.getHeader().getKey();
+        String value = value(o.getHeader());
+        if (!HeaderRules.isName(name) || !HeaderRules.isValue(value)) {
+          return new Bad("sets what is no header: " + cut(name));
+        }
+        if (!HeaderRules.kept(name)) {
+          (client ? forClient : changes).add(new Change(client ? How.APPEND : how(o), name, value));
+        }
+        bytes += name.length() + value.length();
+      }
+    }
+    if (bytes > bounds.headerBytes()) {
+      return new Bad("names headers of " + bytes + " bytes (expected: at most " + bounds.headerBytes() + ")");
+    }
+    return new Allowed(new Grant(List.copyOf(changes), List.copyOf(forClient), metadata),
+        allowFor(answer.getDynamicMetadata()));
+  }
+
+  private static double allowFor(Struct metadata) {
+    Value v = metadata.getFieldsMap().get(ALLOW_FOR_MS);
+    return v != null && v.hasNumberValue() && v.getNumberValue() > 0 ? v.getNumberValue() : 0;
+  }
+
+  private Read denied(CheckResponse answer, Code code, String metadata) {
+    DeniedHttpResponse denied = answer.getDeniedResponse();
+    int status = denied.getStatus().getCodeValue();
+    if (status < LEAST_STATUS || status > MOST_STATUS) {
+      status = usualStatus(code);
+    }
+    List<Change> headers = new ArrayList<>();
+    int bytes = 0;
+    for (HeaderValueOption o : denied.getHeadersList()) {
+      String name = o.getHeader().getKey();
+      String value = value(o.getHeader());
+      bytes += name.length() + value.length();
+      if (headers.size() >= bounds.headers() || bytes > bounds.headerBytes()) {
+        break;
+      }
+      if (HeaderRules.isName(name) && HeaderRules.isValue(value) && !HeaderRules.kept(name)) {
+        headers.add(new Change(how(o), name, value));
+      }
+    }
+    ByteString body = denied.getBodyBytes();
+    return new Denied(new Denial(status, List.copyOf(headers),
+        body.substring(0, Math.min(body.size(), bounds.deniedBodyBytes())).toByteArray(), metadata));
+  }
+
+  private static int usualStatus(Code code) {
+    return switch (code) {
+      case UNAUTHENTICATED -> 401;
+      case RESOURCE_EXHAUSTED -> 429;
+      case INVALID_ARGUMENT, FAILED_PRECONDITION, OUT_OF_RANGE -> 400;
+      case NOT_FOUND -> 404;
+      case ALREADY_EXISTS -> 409;
+      default -> 403;
+    };
+  }
+
+  private static String value(HeaderValue header) {
+    return header.getRawValue().isEmpty() ? header.getValue()
+        : header.getRawValue().toString(StandardCharsets.ISO_8859_1);
+  }
+
+  /** By the old flag where it is set; without either, a header is overwritten, as the protocol has it here.
+  */
+  @SuppressWarnings("deprecation")
+  private static How how(HeaderValueOption option) {
+    if (option.hasAppend()) {
+      return option.getAppend().getValue() ? How.APPEND : How.OVERWRITE;
+    }
+    return switch (option.getAppendAction()) {
+      case ADD_IF_ABSENT -> How.ADD_IF_ABSENT;
+      case OVERWRITE_IF_EXISTS -> How.OVERWRITE_IF_THERE;
+      default -> How.OVERWRITE;
+    };
+  }
+
+  private static String text(Struct metadata) {
+    StringBuilder text = new StringBuilder();
+    metadata.getFieldsMap().forEach((name, value) -> text.append(text.isEmpty() ? "" : ", ").append(name)
+        .append('=').append(value.toString().trim()));
+    return text.length() > LONGEST_METADATA ? text.substring(0, LONGEST_METADATA) : text.toString();
+  }
+
+  static String cut(String text) {
+    return text.length() > 200 ? text.substring(0, 200) : text;
+  }
+}
--- /dev/null
+++ b/authz/src/main/java/willowdoor/extauthz/AuthoriserLink.java
@@ -0,0 +1,161 @@
+package willowdoor.extauthz;
+
+import io.envoyproxy.envoy.service.auth.v3.AuthorizationGrpc;
+import io.envoyproxy.envoy.service.auth.v3.CheckRequest;
+import io.envoyproxy.envoy.service.auth.v3.CheckResponse;
+import io.grpc.CallOptions;
+import io.grpc.ClientCall;
+import io.grpc.ClientStreamTracer;
+import io.grpc.ConnectivityState;
+import io.grpc.ManagedChannel;
+import io.grpc.Metadata;
+import io.grpc.Status;
+import io.grpc.netty.NettyChannelBuilder;
+import io.netty.channel.EventLoopGroup;
+import io.netty.handler.ssl.SslContext;
+import java.util.concurrent.TimeUnit;
+import willowdoor.extauthz.ExtAuthzSettings.Link;
+import willowdoor.net.FrontDoor;
+
+/**
+ * The channel to one authoriser, on the door's loop: no thread a call, and none beside the loop. A call's end
+ * is told once, and with it whether the authoriser can have seen it.
+ *
+ * <p>gRPC itself repeats a call only where HTTP/2 proves that it was not processed (REFUSED_STREAM, or a
+ * GOAWAY that names an earlier stream); nothing else is repeated below {@link ExtAuthzGate}. Reconnects back
+ * off from 1 s to 2 minutes with jitter (gRPC's connection backoff); a probe doesn't wait for that.
+ */
+final class AuthoriserLink {
+
+  private static final int LARGEST_METADATA = 8 * 1024;
+  private static final long IDLE_DAYS = 30;
+
+  /** A call's one end. */
+  interface Listener {
+    /**
+     * Told once, on the loop.
+     *
+     * @param status OK with exactly one answer, or why there is none
+     * @param answer null unless the status is OK
+     * @param reached false when the authoriser provably never saw the call
+     */
+    void ended(Status status, CheckResponse answer, boolean reached);
+  }
+
+  private final Link link;
+  private final EventLoopGroup group;
+  private final int largestAnswer;
+  private ManagedChannel channel;
+
+  /** Connects at once; for the loop, where the TLS context is null or made already. */
+  AuthoriserLink(Link link, EventLoopGroup group, int largestAnswer, SslContext tls) {
+    this.link = link;
+    this.group = group;
+    this.largestAnswer = largestAnswer;
+    channel = open(tls);
+  }
+
+  private ManagedChannel open(SslContext tls) {
+    NettyChannelBuilder builder = NettyChannelBuilder.forAddress(link.address()).eventLoopGroup(group)
+        .channelType(FrontDoor.socketType()).directExecutor().disableServiceConfigLookUp()
+        .maxInboundMessageSize(largestAnswer).maxInboundMetadataSize(LARGEST_METADATA)
+        .idleTimeout(IDLE_DAYS, TimeUnit.DAYS).userAgent("willowdoor")
+        .keepAliveTime((long) link.keepAliveMs(), TimeUnit.MILLISECONDS)
+        .keepAliveTimeout((long) link.keepAliveAnswerMs(), TimeUnit.MILLISECONDS)
+        .keepAliveWithoutCalls(true);
+    if (tls == null) {
+      builder.usePlaintext();
+    } else {
+      builder.sslContext(tls).overrideAuthority(link.tls().serverName());
+    }
+    ManagedChannel opened = builder.build();
+    keepConnected(opened);
+    return opened;
+  }
+
+  /** A connection that has ended is made anew at once, not with the next call, which would wait for it. */
+  private static void keepConnected(ManagedChannel channel) {
+    ConnectivityState state = channel.getState(true);
+    if (state != ConnectivityState.SHUTDOWN) {
+      channel.notifyWhenStateChanged(state, () -> keepConnected(channel));
+    }
+  }
+
+  Link link() {
+    return link;
+  }
+
+  /** Calls from here on go over a new connection by that context; those out end on the old one. */
+  void renew(SslContext tls) {
+    ManagedChannel old = channel;
+    channel = open(tls);
+    old.shutdown();
+  }
+
+  /** Ends the connection with all calls on it. */
+  void close() {
+    channel.shutdownNow();
+  }
+
+  /** Sees whether a call's stream was written to a connection. */
+  private static final class Reach extends ClientStreamTracer.Factory {
+    private boolean reached;
+
+    @Override
+    public ClientStreamTracer newClientStreamTracer(ClientStreamTracer.StreamInfo info, Metadata headers) {
+      // A further stream of the same call: HTTP/2 has proved that the one before was not processed.
+      reached = false;
+      return new ClientStreamTracer() {
+        @Override
+        public void outboundHeaders() {
+          reached = true;
+        }
+      };
+    }
+  }
+
+  /**
+   * Asks, within the limit. The end may be told before this returns.
+   *
+   * @param probe try to connect now, whatever the backoff says
+   * @return by which the call can be given up
+   */
+  ClientCall<CheckRequest, CheckResponse> check(CheckRequest request, double limitMs, boolean probe,
+      Listener listener) {
+    if (probe && channel.getState(false) == ConnectivityState.TRANSIENT_FAILURE) {
+      channel.resetConnectBackoff();
+    }
+    Reach reach = new Reach();
+    CallOptions options = CallOptions.DEFAULT.withStreamTracerFactory(reach)
+        .withDeadlineAfter((long) (limitMs * 1_000), TimeUnit.MICROSECONDS);
+    if (probe) {
+      options = options.withWaitForReady();
+    }
+    ClientCall<CheckRequest, CheckResponse> call = channel.newCall(AuthorizationGrpc.getCheckMethod(),
+        options);
+    call.start(new ClientCall.Listener<>() {
+      private CheckResponse answer;
+      private boolean twice;
+
+      @Override
+      public void onMessage(CheckResponse message) {
+        twice = answer != null;
+        answer = message;
+      }
+
+      @Override
+      public void onClose(Status status, Metadata trailers) {
+        Status end = !status.isOk() ? status
+            : twice ? Status.INTERNAL.withDescription("two answers to one call")
+            : answer == null ? Status.INTERNAL.withDescription("no answer")
+            : status;
+        listener.ended(end, end.isOk() ? answer : null, reach.reached);
+      }
+    }, new Metadata());
+    // Two, so that a second answer is seen for what it is.
+    call.request(2);
+    call.sendMessage(request);
+    call.halfClose();
+    return call;
+  }
+}
--- /dev/null
+++ b/authz/src/main/java/willowdoor/extauthz/ExtAuthzGate.java
@@ -0,0 +1,335 @@
+package willowdoor.extauthz;
+
+import io.envoyproxy.envoy.service.auth.v3.CheckRequest;
+import io.envoyproxy.envoy.service.auth.v3.CheckResponse;
+import io.grpc.ClientCall;
+import io.grpc.Status;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.ssl.SslContext;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.DoubleSupplier;
+import java.util.logging.Logger;
+import willowdoor.authz.AuthzAction;
+import willowdoor.authz.AuthzAction.Ask;
+import willowdoor.authz.AuthzAction.Cancel;
+import willowdoor.authz.AuthzAction.Deny;
+import willowdoor.authz.AuthzAction.Pass;
+import willowdoor.authz.AuthzAction.Refuse;
+import willowdoor.authz.AuthzEvent;
+import willowdoor.authz.AuthzEvent.Answered;
+import willowdoor.authz.AuthzEvent.Arrived;
+import willowdoor.authz.AuthzEvent.Over;
+import willowdoor.authz.AuthzEvent.Result;
+import willowdoor.authz.AuthzSettings.Member;
+import willowdoor.authz.Gatekeeper;
+import willowdoor.extauthz.ExtAuthzSettings.Link;
+import willowdoor.net.Gate;
+import willowdoor.policy.GatewayApi.Request;
+
+/**
+ * The gate that has members' policy servers asked (envoy.service.auth.v3). Takes events to the
+ * {@link Gatekeeper} and its actions to the authorisers' channels and the request's passage; it chooses
+ * nothing. All on the door's loop, but for TLS files and the log, which one thread of its own sees to.
+ */
+public final class ExtAuthzGate implements Gate, AutoCloseable {
+
+  private static final Logger LOG = Logger.getLogger(ExtAuthzGate.class.getName());
+  private static final long WRITE_MS = 50;
+
+  private final ExtAuthzSettings settings;
+  private final String door;
+  private final EventLoop loop;
+  private final DoubleSupplier clock;
+  private final Gatekeeper keeper;
+  private final Answers answers;
+  private final List<AuthoriserLink> links = new ArrayList<>();
+  private final Map<String, Held> held = new HashMap<>();
+  private final ArrayDeque<AuthzEvent> inbox = new ArrayDeque<>();
+  private final DecisionLog log;
+  private final ScheduledExecutorService errands;
+  private boolean delivering;
+
+  private ExtAuthzGate(ExtAuthzSettings settings, String door, EventLoop loop, DoubleSupplier clock,
+      long seed) {
+    this.settings = settings;
+    this.door = door;
+    this.loop = loop;
+    this.clock = clock;
+    keeper = new Gatekeeper(settings.decisions(), seed);
+    answers = new Answers(settings.bounds());
+    log = settings.log() == null ? null : new DecisionLog(settings.log());
+    errands = Executors.newSingleThreadScheduledExecutor(task -> {
+      Thread t = new Thread(task, "authorisation");
+      t.setDaemon(true);
+      return t;
+    });
+  }
+
+  /**
+   * Reads the TLS files and begins to connect; not for the loop's thread.
+   *
+   * @param door this door's name in the log
+   * @param group whose one loop is the door's
+   * @param clock the door's
+   * @throws IOException in plain words, when TLS files can't be used
+   */
+  public static ExtAuthzGate open(ExtAuthzSettings settings, String door, EventLoopGroup group,
+      DoubleSupplier clock, long seed) throws IOException {
+    ExtAuthzGate gate = new ExtAuthzGate(settings, door, group.next(), clock, seed);
+    try {
+      for (Link link : settings.links()) {
+        gate.connect(link, group);
+      }
+    } catch (IOException e) {
+      gate.close();
+      throw e;
+    }
+    if (gate.log != null) {
+      gate.errands.scheduleWithFixedDelay(gate.log::write, WRITE_MS, WRITE_MS, TimeUnit.MILLISECONDS);
+    }
+    return gate;
+  }
+
+  private void connect(Link link, EventLoopGroup group) throws IOException {
+    TlsFiles files = link.tls() == null ? null : new TlsFiles(link.tls());
+    SslContext tls = files == null ? null : files.read();
+    AuthoriserLink opened = new AuthoriserLink(link, group, settings.bounds().answerBytes(), tls);
+    links.add(opened);
+    if (files != null) {
+      watch(opened, files);
+    }
+  }
+
+  /** Takes changed TLS files; while they can't be used, the connection stays by the old ones. */
+  private void watch(AuthoriserLink link, TlsFiles files) {
+    long every = (long) link.link().tls().lookMs();
+    errands.scheduleWithFixedDelay(() -> {
+      if (files.changed()) {
+        try {
+          SslContext tls = files.read();
+          loop.execute(() -> link.renew(tls));
+          LOG.info(link.link().name() + ": connects by the changed TLS files");
+        } catch (IOException | RuntimeException e) {
+          LOG.warning(link.link().name() + ": stays with the TLS files it has: " + e.getMessage());
+        }
+      }
+    }, every, every, TimeUnit.MILLISECONDS);
+  }
+
+  @Override
+  public boolean concerns(Request request) {
+    return keeper.memberOf(request.className(), request.planName(), request.customer()) != null;
+  }
+
+  /** Requests without their decision. */
+  public int undecided() {
+    return keeper.undecided();
+  }
+
+  /** One request from its entering to its end. */
+  private final class Held implements Entry {
+    private final Request request;
+    private final FullHttpRequest message;
+    private final Member member;
+    private final Passage passage;
+    private final double cameMs = clock.getAsDouble();
+    private final CheckRequest check;
+    private final List<DecisionLog.Call> calls = new ArrayList<>(1);
+    private ClientCall<CheckRequest, CheckResponse> call;
+    private Denial denial;
+    private String decision = "none";
+    private double decidedMs;
+    private String metadata;
+
+    Held(Request request, FullHttpRequest message, Origin origin, Passage passage) {
+      this.request = request;
+      this.message = message;
+      this.passage = passage;
+      member = keeper.memberOf(request.className(), request.planName(), request.customer());
+      check = Checks.of(request, member, settings.contents().get(settings.decisions().members()
+          .indexOf(member)), message, origin, cameMs);
+    }
+
+    void arrived() {
+      String subject = member.cacheMostMs() > 0 ? Checks.subject(check) : null;
+      deliver(new Arrived(request.id(), request.className(), request.planName(), request.customer(),
+          request.giveUpMs(), message.content().readableBytes(), subject));
+    }
+
+    void ask(Ask ask) {
+      double askedMs = clock.getAsDouble();
+      AuthoriserLink link = links.get(ask.authoriser());
+      call = link.check(check, ask.timeoutMs(), ask.probe(), (status, answer, reached) -> {
+        double took = clock.getAsDouble() - askedMs;
+        Answers.Read read = status.isOk() ? answers.read(answer) : null;
+        Result result = result(status, read, reached);
+        if (held.get(request.id()) == this) {
+          calls.add(new DecisionLog.Call(link.link().name(), ask.probe(), ask.timeoutMs(), took, result
+              .name(),
+              reached, note(status, read)));
+        }
+        Grant grant = read instanceof Answers.Allowed a ? a.grant() : null;
+        if (read instanceof Answers.Denied d) {
+          denial = d.denial();
+        }
+        deliver(new Answered(request.id(), ask.call(), result, read instanceof Answers.Allowed a
+            ? a.allowForMs() : 0, grant));
+      });
+    }
+
+    void decided(String how) {
+      decision = how;
+      decidedMs = clock.getAsDouble();
+    }
+
+    void pass(Pass pass) {
+      decided(pass.why().name());
+      Grant grant = (Grant) pass.grant();
+      if (grant == null) {
+        passage.pass(null);
+      } else {
+        metadata = grant.metadata();
+        grant.applyTo(message.headers());
+        passage.pass(grant.clientHeaders());
+      }
+    }
+
+    void deny() {
+      decided("DENIED " + denial.status());
+      metadata = denial.metadata();
+      passage.answer(denial.answer());
+    }
+
+    void refuse(Refuse refuse) {
+      decided("REFUSED " + refuse.cause());
+      passage.answer(refusal(refuse));
+    }
+
+    /** The last that is heard of it. */
+    @Override
+    public void ended(End end) {
+      boolean undecided = decision.equals("none");
+      if (undecided) {
+        decidedMs = clock.getAsDouble();
+        deliver(new Over(request.id()));
+        cancel();
+      }
+      held.remove(request.id(), this);
+      if (log != null) {
+        log.add(new DecisionLog.Entry(cameMs, door, request.id(), member.name(),
+            String.format("%016x", request.customer()), request.planName(), request.className(),
+            List.copyOf(calls), decision, decidedMs - cameMs, end.name(), clock.getAsDouble() - cameMs,
+            metadata));
+      }
+    }
+
+    void cancel() {
+      if (call != null) {
+        call.cancel("the request is over", null);
+      }
+    }
+  }
+
+  @Override
+  public Entry enter(Request request, FullHttpRequest message, Origin origin, Passage passage) {
+    Held entered = new Held(request, message, origin, passage);
+    held.put(request.id(), entered);
+    entered.arrived();
+    return entered;
+  }
+
+  private void deliver(AuthzEvent event) {
+    inbox.add(event);
+    if (delivering) {
+      return;
+    }
+    delivering = true;
+    try {
+      for (AuthzEvent e = inbox.poll(); e != null; e = inbox.poll()) {
+        keeper.on(clock.getAsDouble(), e).forEach(this::execute);
+      }
+    } finally {
+      delivering = false;
+    }
+  }
+
+  private void execute(AuthzAction action) {
+    if (action instanceof Ask a) {
+      held.get(a.id()).ask(a);
+    } else if (action instanceof Pass a) {
+      held.get(a.id()).pass(a);
+    } else if (action instanceof Deny a) {
+      held.get(a.id()).deny();
+    } else if (action instanceof Refuse a) {
+      held.get(a.id()).refuse(a);
+    } else if (action instanceof Cancel a && held.containsKey(a.id())) {
+      held.get(a.id()).cancel();
+    }
+  }
+
+  private static Result result(Status status, Answers.Read read, boolean reached) {
+    if (read instanceof Answers.Allowed) {
+      return Result.ALLOWED;
+    } else if (read instanceof Answers.Denied) {
+      return Result.DENIED;
+    } else if (read instanceof Answers.Bad) {
+      return Result.BAD_ANSWER;
+    } else if (read instanceof Answers.Undecided) {
+      return Result.FAILED;
+    } else if (!reached) {
+      return Result.NOT_REACHED;
+    }
+    return status.getCode() == Status.Code.DEADLINE_EXCEEDED ? Result.TIMED_OUT : Result.FAILED;
+  }
+
+  private static String note(Status status, Answers.Read read) {
+    if (read instanceof Answers.Bad b) {
+      return b.why();
+    } else if (read instanceof Answers.Undecided u) {
+      return u.why();
+    }
+    return status.isOk() ? "" : Answers.cut(status.getCode() + " " + String.valueOf(status.getDescription()));
+  }
+
+  /** Nothing of the request has run: 503, and when asking again may help. */
+  private FullHttpResponse refusal(Refuse refuse) {
+    ByteBuf text = Unpooled.copiedBuffer("no authorisation: " + refuse.cause().name().toLowerCase(Locale.ROOT)
+        + '\n', StandardCharsets.US_ASCII);
+    FullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
+        HttpResponseStatus.SERVICE_UNAVAILABLE, text);
+    double wait = Math.min(refuse.holdOffMs(), settings.mostAdviceMs());
+    if (wait > 0) {
+      answer.headers().set(HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.3f", wait / 1_000));
+    }
+    return answer;
+  }
+
+  /** Ends all connections, and writes what the log still has; for a thread that may wait. */
+  @Override
+  public void close() {
+    errands.shutdownNow();
+    loop.execute(() -> links.forEach(AuthoriserLink::close));
+    if (log != null) {
+      log.write();
+    }
+  }
+}
--- /dev/null
+++ b/authz/src/main/java/willowdoor/extauthz/Grant.java
@@ -0,0 +1,53 @@
+package willowdoor.extauthz;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.List;
+
+/**
+ * What came with an allow: changes of the headers that go on to a backend, and headers for the client.
+ *
+ * @param metadata for the log, or null
+ */
+record Grant(List<Change> changes, List<Change> forClient, String metadata) {
+
+  /** What is done with a header. */
+  enum How { OVERWRITE, APPEND, ADD_IF_ABSENT, OVERWRITE_IF_THERE, REMOVE }
+
+  /** One header's change; a removal has no value. */
+  record Change(How how, String name, String value) {
+
+    void applyTo(HttpHeaders headers) {
+      switch (how) {
+        case OVERWRITE -> headers.set(name, value);
+        case APPEND -> headers.add(name, value);
+        case ADD_IF_ABSENT -> {
+          if (!headers.contains(name)) {
+            headers.add(name, value);
+          }
+        }
+        case OVERWRITE_IF_THERE -> {
+          if (headers.contains(name)) {
+            headers.set(name, value);
+          }
+        }
+        case REMOVE -> headers.remove(name);
+        default -> throw new AssertionError(how);
+      }
+    }
+  }
+
+  void applyTo(HttpHeaders onward) {
+    changes.forEach(c -> c.applyTo(onward));
+  }
+
+  /** The client's headers, or null when there are none. */
+  HttpHeaders clientHeaders() {
+    if (forClient.isEmpty()) {
+      return null;
+    }
+    HttpHeaders headers = new DefaultHttpHeaders();
+    forClient.forEach(c -> c.applyTo(headers));
+    return headers;
+  }
+}
--- a/daemon/src/main/java/willowdoor/daemon/Cli.java
+++ b/daemon/src/main/java/willowdoor/daemon/Cli.java
@@ -12,6 +12,7 @@
 import willowdoor.Main;
 import willowdoor.daemon.config.ConfigException;
 import willowdoor.daemon.config.DaemonConfig;
+import willowdoor.daemon.fleet.AuthorisedCommand;
 import willowdoor.daemon.fleet.DemoCommand;
 import willowdoor.daemon.fleet.FleetCommand;
 import willowdoor.daemon.life.Daemon;
@@ -20,7 +21,8 @@
 /** The product's command line. */
 @Command(name = "willowdoor", mixinStandardHelpOptions = true, versionProvider = Cli.Version.class,
     description = "A front door that keeps each customer's quota over all front doors together.",
-    subcommands = {Cli.Run.class, Cli.Check.class, DemoCommand.class, FleetCommand.class, Cli.Serve.class,
+    subcommands = {Cli.Run.class, Cli.Check.class, DemoCommand.class, FleetCommand.class,
+        AuthorisedCommand.class, Cli.Serve.class,
         Cli.BenchLinkCommand.class},
     footer = {"",
         "Exit codes: 0 ended in order or nothing wrong; 1 cannot start or go on, or a rule "
--- /dev/null
+++ b/daemon/src/main/java/willowdoor/daemon/config/AuthorisationReader.java
@@ -0,0 +1,190 @@
+package willowdoor.daemon.config;
+
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import willowdoor.authz.AuthzSettings;
+import willowdoor.authz.AuthzSettings.Authoriser;
+import willowdoor.authz.AuthzSettings.Choice;
+import willowdoor.authz.AuthzSettings.Choosable;
+import willowdoor.authz.AuthzSettings.Firms;
+import willowdoor.authz.AuthzSettings.Health;
+import willowdoor.authz.AuthzSettings.Member;
+import willowdoor.extauthz.ExtAuthzSettings;
+import willowdoor.extauthz.ExtAuthzSettings.AnswerBounds;
+import willowdoor.extauthz.ExtAuthzSettings.Content;
+import willowdoor.extauthz.ExtAuthzSettings.Link;
+import willowdoor.extauthz.ExtAuthzSettings.Log;
+import willowdoor.extauthz.ExtAuthzSettings.Tls;
+import willowdoor.policy.GatewayApi.Plan;
+import willowdoor.policy.GatewayApi.RequestClass;
+import willowdoor.policy.GatewayApi.Settings;
+
+/** Reads who is asked about requests: [authorisation], [[authoriser]] and [[member]]. */
+final class AuthorisationReader {
+
+  private static final int MOST_TABLES = 256;
+  private static final double MOST_MS = 600_000;
+  private static final String FIRMS = "a customer's hexadecimal number or two with a dash, such as \"10-1f\"";
+
+  private final Section root;
+  private final Settings settings;
+
+  AuthorisationReader(Section root, Settings settings) {
+    this.root = root;
+    this.settings = settings;
+  }
+
+  /** Null when there is no member. */
+  ExtAuthzSettings read() {
+    Section a = root.table("authorisation");
+    String log = a.text("log", "");
+    int records = a.whole("log_records", 8_192, 1, 1_000_000);
+    AnswerBounds bounds = new AnswerBounds(a.whole("answer_bytes", 65_536, 1_024, 4 << 20),
+        a.whole("answer_headers", 32, 0, 256), a.whole("answer_header_bytes", 8_192, 0, 65_536),
+        a.whole("denied_body_bytes", 4_096, 0, 65_536));
+    double eject = a.number("eject_ms", 1_000, 1, MOST_MS);
+    double mostEject = a.number("most_eject_ms", Math.max(30_000, eject), 1, MOST_MS);
+    if (mostEject < eject) {
+      a.problem("most_eject_ms", mostEject, "at least eject_ms, " + eject);
+    }
+    Health health = new Health(a.whole("eject_after", 5, 1, 1_000), a.number("eject_share", 0.5, 0.01, 1),
+        eject, Math.max(eject, mostEject), a.number("eject_spread", 0.2, 0, 1));
+    a.end();
+    List<Authoriser> authorisers = new ArrayList<>();
+    List<Link> links = new ArrayList<>();
+    Set<String> names = new HashSet<>();
+    for (Section s : root.tables("authoriser", 0, MOST_TABLES)) {
+      authorisers.add(new Authoriser(DaemonConfig.Reader.unique(s, "name", names),
+          s.whole("most_calls", 100, 1, 100_000), 1_024L * s.whole("most_held_kb", 2_048, 1, 1 << 20)));
+      links.add(link(s, authorisers.get(authorisers.size() - 1).name()));
+      s.end();
+    }
+    List<Member> members = new ArrayList<>();
+    List<Content> contents = new ArrayList<>();
+    Set<String> memberNames = new HashSet<>();
+    for (Section s : root.tables("member", 0, MOST_TABLES)) {
+      Member m = member(s, authorisers, memberNames);
+      contents.add(content(s));
+      s.end();
+      if (m != null) {
+        members.add(m);
+      }
+    }
+    if (members.isEmpty()) {
+      return null;
+    }
+    return new ExtAuthzSettings(new AuthzSettings(List.copyOf(authorisers), List.copyOf(members), health),
+        List.copyOf(links), List.copyOf(contents), bounds, log.isEmpty() ? null : new Log(Path.of(log),
+            records),
+        settings.allowed().holdOff() ? settings.allowed().maxHoldOffMs() : 0);
+  }
+
+  private static Link link(Section s, String name) {
+    InetSocketAddress address = s.address("address");
+    String ca = s.text("ca_file", "");
+    String certificate = s.text("cert_file", "");
+    String key = s.text("key_file", "");
+    String serverName = s.text("server_name", "");
+    boolean plaintext = s.flag("plaintext", false);
+    double look = s.number("files_look_ms", 5_000, 10, MOST_MS);
+    if (certificate.isEmpty() != key.isEmpty()) {
+      s.problem(key.isEmpty() ? "key_file" : "cert_file", null, "a file, as the other of the two is given");
+    }
+    if (ca.isEmpty()) {
+      if (!certificate.isEmpty()) {
+        s.problem("ca_file", null, "a file, as cert_file is given");
+      }
+      if (address != null && !plaintext && !address.getAddress().isLoopbackAddress()) {
+        s.problem("ca_file", null, "a file, as " + address.getAddress().getHostAddress()
+            + " is not loopback; or plaintext = true");
+      }
+    } else if (plaintext) {
+      s.problem("plaintext", true, "false, as ca_file is given");
+    }
+    Tls tls = ca.isEmpty() ? null : new Tls(Path.of(ca), certificate.isEmpty() ? null : Path.of(certificate),
+        key.isEmpty() ? null : Path.of(key), serverName.isEmpty() && address != null
+        ? address.getAddress().getHostAddress() : serverName, look);
+    return new Link(name, address, tls, s.number("keepalive_ms", 20_000, 10_000, MOST_MS),
+        s.number("keepalive_answer_ms", 2_000, 10, MOST_MS));
+  }
+
+  private Member member(Section s, List<Authoriser> authorisers, Set<String> names) {
+    String name = DaemonConfig.Reader.unique(s, "name", names);
+    List<Firms> firms = new ArrayList<>();
+    for (String text : s.texts("firms", List.of())) {
+      Firms f = firms(text);
+      if (f == null) {
+        s.problem("firms", '"' + text + '"', FIRMS);
+      } else {
+        firms.add(f);
+      }
+    }
+    Set<String> classNames = new LinkedHashSet<>();
+    settings.classes().stream().map(RequestClass::name).forEach(classNames::add);
+    Set<String> planNames = new LinkedHashSet<>();
+    settings.plans().stream().map(Plan::name).forEach(planNames::add);
+    Set<String> classes = among(s, "classes", List.of("register-buy"), classNames);
+    Set<String> plans = among(s, "plans", List.of(), planNames);
+    Set<String> open = among(s, "fail_open", List.of(), classes);
+    List<String> asked = s.texts("authorisers", null);
+    List<Double> weights = s.weights("weights");
+    Choice choice = s.choice("choose", Choice.class, Choice.ORDER);
+    if (!weights.isEmpty() && weights.size() != asked.size()) {
+      s.problem("weights", weights.size() + " weights", "one for each of the " + asked.size()
+          + " authorisers, or none");
+    }
+    List<Choosable> choosable = new ArrayList<>();
+    List<String> known = authorisers.stream().map(Authoriser::name).toList();
+    for (int i = 0; i < asked.size(); i++) {
+      int at = known.indexOf(asked.get(i));
+      if (at < 0) {
+        s.problem("authorisers", '"' + asked.get(i) + '"', "the name of an [[authoriser]], one of " + known);
+      } else {
+        choosable.add(new Choosable(at, i < weights.size() ? weights.get(i) : 1));
+      }
+    }
+    double limit = s.number("limit_ms", 300, 5, MOST_MS);
+    double share = s.number("backends_share", 0.5, 0, 0.99);
+    boolean repeatable = s.flag("idempotent", false);
+    double cacheMs = s.number("most_cached_ms", 0, 0, MOST_MS);
+    int cached = s.whole("most_cached", 1_000, 1, 1_000_000);
+    return choosable.isEmpty() ? null : new Member(name, List.copyOf(firms), plans, classes,
+        List.copyOf(choosable), choice, limit, share, repeatable, open, cacheMs, cached);
+  }
+
+  private static Set<String> among(Section s, String key, List<String> absent, Set<String> known) {
+    List<String> names = s.texts(key, absent);
+    for (String n : names) {
+      if (!known.contains(n)) {
+        s.problem(key, '"' + n + '"', "one of " + known);
+      }
+    }
+    return Set.copyOf(names);
+  }
+
+  private static Content content(Section s) {
+    List<String> headers = s.texts("headers", List.of("content-type")).stream()
+        .map(h -> h.toLowerCase(Locale.ROOT)).toList();
+    return new Content(headers, s.whole("body_bytes", 0, 0, 65_536));
+  }
+
+  private static Firms firms(String text) {
+    String[] ends = text.split("-", -1);
+    try {
+      if (ends.length <= 2) {
+        long first = Long.parseLong(ends[0], 16);
+        long last = Long.parseLong(ends[ends.length - 1], 16);
+        return first >= 0 && last >= first ? new Firms(first, last) : null;
+      }
+    } catch (NumberFormatException e) {
+      // Falls through: the caller tells what was expected.
+    }
+    return null;
+  }
+}
--- a/daemon/src/main/java/willowdoor/daemon/config/DaemonConfig.java
+++ b/daemon/src/main/java/willowdoor/daemon/config/DaemonConfig.java
@@ -15,6 +15,7 @@
 import java.util.TreeSet;
 import org.tomlj.Toml;
 import org.tomlj.TomlParseResult;
+import willowdoor.extauthz.ExtAuthzSettings;
 import willowdoor.life.InstanceLife;
 import willowdoor.net.Bounds;
 import willowdoor.net.Config;
@@ -33,11 +34,12 @@
  * The daemon's configuration, read from TOML. {@code deploy/willowdoor.toml} documents every key. All errors
  * of a file are told at once ({@link ConfigException}).
  *
+ * @param authorisation whom members have asked, or null when no member is named
  * @param effective every key with the value in force, defaults included
  */
 public record DaemonConfig(Instance instance, InetSocketAddress discovery, Counter counter, Limits limits,
     InstanceLife.Bounds end, TakeOver takeOver, Backends backends, Settings settings,
-    Map<String, Object> effective) {
+    ExtAuthzSettings authorisation, Map<String, Object> effective) {
 
   /** Who this instance is in its fleet; zone may be empty. */
   public record Instance(String name, InetSocketAddress listen, int doors, int index, String zone) { }
@@ -117,7 +119,7 @@
   }
 
   /** Reads one file's tables in the order of the records. */
-  private static final class Reader {
+  static final class Reader {
     private final List<Problem> problems;
     private final Map<String, Object> effective = Section.newEffective();
     private final Section root;
@@ -156,9 +158,10 @@
           b.number("idle_limit_ms", 15_000, 10, MOST_MS), known());
       Settings settings = settings(instance, counter, b);
       b.end();
+      ExtAuthzSettings authorisation = new AuthorisationReader(root, settings).read();
       root.end();
       return new DaemonConfig(instance, discovery, counter, limits, end, takeOver, backends, settings,
-          Map.copyOf(effective));
+          authorisation, Map.copyOf(effective));
     }
 
     private static double answerMs(Section e, double accept) {
@@ -196,7 +199,7 @@
       return new RosterNews(0, true, entries, places);
     }
 
-    private static String unique(Section s, String key, Set<String> taken) {
+    static String unique(Section s, String key, Set<String> taken) {
       String value = s.text(key, null);
       if (!value.isEmpty() && !taken.add(value)) {
         s.problem(key, '"' + value + '"', "a name that no other table has");
--- a/daemon/src/main/java/willowdoor/daemon/config/Section.java
+++ b/daemon/src/main/java/willowdoor/daemon/config/Section.java
@@ -110,6 +110,33 @@
     return note(key, found instanceof Boolean b ? b : absent);
   }
 
+  /** Texts, without a default one at least. */
+  List<String> texts(String key, List<String> absent) {
+    Object found = look(key);
+    if (found instanceof TomlArray array && array.toList().stream().allMatch(String.class::isInstance)
+        && (absent != null || !array.isEmpty())) {
+      return note(key, array.toList().stream().map(String.class::cast).toList());
+    }
+    if (found != null || absent == null) {
+      problem(key, found instanceof TomlArray a ? a.toList() : found, "a list of texts such as [\"a\", \"b\"]"
+          + (absent == null ? ", not empty" : ""));
+    }
+    return note(key, absent == null ? List.of() : absent);
+  }
+
+  /** Numbers, each more than nought. */
+  List<Double> weights(String key) {
+    Object found = look(key);
+    if (found instanceof TomlArray array && array.toList().stream().allMatch(
+        n -> n instanceof Number w && w.doubleValue() > 0)) {
+      return note(key, array.toList().stream().map(n -> ((Number) n).doubleValue()).toList());
+    }
+    if (found != null) {
+      problem(key, found instanceof TomlArray a ? a.toList() : found, "a list of numbers over 0");
+    }
+    return note(key, List.of());
+  }
+
   /** One of an enum's names, in lower case. */
   <E extends Enum<E>> E choice(String key, Class<E> type, E absent) {
     Object found = look(key);
--- a/daemon/src/main/java/willowdoor/daemon/fleet/DoorFiles.java
+++ b/daemon/src/main/java/willowdoor/daemon/fleet/DoorFiles.java
@@ -17,6 +17,7 @@
   private final Rig rig;
   private final Path folder;
   private final int doors;
+  private String more = "";
 
   public DoorFiles(Rig rig, Path folder, int doors) {
     this.rig = rig;
@@ -24,6 +25,11 @@
     this.doors = doors;
   }
 
+  /** Further tables of every file that is written from here on. */
+  public void more(String tables) {
+    more = tables;
+  }
+
   /** Writes door number index's file, with the backends that discovery lists now. */
   public Path write(int index, InetSocketAddress listen) {
     Path file = folder.resolve("d" + index + ".toml");
@@ -106,7 +112,7 @@
             text(b.address()), b.zone()));
       }
     }
-    return text.toString();
+    return text.append(more).toString();
   }
 
   private static String text(InetSocketAddress a) {
--- a/daemon/src/main/java/willowdoor/daemon/fleet/FleetRun.java
+++ b/daemon/src/main/java/willowdoor/daemon/fleet/FleetRun.java
@@ -9,6 +9,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import java.util.stream.Stream;
 import willowdoor.testkit.BackendPark;
@@ -33,6 +34,8 @@
   /** Set to true, this property of the run allows its doors the optimising compiler, as the launcher does. */
   private static final String OPTIMISED = "willowdoor.fleet.optimised";
   private static final int PORT = 7070;
+  /** Each run of a process has a network of its own. */
+  private static final AtomicInteger RUNS = new AtomicInteger();
   private static final long START_LIMIT_MS = 120_000;
   private static final long QUIET_LIMIT_MS = 8_000;
 
@@ -46,7 +49,7 @@
     rig = new Rig(terms, backends, seed);
     folder = Files.createTempDirectory("willowdoor-fleet");
     files = new DoorFiles(rig, folder, doorCount);
-    int net = 64 + (int) (ProcessHandle.current().pid() % 128);
+    int net = 64 + (int) ((ProcessHandle.current().pid() + RUNS.getAndIncrement()) % 128);
     for (int i = 0; i < doorCount; i++) {
       int index = i;
       InetSocketAddress address = new InetSocketAddress("127." + net + '.' + i / 200 + '.' + (1 + i % 200),
@@ -85,6 +88,11 @@
     return clients;
   }
 
+  /** Further tables of the doors' configurations; to be told before they start. */
+  public void more(String tables) {
+    files.more(tables);
+  }
+
   /** What one door has printed. */
   public String log(int door) throws IOException {
     Path log = folder.resolve("d" + door + ".log");
--- a/daemon/src/main/java/willowdoor/daemon/life/Daemon.java
+++ b/daemon/src/main/java/willowdoor/daemon/life/Daemon.java
@@ -10,6 +10,7 @@
 import java.util.logging.Logger;
 import willowdoor.daemon.config.ConfigException;
 import willowdoor.daemon.config.DaemonConfig;
+import willowdoor.extauthz.ExtAuthzGate;
 import willowdoor.life.InstanceLife;
 import willowdoor.life.LifeEvent.Bound;
 import willowdoor.life.LifeEvent.Broken;
@@ -31,6 +32,7 @@
   private final Instance instance;
   private final ControlSocket control;
   private TakeOver takeOver;
+  private ExtAuthzGate gate;
 
   private Daemon(DaemonConfig config, Path file) throws InterruptedException {
     this.config = config;
@@ -80,15 +82,26 @@
    */
   public Daemon start(boolean mayTakeOver) throws IOException, InterruptedException {
     try {
+      guard();
       listen(mayTakeOver);
     } catch (IOException | RuntimeException e) {
-      door.stop();
+      close();
       throw e;
     }
     instance.tell(new Bound());
     return this;
   }
 
+  /** Without members that have authorisers, no class of that is loaded. */
+  private void guard() throws IOException, InterruptedException {
+    if (config.authorisation() != null) {
+      gate = ExtAuthzGate.open(config.authorisation(), config.instance().name(), door.group(), door::now,
+          new SecureRandom().nextLong());
+      ExtAuthzGate opened = gate;
+      door.loop().submit(() -> door.guard(opened)).sync();
+    }
+  }
+
   private void listen(boolean mayTakeOver) throws IOException, InterruptedException {
     InetSocketAddress address = config.instance().listen();
     if (mayTakeOver) {
@@ -150,6 +163,9 @@
 
   /** Ends the loop, with all that is left. */
   public void close() {
+    if (gate != null) {
+      gate.close();
+    }
     door.stop();
   }
 
--- a/daemon/src/test/java/willowdoor/daemon/ArchitectureTest.java
+++ b/daemon/src/test/java/willowdoor/daemon/ArchitectureTest.java
@@ -20,12 +20,14 @@
 
   @Test
   void decisionsDoNoInputOrOutputReadNoClockAndStartNoThread() {
-    noClasses().that().resideInAnyPackage("willowdoor.policy..", "willowdoor.life..")
+    noClasses().that().resideInAnyPackage("willowdoor.policy..", "willowdoor.life..",
+        "willowdoor.authz..")
         .should().dependOnClassesThat().resideInAnyPackage("java.io..", "java.net..", "java.nio..",
             "io.netty..",
             "com.fasterxml..", "java.util.concurrent..", "java.time..", "java.util.logging..",
                 "willowdoor.net..",
-            "willowdoor.wire..", "willowdoor.benchlink..", "willowdoor.daemon..", "willowdoor.testkit..")
+            "willowdoor.wire..", "willowdoor.benchlink..", "willowdoor.daemon..", "willowdoor.testkit..",
+            "willowdoor.extauthz..", "io.grpc..", "com.google..", "io.envoyproxy..")
         .orShould().callMethod(System.class, "nanoTime").orShould().callMethod(System.class,
             "currentTimeMillis")
         .orShould().dependOnClassesThat().areAssignableTo(Thread.class).check(ALL);
@@ -35,13 +37,23 @@
   void theDoorKnowsNothingAboveIt() {
     noClasses().that().resideInAnyPackage("willowdoor", "willowdoor.net..", "willowdoor.wire..",
         "willowdoor.benchlink..").should().dependOnClassesThat().resideInAnyPackage("willowdoor.daemon..",
-        "willowdoor.testkit..", "willowdoor.life..", "picocli..", "org.tomlj..").check(ALL);
+        "willowdoor.testkit..", "willowdoor.life..", "willowdoor.authz..", "willowdoor.extauthz..",
+            "io.grpc..",
+        "com.google..", "io.envoyproxy..", "picocli..", "org.tomlj..").check(ALL);
+  }
+
+  @Test
+  void theGateKnowsNoProductAndNoRig() {
+    noClasses().that().resideInAPackage("willowdoor.extauthz..").should().dependOnClassesThat()
+        .resideInAnyPackage("willowdoor.daemon..", "willowdoor.testkit..", "willowdoor.life..",
+            "willowdoor.benchlink..", "willowdoor.wire..", "picocli..", "org.tomlj..").check(ALL);
   }
 
   @Test
   void theRigKnowsNoDoor() {
     noClasses().that().resideInAPackage("willowdoor.testkit..").should().dependOnClassesThat()
-        .resideInAnyPackage("willowdoor", "willowdoor.policy..", "willowdoor.life..", "willowdoor.net..",
+        .resideInAnyPackage("willowdoor", "willowdoor.authz..", "willowdoor.extauthz..",
+            "willowdoor.policy..", "willowdoor.life..", "willowdoor.net..",
             "willowdoor.wire..", "willowdoor.benchlink..", "willowdoor.daemon..").check(ALL);
   }
 
@@ -67,7 +79,9 @@
       assertTrue(lean.stream().noneMatch(e -> e.getName().startsWith("picocli") || e.getName()
           .startsWith("org/tomlj")
           || e.getName().startsWith("willowdoor/daemon") || e.getName().startsWith("willowdoor/testkit")
-          || e.getName().startsWith("willowdoor/life")));
+          || e.getName().startsWith("willowdoor/life") || e.getName().startsWith("willowdoor/authz")
+          || e.getName().startsWith("willowdoor/extauthz") || e.getName().startsWith("io/grpc")
+          || e.getName().startsWith("io/envoyproxy") || e.getName().startsWith("com/google")));
     }
   }
 }
--- /dev/null
+++ b/daemon/src/test/java/willowdoor/daemon/life/AuthorisedWorld.java
@@ -0,0 +1,89 @@
+package willowdoor.daemon.life;
+
+import io.netty.handler.codec.http2.Http2Settings;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import willowdoor.testkit.Judge;
+import willowdoor.testkit.Ledger.Kind;
+import willowdoor.testkit.RequestKind;
+import willowdoor.testkit.StandInAuthoriser;
+
+/** A {@link World} whose buys need the allow of stand-in authorisers. */
+final class AuthorisedWorld implements AutoCloseable {
+
+  final World world;
+  final Path log;
+  private final StringBuilder authorisers = new StringBuilder();
+  private final List<String> names = new ArrayList<>();
+
+  AuthorisedWorld(int backends, double workMs, boolean idempotent) throws Exception {
+    world = new World(backends, workMs);
+    world.rig.authorise(new Judge.Authorisation(a -> a.kind() == RequestKind.BUY, idempotent));
+    log = world.folder.resolve("decisions.jsonl");
+  }
+
+  StandInAuthoriser authoriser(String name, String more) {
+    return authoriser(name, new Http2Settings(), more);
+  }
+
+  StandInAuthoriser authoriser(String name, Http2Settings settings, String more) {
+    StandInAuthoriser made = world.rig.authoriser(name, settings, null);
+    named(made, more);
+    return made;
+  }
+
+  void named(StandInAuthoriser made, String more) {
+    authorisers.append(String.format(Locale.ROOT,
+        "[[authoriser]]%nname = \"%s\"%naddress = \"127.0.0.1:%d\"%n"
+        + "%s%n", made.name(), made.address().getPort(), more));
+    names.add('"' + made.name() + '"');
+  }
+
+  /** A daemon that has every authoriser made so far asked by one member, with further keys of its table. */
+  Daemon started(String member, String end) throws Exception {
+    Daemon daemon = world.daemon(new InetSocketAddress("127.0.0.1", 0), "[end]\n" + (end.isEmpty()
+        ? "accept_ms = 150\n" : end) + "[authorisation]\nlog = \"" + log + "\"\neject_spread = 0\n"
+            + authorisers
+        + (member.contains("[[member]]") ? member : "[[member]]\nname = \"all\"\nauthorisers = " + names
+            + "\n"
+        + member)).start(false);
+    World.awaitUp(daemon.address());
+    return daemon;
+  }
+
+  World.Caller caller(Daemon daemon) throws Exception {
+    return world.new Caller(daemon.address(), "d0");
+  }
+
+  boolean sentOn(String id) {
+    return world.saw(id, Kind.FIRST_BYTE);
+  }
+
+  long count(String id, Kind kind) {
+    return world.history(id).stream().filter(e -> e.kind() == kind).count();
+  }
+
+  /** The log's line of a request, once it is written. */
+  String logged(String id) throws Exception {
+    World.await("log of " + id, () -> line(id) != null);
+    return line(id);
+  }
+
+  private String line(String id) {
+    try {
+      return Files.exists(log) ? Files.readAllLines(log).stream().filter(l -> l.contains('"' + id + '"'))
+          .findFirst().orElse(null) : null;
+    } catch (java.io.IOException e) {
+      throw new java.io.UncheckedIOException(e);
+    }
+  }
+
+  @Override
+  public void close() throws java.io.IOException {
+    world.close();
+  }
+}
--- /dev/null
+++ b/daemon/src/test/java/willowdoor/daemon/life/Deaf.java
@@ -0,0 +1,82 @@
+package willowdoor.daemon.life;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** Passes bytes both ways until it is told to swallow all of its open connections; new ones pass. */
+final class Deaf implements AutoCloseable {
+
+  private final ServerSocket listening = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+  private final InetSocketAddress to;
+  private final AtomicInteger connections = new AtomicInteger();
+  private final AtomicInteger silentUpTo = new AtomicInteger();
+  private final List<Socket> sockets = new CopyOnWriteArrayList<>();
+
+  Deaf(InetSocketAddress to) throws IOException {
+    this.to = to;
+    run(() -> {
+      while (true) {
+        Socket from = listening.accept();
+        Socket onward = new Socket(to.getAddress(), to.getPort());
+        sockets.add(from);
+        sockets.add(onward);
+        int number = connections.incrementAndGet();
+        run(() -> copy(number, from, onward));
+        run(() -> copy(number, onward, from));
+      }
+    });
+  }
+
+  private interface Work {
+    void go() throws IOException;
+  }
+
+  private static void run(Work work) {
+    Thread t = new Thread(() -> {
+      try {
+        work.go();
+      } catch (IOException e) {
+        // The connection or the listening socket was closed: nothing is left to pass.
+      }
+    }, "deaf");
+    t.setDaemon(true);
+    t.start();
+  }
+
+  private void copy(int number, Socket from, Socket onward) throws IOException {
+    byte[] bytes = new byte[4_096];
+    InputStream in = from.getInputStream();
+    for (int n = in.read(bytes); n >= 0; n = in.read(bytes)) {
+      if (number > silentUpTo.get()) {
+        onward.getOutputStream().write(bytes, 0, n);
+      }
+    }
+  }
+
+  int port() {
+    return listening.getLocalPort();
+  }
+
+  int connections() {
+    return connections.get();
+  }
+
+  void silence() {
+    silentUpTo.set(connections.get());
+  }
+
+  @Override
+  public void close() throws IOException {
+    listening.close();
+    for (Socket s : sockets) {
+      s.close();
+    }
+  }
+}
--- a/daemon/src/test/java/willowdoor/daemon/life/World.java
+++ b/daemon/src/test/java/willowdoor/daemon/life/World.java
@@ -11,8 +11,10 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.function.BooleanSupplier;
 import java.util.stream.Stream;
 import willowdoor.daemon.config.DaemonConfig;
@@ -97,6 +99,8 @@
     final Socket socket;
     final String door;
     private final InputStream in;
+    private final Map<String, String> headers = new HashMap<>();
+    private String body;
     private boolean kept;
     private String current;
 
@@ -109,19 +113,27 @@
     }
 
     String message(String id, RequestKind kind, int timeoutMs) {
+      return message(id, kind, timeoutMs, "0000000000000042");
+    }
+
+    String message(String id, RequestKind kind, int timeoutMs, String firm) {
       boolean post = kind.method().equals("POST");
-      rig.ledger().open(new Asked(id, "0000000000000042", "full", kind, kind.keyed() ? "key-" + id : null, 1,
+      rig.ledger().open(new Asked(id, firm, "full", kind, kind.keyed() ? "key-" + id : null, 1,
           timeoutMs, 0, rig.ledger().now()));
       return kind.method() + " /" + kind.className() + "/1 HTTP/1.1\r\nHost: b\r\nRequest-Id: " + id
-          + "\r\nRequest-Class: " + kind.className() + "\r\nX-Plan: full\r\nX-Customer: 0000000000000042"
+          + "\r\nRequest-Class: " + kind.className() + "\r\nX-Plan: full\r\nX-Customer: " + firm
           + "\r\nRequest-Timeout-Ms: " + timeoutMs + "\r\nX-Quota: units=1,spread=1,first=0\r\n"
           + (kind.keyed() ? "Idempotency-Key: key-" + id + "\r\n" : "")
           + (post ? "Content-Length: 4\r\n" : "") + "\r\n" + (post ? "body" : "");
     }
 
     void send(String id, RequestKind kind, int timeoutMs) throws IOException {
+      send(id, kind, timeoutMs, "0000000000000042");
+    }
+
+    void send(String id, RequestKind kind, int timeoutMs, String firm) throws IOException {
       current = id;
-      raw(message(id, kind, timeoutMs));
+      raw(message(id, kind, timeoutMs, firm));
       rig.ledger().request(Kind.ASKED, id, door, 0, kept ? "kept" : "");
     }
 
@@ -130,14 +142,26 @@
       socket.getOutputStream().flush();
     }
 
+    /** Headers, in lower case, and body of the answer received last. */
+    Map<String, String> headers() {
+      return headers;
+    }
+
+    String body() {
+      return body;
+    }
+
     /** The answer's status; -1 when the connection ended without one. */
     int receive() throws IOException {
+      headers.clear();
       int length = 0;
       int status = -1;
       try {
         String first = line(in);
         status = first.isEmpty() ? -1 : Integer.parseInt(first.split(" ")[1]);
         for (String l = line(in); !l.isEmpty(); l = line(in)) {
+          headers.merge(l.substring(0, l.indexOf(':')).toLowerCase(Locale.ROOT),
+              l.substring(l.indexOf(':') + 1).trim(), (a, b) -> a + "," + b);
           if (l.toLowerCase(Locale.ROOT).startsWith("content-length:")) {
             length = Integer.parseInt(l.substring(15).trim());
           }
@@ -149,7 +173,7 @@
         rig.ledger().request(Kind.CUT, current, door, 0, kept ? "kept" : "");
         return -1;
       }
-      String body = new String(in.readNBytes(length), StandardCharsets.US_ASCII);
+      body = new String(in.readNBytes(length), StandardCharsets.US_ASCII);
       rig.ledger().request(Kind.ANSWERED, current, door, status, "");
       if (status == 200 && !body.startsWith("made for " + current + " by")) {
         rig.ledger().request(Kind.FORGED, current, door, 0, "");
--- a/door/src/main/java/willowdoor/net/ClientConnection.java
+++ b/door/src/main/java/willowdoor/net/ClientConnection.java
@@ -225,12 +225,13 @@
       return;
     }
     FullHttpRequest onward = onward(message);
+    HttpHeaders headers = message.headers();
     current = request.id();
     server.driver().take(request, onward, new ModuleDriver.Client() {
       @Override
-      public void served(FullHttpResponse answer) {
+      public void served(FullHttpResponse answer, HttpHeaders more) {
         current = null;
-        ClientConnection.this.served(answer);
+        ClientConnection.this.served(answer, more);
       }
 
       @Override
@@ -244,6 +245,17 @@
         current = null;
         answer(HttpResponseStatus.BAD_GATEWAY);
       }
+
+      @Override
+      public void answered(FullHttpResponse answer) {
+        current = null;
+        write(answer.retain());
+      }
+
+      @Override
+      public Gate.Origin origin() {
+        return new Gate.Origin(headers, channel.remoteAddress());
+      }
     });
     onward.release();
   }
@@ -266,13 +278,16 @@
     return onward;
   }
 
-  private void served(FullHttpResponse from) {
+  private void served(FullHttpResponse from, HttpHeaders more) {
     DefaultFullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK,
         from.content().retain());
     String type = from.headers().get(HttpHeaderNames.CONTENT_TYPE);
     if (type != null) {
       answer.headers().set(HttpHeaderNames.CONTENT_TYPE, type);
     }
+    if (more != null) {
+      answer.headers().add(more);
+    }
     write(answer);
   }
 
--- a/door/src/main/java/willowdoor/net/FrontDoor.java
+++ b/door/src/main/java/willowdoor/net/FrontDoor.java
@@ -4,6 +4,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
@@ -117,6 +118,11 @@
     discovery.start();
   }
 
+  /** Has requests pass a gate, or with null none; on the loop, at best before the door listens. */
+  public void guard(Gate gate) {
+    driver.guard(gate);
+  }
+
   /** The one thread that all of the door is on. */
   public EventLoop loop() {
     return loop;
@@ -127,6 +133,11 @@
     return group;
   }
 
+  /** The kind of sockets that this loop drives. */
+  public static Class<? extends SocketChannel> socketType() {
+    return Transport.BEST.socket();
+  }
+
   public SocketAddress address() {
     return listening.localAddress();
   }
--- /dev/null
+++ b/door/src/main/java/willowdoor/net/Gate.java
@@ -0,0 +1,58 @@
+package willowdoor.net;
+
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.net.SocketAddress;
+import willowdoor.policy.GatewayApi.Request;
+
+/**
+ * What a request passes after it is read and before the module hears of it. A gate says pass or answer, now
+ * or later, and hears of the request's end exactly once. It sends nothing to a backend, and a request that it
+ * let pass never comes back to it, however many attempts it takes. All on the door's loop. A door without a
+ * gate makes no object and takes no step for it.
+ */
+public interface Gate {
+
+  /** How a request that entered ended. */
+  enum End {
+    /** With a backend's answer. */
+    SERVED,
+    /** Refused: asking again is harmless. */
+    REFUSED,
+    /** Failed, with nothing promised. */
+    FAILED,
+    /** With the gate's own answer. */
+    ANSWERED_HERE,
+    /** Its client left. */
+    LEFT
+  }
+
+  /** What a request came with that does not go on to a backend. */
+  record Origin(HttpHeaders headers, SocketAddress source) { }
+
+  /** The ways on; the first call counts, and none does after the request's end. */
+  interface Passage {
+    /**
+     * It goes on, with the message as the gate left its headers.
+     *
+     * @param forClient headers that its answer carries if a backend serves it; may be null
+     */
+    void pass(HttpHeaders forClient);
+
+    /** Its final answer, which is the gate's own; the driver releases it. */
+    void answer(FullHttpResponse answer);
+  }
+
+  /** A request that entered. */
+  interface Entry {
+    /** It has its final answer or its client left; called once, whether it had passed or not. */
+    void ended(End end);
+  }
+
+  /** Whether this gate wants to see such a request at all. */
+  boolean concerns(Request request);
+
+  /** Takes a request that concerns it. The message is only lent, until the request passes or ends. */
+  Entry enter(Request request, FullHttpRequest message, Origin origin, Passage passage);
+}
--- a/door/src/main/java/willowdoor/net/ModuleDriver.java
+++ b/door/src/main/java/willowdoor/net/ModuleDriver.java
@@ -1,8 +1,10 @@
 package willowdoor.net;
 
 import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.util.concurrent.Future;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -19,6 +21,7 @@
 import willowdoor.policy.GatewayApi.Counted;
 import willowdoor.policy.GatewayApi.Event;
 import willowdoor.policy.GatewayApi.Fail;
+import willowdoor.policy.GatewayApi.Foresee;
 import willowdoor.policy.GatewayApi.Outcome;
 import willowdoor.policy.GatewayApi.Refuse;
 import willowdoor.policy.GatewayApi.Request;
@@ -44,11 +47,22 @@
 
   /** Who waits for the one final answer. */
   interface Client {
-    void served(FullHttpResponse answer);
+    /** A backend's answer, with further headers for the client, or null. */
+    void served(FullHttpResponse answer, HttpHeaders more);
 
     void refused(double holdOffMs);
 
     void failed();
+
+    /** The gate's own answer, which is only lent. */
+    default void answered(FullHttpResponse answer) {
+      failed();
+    }
+
+    /** What a gate may look at. */
+    default Gate.Origin origin() {
+      return new Gate.Origin(EmptyHttpHeaders.INSTANCE, null);
+    }
   }
 
   /** One request from its taking until it is answered and none of its attempts is out. */
@@ -60,6 +74,12 @@
     Future<?> lastCall;
     boolean finished;
     int out;
+    /** True while the gate has it: the module has not heard of it. */
+    boolean atGate;
+    /** Null unless it entered the gate, and once the gate has heard of its end. */
+    Gate.Entry entry;
+    Gate.End end;
+    HttpHeaders forClient;
 
     Live(Request request, FullHttpRequest message, Client client) {
       this.request = request;
@@ -68,15 +88,29 @@
     }
 
     /** Marks the final answer; true for the first caller only. */
-    boolean finish() {
+    boolean finish(Gate.End how) {
       if (finished) {
         return false;
       }
       finished = true;
       lastCall.cancel(false);
+      end = how;
+      tellGate();
       return true;
     }
 
+    void tellGate() {
+      if (entry != null) {
+        Gate.Entry told = entry;
+        entry = null;
+        try {
+          told.ended(end);
+        } catch (RuntimeException e) {
+          LOG.log(Level.SEVERE, "the gate failed at the end of " + request.id(), e);
+        }
+      }
+    }
+
     /** A request stays in the table while an attempt of it is out: the module still gets that outcome. */
     void forgetIfDone() {
       if (finished && out == 0 && live.remove(request.id(), this)) {
@@ -91,6 +125,7 @@
   private final QuotaPolicy policy;
   private final BackendPool backends;
   private CounterClient counter;
+  private Gate gate;
   private final Map<String, Live> live = new HashMap<>();
   private final ArrayDeque<Event> inbox = new ArrayDeque<>();
   private int heldBytes;
@@ -110,6 +145,11 @@
     deliver(new Roster(RosterForm.REMEMBERED, known.entries()));
   }
 
+  /** Has requests pass a gate from here on; null has none. */
+  void guard(Gate other) {
+    gate = other;
+  }
+
   int held() {
     return live.size();
   }
@@ -130,17 +170,63 @@
     heldBytes += message.content().readableBytes();
     double left = Math.max(0, request.giveUpMs() - LAST_CALL_MS - clock.now());
     r.lastCall = loop.schedule(() -> fail(r), (long) (left * 1000), TimeUnit.MICROSECONDS);
-    deliver(request);
+    if (gate != null && gate.concerns(request)) {
+      enter(r);
+    } else {
+      deliver(request);
+    }
+  }
+
+  /** At the gate, unless the module refuses it by what it knows already: that spares the asking. */
+  private void enter(Live r) {
+    r.atGate = true;
+    deliver(new Foresee(r.request));
+    if (r.finished) {
+      return;
+    }
+    try {
+      r.entry = gate.enter(r.request, r.message, r.client.origin(), new Gate.Passage() {
+        @Override
+        public void pass(HttpHeaders forClient) {
+          if (r.atGate && !r.finished) {
+            r.atGate = false;
+            r.forClient = forClient;
+            deliver(r.request);
+          }
+        }
+
+        @Override
+        public void answer(FullHttpResponse answer) {
+          if (r.atGate && r.finish(Gate.End.ANSWERED_HERE)) {
+            r.client.answered(answer);
+            r.forgetIfDone();
+          }
+          answer.release();
+        }
+      });
+      if (r.finished) {
+        r.tellGate();
+      }
+    } catch (RuntimeException e) {
+      LOG.log(Level.SEVERE, "the gate failed on " + r.request.id(), e);
+      fail(r);
+    }
   }
 
   void clientLeft(String id) {
     Live r = live.get(id);
-    if (r != null && r.finish()) {
-      deliver(new ClientLeft(id));
+    if (r != null && r.finish(Gate.End.LEFT)) {
+      tellLeft(r);
       r.forgetIfDone();
     }
   }
 
+  private void tellLeft(Live r) {
+    if (!r.atGate) {
+      deliver(new ClientLeft(r.request.id()));
+    }
+  }
+
   void onCounted(Counted counted) {
     deliver(counted);
   }
@@ -155,11 +241,18 @@
     List.copyOf(live.values()).forEach(this::fail);
   }
 
-  /** The net under the module: a request that it left unanswered fails while its client still listens. */
+  /**
+   * The net under module and gate: a request that they left unanswered fails while its client still listens.
+   * At the gate nothing of it has run, so there it is refused.
+   */
   private void fail(Live r) {
-    if (r.finish()) {
-      r.client.failed();
-      deliver(new ClientLeft(r.request.id()));
+    if (r.finish(r.atGate ? Gate.End.REFUSED : Gate.End.FAILED)) {
+      if (r.atGate) {
+        r.client.refused(0);
+      } else {
+        r.client.failed();
+      }
+      tellLeft(r);
       r.forgetIfDone();
     }
   }
@@ -202,6 +295,8 @@
   private void recover(Event event) {
     if (event instanceof Request e) {
       failId(e.id());
+    } else if (event instanceof Foresee e) {
+      failId(e.request().id());
     } else if (event instanceof Outcome e) {
       failId(e.request());
     } else if (event instanceof Woken) {
@@ -225,13 +320,13 @@
       wake(a);
     } else if (action instanceof Refuse a) {
       Live r = live.get(a.request());
-      if (r != null && r.finish()) {
+      if (r != null && r.finish(Gate.End.REFUSED)) {
         r.client.refused(a.holdOffMs());
         r.forgetIfDone();
       }
     } else if (action instanceof Fail a) {
       Live r = live.get(a.request());
-      if (r != null && r.finish()) {
+      if (r != null && r.finish(Gate.End.FAILED)) {
         r.client.failed();
         r.forgetIfDone();
       }
@@ -278,8 +373,8 @@
     double units = 0;
     if (answer != null) {
       units = units(answer.headers().get(Headers.UNITS_CHARGED));
-      if (r.finish()) {
-        r.client.served(answer);
+      if (r.finish(Gate.End.SERVED)) {
+        r.client.served(answer, r.forClient);
       }
     }
     deliver(new Outcome(r.request.id(), number, backend, status, latencyMs, r.finished, units, null));
--- a/policy/src/main/java/willowdoor/policy/GatewayApi.java
+++ b/policy/src/main/java/willowdoor/policy/GatewayApi.java
@@ -70,6 +70,12 @@
   public record Request(String id, String className, String planName, long customer, int entryPoints,
       double units, double giveUpMs) implements Event { }
 
+  /**
+   * A request that something else has to decide on first. One that would be refused by what is known already
+   * is refused now; of any other nothing is said, and nothing is counted.
+   */
+  public record Foresee(Request request) implements Event { }
+
   /** A streamed answer has begun. */
   public record StreamBegan(String request, int attempt) implements Event { }
 
--- a/policy/src/main/java/willowdoor/policy/QuotaPolicy.java
+++ b/policy/src/main/java/willowdoor/policy/QuotaPolicy.java
@@ -135,6 +135,8 @@
       onRoster(e);
     } else if (event instanceof ClientLeft e) {
       onClientLeft(e.request());
+    } else if (event instanceof Foresee e) {
+      onForesee(e.request());
     } else if (event instanceof StreamBegan e && open.containsKey(e.request())) {
       open.get(e.request()).streaming = true;
     }
@@ -450,13 +452,31 @@
 
   /** Beyond its quota a request goes on only where the plan earns by it, under no ceiling, fleet idle. */
   private void beyondQuota(Job job) {
-    Plan plan = job.account.plan;
-    if (plan.beyondEarns() > plan.beyondCost() && plan.ceilingRate() <= 0
-        && expectedOfAim() < PRESSED_LOW - UNCONFIRMED) {
+    if (earnsBeyond(job.account.plan)) {
       dispatch(job);
     } else {
-      double missing = job.request.units() - job.account.level;
-      refuse(job, plan.rate() > 0 ? Math.max(TICK_MS, missing / plan.rate() * 1000) : 0);
+      refuse(job, refilledIn(job.account, job.request.units()));
+    }
+  }
+
+  private boolean earnsBeyond(Plan plan) {
+    return plan.beyondEarns() > plan.beyondCost() && plan.ceilingRate() <= 0
+        && expectedOfAim() < PRESSED_LOW - UNCONFIRMED;
+  }
+
+  private double refilledIn(Account a, double units) {
+    return a.plan.rate() > 0 ? Math.max(TICK_MS, (units - a.level) / a.plan.rate() * 1000) : 0;
+  }
+
+  /** Guards what is asked about a request before this module has it against a flood of a spent customer. */
+  private void onForesee(Request r) {
+    Account a = accounts.get(r.customer());
+    if (a == null || a.plan.rate() <= 0 || !settings.allowed().sharedCount()) {
+      return;
+    }
+    a.advance();
+    if (a.surelySpent(r.units()) && !earnsBeyond(a.plan)) {
+      out.add(new Refuse(r.id(), advised(refilledIn(a, r.units()))));
     }
   }
 
@@ -885,8 +905,11 @@
   private void refuse(Job job, double holdOffMs) {
     takeBack(job);
     open.remove(job.request.id());
-    Allowed a = settings.allowed();
-    out.add(new Refuse(job.request.id(), a.holdOff() ? Math.min(holdOffMs, a.maxHoldOffMs()) : 0));
+    out.add(new Refuse(job.request.id(), advised(holdOffMs)));
+  }
+
+  private double advised(double holdOffMs) {
+    return settings.allowed().holdOff() ? Math.min(holdOffMs, settings.allowed().maxHoldOffMs()) : 0;
   }
 
   // ---- Timers ----
--- a/policy/src/test/java/willowdoor/policy/QuotaPolicyTest.java
+++ b/policy/src/test/java/willowdoor/policy/QuotaPolicyTest.java
@@ -16,6 +16,7 @@
 import willowdoor.policy.GatewayApi.Counted;
 import willowdoor.policy.GatewayApi.Fail;
 import willowdoor.policy.GatewayApi.FollowRoster;
+import willowdoor.policy.GatewayApi.Foresee;
 import willowdoor.policy.GatewayApi.Outcome;
 import willowdoor.policy.GatewayApi.Phase;
 import willowdoor.policy.GatewayApi.Refuse;
@@ -71,6 +72,20 @@
     assertFalse(f.did(Add.class));
   }
 
+  @Test
+  void whatIsForeseenIsRefusedForASpentCustomerOnlyAndCountsNothing() {
+    Fixtures f = Fixtures.counted();
+    f.on(new Foresee(new Request("x", "safe", "rated", 1, 2, 3, f.now + 2_000)));
+    assertFalse(f.did(Refuse.class) || f.did(Add.class) || f.did(Send.class), "nothing is known of it");
+    f.request("safe", "rated", 3);
+    f.on(new Foresee(new Request("y", "safe", "rated", 42, 2, 3, f.now + 2_000)));
+    assertFalse(f.did(Refuse.class) || f.did(Add.class), "its count is not told yet");
+    f.total(200);
+    f.pass(10).on(new Foresee(new Request("z", "safe", "rated", 42, 2, 3, f.now + 2_000)));
+    assertEquals("z", f.only(Refuse.class).request());
+    assertFalse(f.did(Add.class));
+  }
+
   @Test
   void twoBurstsDoNotPassAtTheEdgeOfAWindow() {
     Fixtures f = Fixtures.counted();
--- a/testkit/src/main/java/willowdoor/testkit/BackendPark.java
+++ b/testkit/src/main/java/willowdoor/testkit/BackendPark.java
@@ -38,6 +38,7 @@
   private final Random random;
   private final Map<String, Double> keys = new HashMap<>();
   private final List<StandInBackend> backends = new ArrayList<>();
+  private boolean exact;
 
   /** Starts the backends, half of them in each of two zones, all warm, and lists them. */
   public BackendPark(EventLoopGroup group, Ledger ledger, Terms terms, StandInDiscovery discovery, Make make,
@@ -56,6 +57,11 @@
     }
   }
 
+  /** From here on requests cost what they name. */
+  public synchronized void exact() {
+    exact = true;
+  }
+
   Ledger ledger() {
     return ledger;
   }
@@ -87,6 +93,9 @@
 
   /** The true units of a request that names so many. */
   synchronized int trueUnits(int named) {
+    if (exact) {
+      return named;
+    }
     return Math.max(1, Math.min(Terms.MOST_UNITS, named + random.nextInt(3) - 1));
   }
 
--- a/testkit/src/main/java/willowdoor/testkit/ClientFleet.java
+++ b/testkit/src/main/java/willowdoor/testkit/ClientFleet.java
@@ -30,6 +30,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
 import willowdoor.testkit.Ledger.Asked;
 import willowdoor.testkit.Ledger.Kind;
 import willowdoor.testkit.Tally.End;
@@ -50,6 +51,7 @@
   private static final double TRANSFER_SHARE = 0.05;
   private static final double BACKOFF_MS = 50;
   private static final int BODY_BYTES = 200;
+  private static final long ASK_AGAIN_MS = 300;
 
   /** What the fleet asks: this many requests a second over so many firms, a part of them heavy. */
   public record Load(double requestsPerSecond, int firms, double heavyShare, double heavyTimes,
@@ -70,6 +72,7 @@
   private double nextDueMs;
   private final AtomicInteger out = new AtomicInteger();
   private final AtomicLong sent = new AtomicLong();
+  private final AtomicInteger unserved = new AtomicInteger();
   private final AtomicLong skipped = new AtomicLong();
   private volatile boolean running;
 
@@ -136,6 +139,43 @@
     running = false;
   }
 
+  /**
+   * Has every firm ask for one unit, again and again until it is served. A door settles what a firm's
+   * requests
+   * truly cost with the firm's next request.
+   */
+  public void askOnceEach() {
+    loop.execute(() -> {
+      unserved.set(firms.size());
+      for (int i = 0; i < firms.size(); i++) {
+        Firm firm = firms.get(i);
+        loop.schedule(() -> askOnce(firm), 2L * i, TimeUnit.MILLISECONDS);
+      }
+    });
+  }
+
+  /** Firms that have not been served since then. */
+  public int unserved() {
+    return unserved.get();
+  }
+
+  /** The firms' identifiers. */
+  public List<String> firms() {
+    return firms.stream().map(Firm::id).toList();
+  }
+
+  private void askOnce(Firm firm) {
+    Try t = new Try(firm, RequestKind.QUOTE, 1, terms.deadlineMs(), null, RETRIES, ledger.now());
+    t.whenEnded = how -> {
+      if (how == End.SERVED) {
+        unserved.decrementAndGet();
+      } else {
+        loop.schedule(() -> askOnce(firm), ASK_AGAIN_MS, TimeUnit.MILLISECONDS);
+      }
+    };
+    t.start();
+  }
+
   /** Ends its looks at the doors too. */
   public void close() {
     end();
@@ -197,6 +237,7 @@
     private boolean again;
     private boolean ended;
     private Future<?> timer;
+    private Consumer<End> whenEnded;
 
     Try(Firm firm, RequestKind kind, int units, double timeoutMs, String key, int number,
         double firstDueMs) {
@@ -351,6 +392,10 @@
     }
 
     private void lastEnded(End how) {
+      if (whenEnded != null) {
+        whenEnded.accept(how);
+        return;
+      }
       tally.request(firstDueMs, how, firm.id(), firm.plan(), units);
     }
   }
--- a/testkit/src/main/java/willowdoor/testkit/Faults.java
+++ b/testkit/src/main/java/willowdoor/testkit/Faults.java
@@ -24,7 +24,9 @@
     KILL_BACKEND, DRAIN_BACKEND, REFUSE_BACKEND, ERRORS_BACKEND, RESETS_BACKEND, STALLS_BACKEND,
         SPOILS_BACKEND,
     SLOW_BACKEND, LOSE_ZONE_B,
-    SLOW_COUNTER, HANG_COUNTER, LOSE_COUNTER, HANG_DISCOVERY
+    SLOW_COUNTER, HANG_COUNTER, LOSE_COUNTER, HANG_DISCOVERY,
+    STALLS_AUTHORISER, DENIES_AUTHORISER, RESETS_AUTHORISER, SPOILS_AUTHORISER, LATE_AUTHORISER,
+    GOES_AWAY_AUTHORISER, KILL_AUTHORISER
   }
 
   /** One fault; after it has lasted, what it broke is put right again. */
@@ -32,6 +34,8 @@
 
   private static final double SLOW_COUNTER_MS = 30;
   private static final long MOST_NOTICE_MS = 1_500;
+  /** Later than any door waits for an authoriser. */
+  private static final long LATE_AUTHORISER_MS = 2_500;
 
   private final Rig rig;
   private final List<? extends Door> doors;
@@ -140,10 +144,33 @@
           rig.park().restoreZone("b", MOST_NOTICE_MS);
         }
       }
+      case STALLS_AUTHORISER, DENIES_AUTHORISER, RESETS_AUTHORISER, SPOILS_AUTHORISER, LATE_AUTHORISER,
+          GOES_AWAY_AUTHORISER, KILL_AUTHORISER -> authoriser(f.what(), rig.authorisers().get(f.target()),
+              on);
       default -> backend(f.what(), rig.park().backend(f.target()), on);
     }
   }
 
+  private static void authoriser(What what, StandInAuthoriser a, boolean on) {
+    if (what == What.KILL_AUTHORISER) {
+      if (on) {
+        a.die();
+      } else {
+        a.comeBack();
+      }
+      return;
+    }
+    a.delay(on && what == What.LATE_AUTHORISER ? LATE_AUTHORISER_MS : 0);
+    a.mood(!on ? StandInAuthoriser.Mood.ALLOWS : switch (what) {
+      case STALLS_AUTHORISER -> StandInAuthoriser.Mood.STALLS;
+      case DENIES_AUTHORISER -> StandInAuthoriser.Mood.DENIES;
+      case RESETS_AUTHORISER -> StandInAuthoriser.Mood.RESETS;
+      case SPOILS_AUTHORISER -> StandInAuthoriser.Mood.SPOILS;
+      case GOES_AWAY_AUTHORISER -> StandInAuthoriser.Mood.GOES_AWAY;
+      default -> StandInAuthoriser.Mood.LATE;
+    });
+  }
+
   private void backend(What what, StandInBackend b, boolean on) {
     switch (what) {
       case KILL_BACKEND -> {
--- a/testkit/src/main/java/willowdoor/testkit/Judge.java
+++ b/testkit/src/main/java/willowdoor/testkit/Judge.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.Predicate;
 import willowdoor.testkit.Ledger.Asked;
 import willowdoor.testkit.Ledger.Entry;
 import willowdoor.testkit.Ledger.Kind;
@@ -33,7 +34,7 @@
 
   /** What can be broken. */
   public enum Rule { ANSWERED_ONCE, EFFECT_ONCE, ONE_ATTEMPT_OUT, REFUSED_HARMLESS, DRAIN_KEPT, COLD_SPARED,
-      CEILING_KEPT }
+      CEILING_KEPT, CHECKED_ONCE, ALLOWED_FIRST }
 
   /** One break of a rule: what happened, and the history of the request or machine, in order. */
   public record Breach(Rule rule, String what, List<Entry> history) {
@@ -74,6 +75,7 @@
   private final Ledger ledger;
   private final Terms terms;
   private final BackendShape shape;
+  private final Authorisation authorisation;
   private final List<Breach> breaches = new ArrayList<>();
   private final Map<String, List<double[]>> away = new HashMap<>();
   private int served;
@@ -84,7 +86,21 @@
   /** How large a backend is: what the rule on cold ones goes by. */
   public record BackendShape(int cores, double workMs) { }
 
+  /**
+   * Which requests need an authoriser's allow.
+   *
+   * @param needed of those that are not, nothing is asked and nothing held
+   * @param idempotent checks may be repeated
+   */
+  public record Authorisation(Predicate<Asked> needed, boolean idempotent) { }
+
   public Judge(Ledger ledger, Terms terms, BackendShape shape) {
+    this(ledger, terms, shape, null);
+  }
+
+  /** With authorisation null, as without any. */
+  public Judge(Ledger ledger, Terms terms, BackendShape shape, Authorisation authorisation) {
+    this.authorisation = authorisation;
     this.ledger = ledger;
     this.terms = terms;
     this.shape = shape;
@@ -106,6 +122,9 @@
         answers(asked, history);
         effects(asked, history);
         oneOut(id, history);
+        if (authorisation != null) {
+          checks(asked, history);
+        }
       }
     });
     drains(histories);
@@ -218,6 +237,26 @@
     }
   }
 
+  /** Asked about once unless that may be repeated, and nothing sent on before an allow or after a denial. */
+  private void checks(Asked asked, List<Entry> history) {
+    List<Entry> checks = history.stream().filter(e -> e.kind() == Kind.CHECKED).toList();
+    boolean needed = authorisation.needed().test(asked);
+    if (checks.size() > (!needed ? 0 : authorisation.idempotent() ? Integer.MAX_VALUE : 1)) {
+      breach(Rule.CHECKED_ONCE, checks.size() + " checks of it", history);
+    }
+    boolean allowed = false;
+    boolean denied = false;
+    for (Entry e : history) {
+      allowed |= e.kind() == Kind.ALLOWED;
+      denied |= e.kind() == Kind.DENIED;
+      if (needed && e.kind() == Kind.FIRST_BYTE && (!allowed || denied)) {
+        breach(Rule.ALLOWED_FIRST, denied ? "sent on though it was denied" : "sent on without an allow",
+            history);
+        return;
+      }
+    }
+  }
+
   /** Never two attempts out: the second's last byte may not come while the first has not ended. */
   private void oneOut(String id, List<Entry> history) {
     Map<String, Entry> out = new HashMap<>();
--- a/testkit/src/main/java/willowdoor/testkit/Ledger.java
+++ b/testkit/src/main/java/willowdoor/testkit/Ledger.java
@@ -51,6 +51,12 @@
     TURNED_AWAY,
     /** An attempt's connection ended before the answer was written. */
     ATTEMPT_ENDED,
+    /** A check of it came whole to an authoriser. */
+    CHECKED,
+    /** An authoriser was about to write that it allows it. */
+    ALLOWED,
+    /** An authoriser was about to write that it denies it. */
+    DENIED,
 
     /** A door or backend is told to live from here on. */
     STARTED,
--- a/testkit/src/main/java/willowdoor/testkit/Rig.java
+++ b/testkit/src/main/java/willowdoor/testkit/Rig.java
@@ -3,6 +3,9 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http2.Http2Settings;
+import io.netty.handler.ssl.SslContext;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 
@@ -23,6 +26,9 @@
   private final StandInCounter counter;
   private final BackendPark park;
   private final long seed;
+  private final List<StandInAuthoriser> authorisers = new ArrayList<>();
+  private EventLoopGroup authoriserLoop;
+  private Judge.Authorisation authorisation;
   private ClientFleet fleet;
 
   public Rig(Terms terms, BackendPark.Make make, long seed) {
@@ -62,6 +68,26 @@
     return seed;
   }
 
+  /** A policy server that tells its clients such settings; tls may be null. */
+  public StandInAuthoriser authoriser(String name, Http2Settings settings, SslContext tls) {
+    if (authoriserLoop == null) {
+      authoriserLoop = loop();
+    }
+    StandInAuthoriser made = new StandInAuthoriser(name, authoriserLoop.next(), ledger, settings, tls);
+    authorisers.add(made);
+    return made;
+  }
+
+  /** Policy servers of this world, in the order of their making. */
+  public List<StandInAuthoriser> authorisers() {
+    return List.copyOf(authorisers);
+  }
+
+  /** Holds requests to this too. */
+  public void authorise(Judge.Authorisation needed) {
+    authorisation = needed;
+  }
+
   /** The client fleet of these doors; it asks nothing before it is told to. */
   public ClientFleet fleet(List<? extends Door> doors, ClientFleet.Load load) {
     fleet = new ClientFleet(clientLoop.next(), ledger, terms, doors, load, seed);
@@ -70,7 +96,7 @@
 
   /** Holds what happened to the rules; to be asked when all tries have ended. */
   public Judge.Verdict verdict() {
-    return new Judge(ledger, terms, make.shape()).verdict();
+    return new Judge(ledger, terms, make.shape(), authorisation).verdict();
   }
 
   @Override
@@ -81,5 +107,8 @@
     for (EventLoopGroup group : List.of(clientLoop, backendLoop, peerLoop)) {
       group.shutdownGracefully(0, 500, TimeUnit.MILLISECONDS);
     }
+    if (authoriserLoop != null) {
+      authoriserLoop.shutdownGracefully(0, 500, TimeUnit.MILLISECONDS);
+    }
   }
 }
--- /dev/null
+++ b/testkit/src/main/java/willowdoor/testkit/StandInAuthoriser.java
@@ -0,0 +1,384 @@
+package willowdoor.testkit;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.envoyproxy.envoy.service.auth.v3.AttributeContext;
+import io.envoyproxy.envoy.service.auth.v3.CheckRequest;
+import io.envoyproxy.envoy.service.auth.v3.CheckResponse;
+import io.envoyproxy.envoy.service.auth.v3.DeniedHttpResponse;
+import io.envoyproxy.envoy.type.v3.HttpStatus;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http2.DefaultHttp2DataFrame;
+import io.netty.handler.codec.http2.DefaultHttp2Headers;
+import io.netty.handler.codec.http2.DefaultHttp2HeadersFrame;
+import io.netty.handler.codec.http2.DefaultHttp2ResetFrame;
+import io.netty.handler.codec.http2.Http2DataFrame;
+import io.netty.handler.codec.http2.Http2Error;
+import io.netty.handler.codec.http2.Http2FrameCodec;
+import io.netty.handler.codec.http2.Http2FrameCodecBuilder;
+import io.netty.handler.codec.http2.Http2HeadersFrame;
+import io.netty.handler.codec.http2.Http2MultiplexHandler;
+import io.netty.handler.codec.http2.Http2Settings;
+import io.netty.handler.codec.http2.Http2StreamChannel;
+import io.netty.handler.codec.http2.Http2StreamFrame;
+import io.netty.handler.ssl.SslContext;
+import io.netty.util.ReferenceCountUtil;
+import java.net.InetSocketAddress;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Function;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+import willowdoor.testkit.Ledger.Kind;
+
+/**
+ * One scripted policy server: {@code envoy.service.auth.v3.Authorization/Check} over HTTP/2 frames, so that
+ * it
+ * can break the protocol where a gRPC server can't. Notes each check that came whole, and each answer before
+ * it is written. All on one event loop.
+ */
+public final class StandInAuthoriser {
+
+  /** What it does with a check. */
+  public enum Mood {
+    ALLOWS,
+    DENIES,
+    /** Allows and denies by turns. */
+    FLIPS,
+    /** Never answers. */
+    STALLS,
+    /** Allows after {@link #delay}. */
+    LATE,
+    /** Resets the stream once it has the check. */
+    RESETS,
+    /** Refuses the stream unseen, as HTTP/2 has it. */
+    REFUSES_STREAMS,
+    /** Sends GOAWAY with each check and answers it. */
+    GOES_AWAY,
+    /** Sends a GOAWAY by which the check was not seen, and closes. */
+    GOES_AWAY_UNSEEN,
+    /** Resets the connection once it has the check. */
+    DIES,
+    /** Answers what is no message of the protocol. */
+    SPOILS,
+    /** Answers a megabyte. */
+    OVERSIZED,
+    /** Allows twice within one call. */
+    ANSWERS_TWICE,
+    /** Ends the call with the gRPC status UNAVAILABLE. */
+    UNAVAILABLE
+  }
+
+  /** Held, as a logger that nothing holds forgets its level: frames after a GOAWAY are no news here. */
+  private static final Logger DECODER = Logger.getLogger(
+      "io.netty.handler.codec.http2.DefaultHttp2ConnectionDecoder");
+  private static final int LARGEST_CHECK = 1 << 20;
+  private static final int CHECKS_KEPT = 1_000;
+  private static final int UNAVAILABLE_CODE = 14;
+  private static final int PERMISSION_DENIED = 7;
+
+  private final String name;
+  private final EventLoop loop;
+  private final Ledger ledger;
+  private final Http2Settings http2;
+  private final SslContext tls;
+  private final ChannelGroup open;
+  private final Queue<CheckRequest> seen = new ConcurrentLinkedQueue<>();
+  private final AtomicInteger checks = new AtomicInteger();
+  private final AtomicInteger connections = new AtomicInteger();
+  private final AtomicInteger abandoned = new AtomicInteger();
+  private volatile Mood mood = Mood.ALLOWS;
+  private volatile long delayMs;
+  private volatile Function<CheckRequest, CheckResponse> script;
+  private Channel listening;
+  private InetSocketAddress address;
+  private boolean flipped;
+  private boolean alive;
+
+  /** Listens on a free loopback port; settings are those it tells its clients, tls may be null. */
+  public StandInAuthoriser(String name, EventLoop loop, Ledger ledger, Http2Settings settings,
+      SslContext tls) {
+    this.name = name;
+    this.loop = loop;
+    this.ledger = ledger;
+    this.http2 = settings;
+    this.tls = tls;
+    this.open = new DefaultChannelGroup(loop);
+    DECODER.setLevel(Level.WARNING);
+    listen();
+  }
+
+  public String name() {
+    return name;
+  }
+
+  public InetSocketAddress address() {
+    return address;
+  }
+
+  /** From the next check on it does so. */
+  public void mood(Mood other) {
+    mood = other;
+  }
+
+  /** Answers wait so long; STALLS has none. */
+  public void delay(long ms) {
+    delayMs = ms;
+  }
+
+  /** Answers by a function, or with null by its mood again. */
+  public void script(Function<CheckRequest, CheckResponse> answers) {
+    script = answers;
+  }
+
+  /** Checks that came whole. */
+  public int checks() {
+    return checks.get();
+  }
+
+  /** Connections taken so far. */
+  public int connections() {
+    return connections.get();
+  }
+
+  /** Calls that the asking side gave up before they had their answer. */
+  public int abandoned() {
+    return abandoned.get();
+  }
+
+  /** The next of the checks seen, the first {@value #CHECKS_KEPT} of a run; null when there is none. */
+  public CheckRequest seen() {
+    return seen.poll();
+  }
+
+  private void listen() {
+    InetSocketAddress at = address == null ? new InetSocketAddress("127.0.0.1", 0) : address;
+    listening = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+        .option(ChannelOption.SO_REUSEADDR, true).childOption(ChannelOption.TCP_NODELAY, true)
+        .childHandler(new ChannelInitializer<Channel>() {
+          @Override
+          protected void initChannel(Channel ch) {
+            open.add(ch);
+            connections.incrementAndGet();
+            if (tls != null) {
+              ch.pipeline().addLast(tls.newHandler(ch.alloc()));
+            }
+            Http2FrameCodec codec = Http2FrameCodecBuilder.forServer().initialSettings(http2).build();
+            ch.pipeline().addLast(codec, new Http2MultiplexHandler(new ChannelInitializer<Channel>() {
+              @Override
+              protected void initChannel(Channel stream) {
+                stream.pipeline().addLast(new Call(codec));
+              }
+            }), new ChannelInboundHandlerAdapter() {
+              @Override
+              public void exceptionCaught(ChannelHandlerContext c, Throwable cause) {
+                // What its own breaks of the protocol bring about; the codec ends the connection where needed.
+              }
+            });
+          }
+        }).bind(at).syncUninterruptibly().channel();
+    address = (InetSocketAddress) listening.localAddress();
+    alive = true;
+    ledger.machine(Kind.STARTED, name, "");
+  }
+
+  /** Its process dies: connections are reset, new ones refused. */
+  public synchronized void die() {
+    if (!alive) {
+      return;
+    }
+    alive = false;
+    listening.close().syncUninterruptibly();
+    loop.submit(() -> open.forEach(StandInAuthoriser::reset)).syncUninterruptibly();
+    ledger.machine(Kind.KILLED, name, "");
+  }
+
+  /** It listens again where it did, and allows. */
+  public synchronized void comeBack() {
+    mood = Mood.ALLOWS;
+    if (!alive) {
+      listen();
+    }
+  }
+
+  private static void reset(Channel connection) {
+    connection.config().setOption(ChannelOption.SO_LINGER, 0);
+    connection.close();
+  }
+
+  /** An allow without anything more. */
+  public static CheckResponse allow() {
+    return CheckResponse.getDefaultInstance();
+  }
+
+  /** A denial with that status for the client. */
+  public static CheckResponse deny(int status, String body) {
+    return CheckResponse.newBuilder()
+        .setStatus(com.google.rpc.Status.newBuilder().setCode(PERMISSION_DENIED))
+        .setDeniedResponse(DeniedHttpResponse.newBuilder().setBody(body)
+            .setStatus(HttpStatus.newBuilder().setCodeValue(status))).build();
+  }
+
+  /** One call. */
+  private final class Call extends SimpleChannelInboundHandler<Http2StreamFrame> {
+    private final Http2FrameCodec codec;
+    private final ByteBuf body = Unpooled.buffer();
+    private ChannelHandlerContext ctx;
+    private String id = "";
+    private String attempt = "";
+    private boolean done;
+
+    Call(Http2FrameCodec codec) {
+      this.codec = codec;
+    }
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext added) {
+      ctx = added;
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext c, Http2StreamFrame frame) {
+      if (frame instanceof Http2HeadersFrame) {
+        if (mood == Mood.REFUSES_STREAMS) {
+          done = true;
+          ctx.writeAndFlush(new DefaultHttp2ResetFrame(Http2Error.REFUSED_STREAM));
+        } else if (mood == Mood.GOES_AWAY_UNSEEN) {
+          done = true;
+          goAway(streamId() - 2);
+          ctx.channel().parent().close();
+        }
+      } else if (frame instanceof Http2DataFrame data && !done) {
+        body.writeBytes(data.content());
+        if (body.readableBytes() > LARGEST_CHECK) {
+          ctx.writeAndFlush(new DefaultHttp2ResetFrame(Http2Error.CANCEL));
+        } else if (data.isEndStream()) {
+          took();
+        }
+      }
+    }
+
+    private int streamId() {
+      return ((Http2StreamChannel) ctx.channel()).stream().id();
+    }
+
+    private void goAway(int lastStream) {
+      ChannelHandlerContext at = ctx.channel().parent().pipeline().context(codec);
+      codec.goAway(at, lastStream, 0, Unpooled.EMPTY_BUFFER, at.newPromise());
+      at.flush();
+    }
+
+    private void took() {
+      CheckRequest request;
+      try {
+        body.skipBytes(1);
+        int length = body.readInt();
+        request = CheckRequest.parseFrom(body.nioBuffer(body.readerIndex(), length));
+      } catch (InvalidProtocolBufferException e) {
+        ctx.writeAndFlush(new DefaultHttp2ResetFrame(Http2Error.PROTOCOL_ERROR));
+        return;
+      }
+      AttributeContext.HttpRequest http = request.getAttributes().getRequest().getHttp();
+      id = http.getId();
+      attempt = name + "/" + ctx.channel().parent().id().asShortText() + "/" + streamId();
+      ledger.request(Kind.CHECKED, id, name, 0, attempt);
+      if (checks.incrementAndGet() <= CHECKS_KEPT) {
+        seen.add(request);
+      }
+      answer(request);
+    }
+
+    private void answer(CheckRequest request) {
+      if (script != null) {
+        later(() -> write(script.apply(request)));
+        return;
+      }
+      switch (mood) {
+        case DENIES -> later(() -> write(deny(403, "denied by " + name)));
+        case FLIPS -> {
+          flipped = !flipped;
+          boolean allows = flipped;
+          later(() -> write(allows ? allow() : deny(403, "denied by " + name)));
+        }
+        case STALLS -> { }
+        case RESETS -> ctx.writeAndFlush(new DefaultHttp2ResetFrame(Http2Error.INTERNAL_ERROR));
+        case GOES_AWAY -> {
+          goAway(streamId());
+          later(() -> write(allow()));
+        }
+        case DIES -> reset(ctx.channel().parent());
+        case SPOILS -> later(() -> send(new byte[] {(byte) 0xff, (byte) 0xff, (byte) 0xff, 1}, 1, 0));
+        case OVERSIZED -> later(() -> send(new byte[1 << 20], 1, 0));
+        case ANSWERS_TWICE -> later(() -> {
+          note(allow());
+          send(allow().toByteArray(), 2, 0);
+        });
+        case UNAVAILABLE -> later(() -> send(null, 0, UNAVAILABLE_CODE));
+        default -> later(() -> write(allow()));
+      }
+    }
+
+    private void later(Runnable task) {
+      if (delayMs == 0) {
+        task.run();
+      } else {
+        loop.schedule(task, delayMs, TimeUnit.MILLISECONDS);
+      }
+    }
+
+    private void note(CheckResponse answer) {
+      ledger.request(answer.getStatus().getCode() == 0 ? Kind.ALLOWED : Kind.DENIED, id, name, 0, attempt);
+    }
+
+    private void write(CheckResponse answer) {
+      if (ctx.channel().isActive()) {
+        note(answer);
+        send(answer.toByteArray(), 1, 0);
+      }
+    }
+
+    private void send(byte[] message, int times, int status) {
+      done = true;
+      ctx.write(new DefaultHttp2HeadersFrame(new DefaultHttp2Headers().status("200")
+          .set("content-type", "application/grpc")));
+      for (int i = 0; i < times; i++) {
+        ByteBuf framed = Unpooled.buffer(message.length + 5).writeByte(0).writeInt(message.length)
+            .writeBytes(message);
+        ctx.write(new DefaultHttp2DataFrame(framed));
+      }
+      ctx.writeAndFlush(new DefaultHttp2HeadersFrame(new DefaultHttp2Headers().set("grpc-status",
+          Integer.toString(status)), true));
+    }
+
+    @Override
+    public void userEventTriggered(ChannelHandlerContext c, Object event) {
+      if (event instanceof io.netty.handler.codec.http2.Http2ResetFrame) {
+        abandoned.incrementAndGet();
+      }
+      ReferenceCountUtil.release(event);
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext c) {
+      body.release();
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext c, Throwable cause) {
+      c.close();
+    }
+  }
+}
--- a/testkit/src/main/java/willowdoor/testkit/StandInBackend.java
+++ b/testkit/src/main/java/willowdoor/testkit/StandInBackend.java
@@ -16,6 +16,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpVersion;
@@ -66,6 +67,7 @@
   private final ArrayDeque<Work> queue = new ArrayDeque<>();
   private volatile Mood mood = Mood.WELL;
   private volatile boolean alive;
+  private volatile HttpHeaders lastHeaders;
   private Channel listening;
   private InetSocketAddress address;
   private int running;
@@ -100,6 +102,11 @@
     return alive;
   }
 
+  /** The headers of the newest attempt that came whole, or null. */
+  public HttpHeaders lastHeaders() {
+    return lastHeaders;
+  }
+
   /** From the next request on it does so. */
   public void mood(Mood other) {
     mood = other;
@@ -250,6 +257,7 @@
       first.at = Double.NaN;
       String id = String.valueOf(request.headers().get("Request-Id"));
       String key = request.headers().get("Idempotency-Key");
+      lastHeaders = request.headers();
       request.release();
       Asked asked = park.ledger().asked(id);
       String attempt = name + '/' + channel.id().asShortText() + '/' + attempts++;
--- a/testkit/src/main/java/willowdoor/testkit/StandInCounter.java
+++ b/testkit/src/main/java/willowdoor/testkit/StandInCounter.java
@@ -43,6 +43,9 @@
   private volatile double delayMs = 1;
   private volatile boolean hanging;
   private long calls;
+  /** What was added to all names of a customer, whatever became of them; the customer is what stands before
+  the colon. */
+  private final Map<String, Double> added = new HashMap<>();
 
   /** Listens on a free loopback port; all its work is on the group's one loop. */
   public StandInCounter(EventLoopGroup group, Ledger ledger) {
@@ -87,6 +90,15 @@
     return calls;
   }
 
+  /**
+   * All that was ever added to the names that begin with the text and a colon, expired ones included; kept
+   * for
+   * as many customers as a run has.
+   */
+  public synchronized double added(String beforeColon) {
+    return added.getOrDefault(beforeColon, 0.0);
+  }
+
   /** It is gone: connections end and new ones are refused. */
   public void lose() {
     listening.close().syncUninterruptibly();
@@ -128,6 +140,7 @@
       Count count = old == null ? new Count(amount, now + life) : new Count(old.total() + amount,
           old.endsAt());
       counts.put(parts[1], count);
+      added.merge(parts[1].substring(0, Math.max(0, parts[1].indexOf(':'))), amount, Double::sum);
       return String.format(Locale.ROOT, "ok %.6f", count.total());
     } catch (NumberFormatException e) {
       return "error";
--- a/testkit/src/test/java/willowdoor/testkit/JudgeTest.java
+++ b/testkit/src/test/java/willowdoor/testkit/JudgeTest.java
@@ -253,4 +253,63 @@
     attempt("invented", 100, "b0", "c1");
     only(Rule.ANSWERED_ONCE, "invented");
   }
+
+  private void onlyOfChecks(Rule rule, boolean idempotent) {
+    Verdict v = new Judge(ledger, Terms.usual(), new Judge.BackendShape(2, 100),
+        new Judge.Authorisation(a -> a.kind() == RequestKind.BUY, idempotent)).verdict();
+    assertEquals(rule == null ? List.of() : List.of(rule), v.breaches().stream().map(Breach::rule).toList(),
+        v::toString);
+  }
+
+  private void checked(String id, double atMs, Kind answer) {
+    put(id, Kind.CHECKED, atMs, "one", 0, "s" + atMs);
+    if (answer != null) {
+      put(id, answer, atMs, "one", 0, "s" + atMs);
+    }
+  }
+
+  @Test
+  void findsASecondCheck() {
+    asked("a", RequestKind.BUY, 0);
+    checked("a", 1, null);
+    checked("a", 2, Kind.ALLOWED);
+    served("a", 10, "b0");
+    onlyOfChecks(Rule.CHECKED_ONCE, false);
+    onlyOfChecks(null, true);
+  }
+
+  @Test
+  void findsACheckOfWhatNeedsNone() {
+    asked("a", RequestKind.QUOTE, 0);
+    checked("a", 1, Kind.ALLOWED);
+    served("a", 10, "b0");
+    onlyOfChecks(Rule.CHECKED_ONCE, true);
+  }
+
+  @Test
+  void findsWhatWasSentOnWithoutOrBeforeAnAllow() {
+    asked("a", RequestKind.BUY, 0);
+    served("a", 10, "b0");
+    onlyOfChecks(Rule.ALLOWED_FIRST, false);
+    checked("a", 60, Kind.ALLOWED);
+    onlyOfChecks(Rule.ALLOWED_FIRST, false);
+  }
+
+  @Test
+  void findsWhatWasSentOnThoughItWasDenied() {
+    asked("a", RequestKind.BUY, 0);
+    checked("a", 1, Kind.DENIED);
+    served("a", 10, "b0");
+    onlyOfChecks(Rule.ALLOWED_FIRST, false);
+  }
+
+  @Test
+  void passesWhatWasAllowedAndWhatNeedsNone() {
+    asked("a", RequestKind.BUY, 0);
+    checked("a", 1, Kind.ALLOWED);
+    served("a", 10, "b0");
+    asked("b", RequestKind.QUOTE, 0);
+    served("b", 10, "b0");
+    onlyOfChecks(null, false);
+  }
 }
