--- a/daemon/src/main/java/willowdoor/daemon/fleet/AuthorisedCommand.java
+++ b/daemon/src/main/java/willowdoor/daemon/fleet/AuthorisedCommand.java
@@ -7,6 +7,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
 import java.util.concurrent.Callable;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
@@ -139,11 +141,28 @@
           asked.stream().map(a -> a.name() + " " + a.checks()).toList(), run.rig().counter().calls(),
               resident);
       out.print(verdict);
+      unanswered(run);
       out.flush();
       return verdict.kept() && differing == 0 ? 0 : 1;
     }
   }
 
+  /** How the histories of requests end that have no answer. */
+  private void unanswered(FleetRun run) {
+    long denied = run.rig().ledger().histories().values().stream().filter(h -> h.stream().anyMatch(
+        e -> e.kind() == Kind.DENIED) && h.stream().anyMatch(e -> e.kind() == Kind.ANSWERED
+        && e.amount() == 403)).count();
+    out.printf("denied %d%n", denied);
+    Map<String, Integer> ends = new TreeMap<>();
+    run.rig().ledger().histories().forEach((id, history) -> {
+      if (history.stream().noneMatch(e -> e.kind() == Kind.ANSWERED)) {
+        ends.merge(history.stream().map(e -> e.kind() + (e.note().equals("kept") ? " (kept)" : ""))
+            .collect(Collectors.joining(", ")), 1, Integer::sum);
+      }
+    });
+    ends.forEach((end, count) -> out.printf("without an answer: %5d  %s%n", count, end));
+  }
+
   /** Has every firm's true units settled, and compares what the counter was told with what was done. */
   private int settle(FleetRun run, List<StandInAuthoriser> asked) {
     asked.forEach(a -> {
@@ -156,7 +175,7 @@
       FleetRun.sleep(50);
       FleetRun.until(() -> run.clients().unserved() == 0, SETTLE_LIMIT_MS);
     }
-    java.util.Map<String, Double> done = new java.util.HashMap<>();
+    Map<String, Double> done = new TreeMap<>();
     run.rig().ledger().histories().forEach((id, history) -> history.stream()
         .filter(e -> e.kind() == Kind.EFFECT)
         .forEach(e -> done.merge(run.rig().ledger().asked(id).firm(), e.amount(), Double::sum)));
--- a/testkit/src/main/java/willowdoor/testkit/StandInAuthoriser.java
+++ b/testkit/src/main/java/willowdoor/testkit/StandInAuthoriser.java
@@ -185,7 +185,7 @@
             }), new ChannelInboundHandlerAdapter() {
               @Override
               public void exceptionCaught(ChannelHandlerContext c, Throwable cause) {
-                // What its own breaks of the protocol bring about; the codec ends the connection where needed.
+                // What its own breaks of the protocol bring about; the codec ends the connection.
               }
             });
           }
