--- a/daemon/src/main/java/willowdoor/daemon/fleet/AuthorisedCommand.java
+++ b/daemon/src/main/java/willowdoor/daemon/fleet/AuthorisedCommand.java
@@ -156,7 +156,8 @@
     Map<String, Integer> ends = new TreeMap<>();
     run.rig().ledger().histories().forEach((id, history) -> {
       if (history.stream().noneMatch(e -> e.kind() == Kind.ANSWERED)) {
-        ends.merge(history.stream().map(e -> e.kind() + (e.note().equals("kept") ? " (kept)" : ""))
+        ends.merge(history.stream().map(e -> String.format("%s %s near %.0f s", e.kind(), e.note(),
+            e.atMs() / 1_000))
             .collect(Collectors.joining(", ")), 1, Integer::sum);
       }
     });
