--- a/authz/src/main/java/willowdoor/extauthz/AuthoriserLink.java
+++ b/authz/src/main/java/willowdoor/extauthz/AuthoriserLink.java
@@ -11,11 +11,13 @@
 import io.grpc.Metadata;
 import io.grpc.Status;
 import io.grpc.netty.NettyChannelBuilder;
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.handler.ssl.SslContext;
 import java.util.concurrent.TimeUnit;
 import willowdoor.extauthz.ExtAuthzSettings.Link;
-import willowdoor.net.FrontDoor;
 
 /**
  * The channel to one authoriser, on the door's loop: no thread a call, and none beside the loop. A call's end
@@ -44,20 +46,24 @@
 
   private final Link link;
   private final EventLoopGroup group;
+  private final Class<? extends Channel> sockets;
   private final int largestAnswer;
   private ManagedChannel channel;
 
   /** Connects at once; for the loop, where the TLS context is null or made already. */
-  AuthoriserLink(Link link, EventLoopGroup group, int largestAnswer, SslContext tls) {
+  AuthoriserLink(Link link, EventLoopGroup group, Class<? extends Channel> sockets, int largestAnswer,
+      SslContext tls) {
     this.link = link;
     this.group = group;
+    this.sockets = sockets;
     this.largestAnswer = largestAnswer;
     channel = open(tls);
   }
 
   private ManagedChannel open(SslContext tls) {
     NettyChannelBuilder builder = NettyChannelBuilder.forAddress(link.address()).eventLoopGroup(group)
-        .channelType(FrontDoor.socketType()).directExecutor().disableServiceConfigLookUp()
+        .channelType(sockets).directExecutor().disableServiceConfigLookUp()
+        .withOption(ChannelOption.ALLOCATOR, ByteBufAllocator.DEFAULT)
         .maxInboundMessageSize(largestAnswer).maxInboundMetadataSize(LARGEST_METADATA)
         .idleTimeout(IDLE_DAYS, TimeUnit.DAYS).userAgent("willowdoor")
         .keepAliveTime((long) link.keepAliveMs(), TimeUnit.MILLISECONDS)
--- a/authz/src/main/java/willowdoor/extauthz/Checks.java
+++ b/authz/src/main/java/willowdoor/extauthz/Checks.java
@@ -45,7 +45,7 @@
     AttributeContext.Builder attributes = AttributeContext.newBuilder()
         .setRequest(AttributeContext.Request.newBuilder().setTime(time(nowMs)).setHttp(http))
         .putContextExtensions("class", request.className()).putContextExtensions("plan", request.planName())
-        .putContextExtensions("firm", String.format("%016x", request.customer()))
+        .putContextExtensions("firm", firm(request))
         .putContextExtensions("units", Double.toString(request.units()))
         .putContextExtensions("member", member.name());
     if (origin.source() instanceof InetSocketAddress source) {
@@ -57,6 +57,11 @@
     return CheckRequest.newBuilder().setAttributes(attributes).build();
   }
 
+  /** A customer's number as its header has it. */
+  static String firm(Request request) {
+    return HexFormat.of().toHexDigits(request.customer());
+  }
+
   private static Timestamp time(double ms) {
     long seconds = (long) Math.floor(ms / 1_000);
     return Timestamp.newBuilder().setSeconds(seconds).setNanos((int) ((ms - seconds * 1_000.0) * 1e6))
--- a/authz/src/main/java/willowdoor/extauthz/ExtAuthzGate.java
+++ b/authz/src/main/java/willowdoor/extauthz/ExtAuthzGate.java
@@ -6,6 +6,7 @@
 import io.grpc.Status;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -42,6 +43,7 @@
 import willowdoor.authz.AuthzSettings.Member;
 import willowdoor.authz.Gatekeeper;
 import willowdoor.extauthz.ExtAuthzSettings.Link;
+import willowdoor.net.FrontDoor;
 import willowdoor.net.Gate;
 import willowdoor.policy.GatewayApi.Request;
 
@@ -94,10 +96,24 @@
    */
   public static ExtAuthzGate open(ExtAuthzSettings settings, String door, EventLoopGroup group,
       DoubleSupplier clock, long seed) throws IOException {
+    return open(settings, door, group, FrontDoor.socketType(), clock, seed);
+  }
+
+  /**
+   * Warms this process up for asking, within the limit; for a thread that may wait, not the loop.
+   *
+   * @return how many made-up requests went through
+   */
+  public static int warmUp(long limitMs) {
+    return GateWarmUp.run(limitMs);
+  }
+
+  static ExtAuthzGate open(ExtAuthzSettings settings, String door, EventLoopGroup group,
+      Class<? extends Channel> sockets, DoubleSupplier clock, long seed) throws IOException {
     ExtAuthzGate gate = new ExtAuthzGate(settings, door, group.next(), clock, seed);
     try {
       for (Link link : settings.links()) {
-        gate.connect(link, group);
+        gate.connect(link, group, sockets);
       }
     } catch (IOException e) {
       gate.close();
@@ -109,10 +125,11 @@
     return gate;
   }
 
-  private void connect(Link link, EventLoopGroup group) throws IOException {
+  private void connect(Link link, EventLoopGroup group, Class<? extends Channel> sockets)
+      throws IOException {
     TlsFiles files = link.tls() == null ? null : new TlsFiles(link.tls());
     SslContext tls = files == null ? null : files.read();
-    AuthoriserLink opened = new AuthoriserLink(link, group, settings.bounds().answerBytes(), tls);
+    AuthoriserLink opened = new AuthoriserLink(link, group, sockets, settings.bounds().answerBytes(), tls);
     links.add(opened);
     if (files != null) {
       watch(opened, files);
@@ -236,7 +253,7 @@
       held.remove(request.id(), this);
       if (log != null) {
         log.add(new DecisionLog.Entry(cameMs, door, request.id(), member.name(),
-            String.format("%016x", request.customer()), request.planName(), request.className(),
+            Checks.firm(request), request.planName(), request.className(),
             List.copyOf(calls), decision, decidedMs - cameMs, end.name(), clock.getAsDouble() - cameMs,
             metadata));
       }
--- a/authz/src/main/java/willowdoor/extauthz/ExtAuthzSettings.java
+++ b/authz/src/main/java/willowdoor/extauthz/ExtAuthzSettings.java
@@ -1,6 +1,6 @@
 package willowdoor.extauthz;
 
-import java.net.InetSocketAddress;
+import java.net.SocketAddress;
 import java.nio.file.Path;
 import java.util.List;
 import willowdoor.authz.AuthzSettings;
@@ -25,7 +25,7 @@
    * @param keepAliveMs a connection on which nothing came for so long is pinged
    * @param keepAliveAnswerMs and closed when it doesn't answer for so long
    */
-  public record Link(String name, InetSocketAddress address, Tls tls, double keepAliveMs,
+  public record Link(String name, SocketAddress address, Tls tls, double keepAliveMs,
       double keepAliveAnswerMs) { }
 
   /**
--- a/daemon/src/main/java/willowdoor/daemon/config/DaemonConfig.java
+++ b/daemon/src/main/java/willowdoor/daemon/config/DaemonConfig.java
@@ -114,10 +114,16 @@
   /** As the door takes it, with a seed for its random choices. */
   public Config door(long seed) {
     return new Config(instance.listen(), discovery, counter.address(), seed, settings,
-        Bounds.of(limits.descriptors(), limits.memoryMb()), backends.connectLimitMs(), backends.idleLimitMs(),
+        Bounds.of(limits.descriptors() - authoriserSockets(), limits.memoryMb()), backends.connectLimitMs(),
+            backends.idleLimitMs(),
         backends.known());
   }
 
+  /** A connection to each authoriser, and a second one while its TLS files have changed. */
+  private int authoriserSockets() {
+    return authorisation == null ? 0 : 2 * authorisation.links().size();
+  }
+
   /** Reads one file's tables in the order of the records. */
   static final class Reader {
     private final List<Problem> problems;
--- a/daemon/src/main/java/willowdoor/daemon/fleet/AuthorisedCommand.java
+++ b/daemon/src/main/java/willowdoor/daemon/fleet/AuthorisedCommand.java
@@ -226,13 +226,18 @@
         s.run().clients().begin();
         began.add(s.run().rig().ledger().now());
       }
-      waitUntil(sides.get(0).run(), began.get(0) + WARM_UP_MS);
+      double measuredFromMs = Math.max(WARM_UP_MS, seconds * 1_000.0 / 3);
+      waitUntil(sides.get(0).run(), began.get(0) + measuredFromMs);
       sides.forEach(s -> {
         s.cpuAndTries()[0] = s.run().doors().get(0).cpuSeconds();
         s.cpuAndTries()[1] = s.run().clients().sent();
       });
       waitUntil(sides.get(0).run(), began.get(0) + seconds * 1_000.0);
       int broken = 0;
+      for (Side s : sides) {
+        out.print(s.run().log(0).lines().filter(l -> l.contains("made-up")).map(l -> String
+            .format("%s: %s%n", s.name(), l)).collect(Collectors.joining()));
+      }
       out.printf("%-18s %8s %10s %10s %14s %10s %8s%n", "", "tries", "p50 ms", "p99 ms", "CPU us a try",
           "resident", "served");
       for (int i = 0; i < sides.size(); i++) {
@@ -241,7 +246,7 @@
         double tries = s.run().clients().sent() - s.cpuAndTries()[1];
         double resident = s.run().doors().get(0).residentMb();
         Verdict verdict = s.run().finish();
-        Histogram h = times(s.run(), began.get(i) + WARM_UP_MS, Double.MAX_VALUE, a -> true);
+        Histogram h = times(s.run(), began.get(i) + measuredFromMs, Double.MAX_VALUE, a -> true);
         out.printf(Locale.ROOT, "%-18s %8.0f %10.2f %10.2f %14.0f %7.1f MB %8d%n", s.name(), tries,
             h.getValueAtPercentile(50) / 1e3, h.getValueAtPercentile(99) / 1e3, 1e6 * cpu / tries, resident,
             verdict.served());
--- a/daemon/src/main/java/willowdoor/daemon/life/Daemon.java
+++ b/daemon/src/main/java/willowdoor/daemon/life/Daemon.java
@@ -26,6 +26,9 @@
 
   private static final Logger LOG = Logger.getLogger(Daemon.class.getName());
 
+  /** Longest warm-up of what asks authorisers, beside the door's own. */
+  private static final long AUTHORISATION_WARM_UP_MS = 3_000;
+
   private final DaemonConfig config;
   private final Path file;
   private final FrontDoor door;
@@ -43,6 +46,9 @@
       @Override
       public void warmUp() {
         FrontDoor.warmUp(wired);
+        if (config.authorisation() != null) {
+          LOG.info("warmed up by " + ExtAuthzGate.warmUp(AUTHORISATION_WARM_UP_MS) + " made-up checks");
+        }
       }
 
       @Override
--- a/daemon/src/test/java/willowdoor/daemon/life/ExternalAuthorisationTest.java
+++ b/daemon/src/test/java/willowdoor/daemon/life/ExternalAuthorisationTest.java
@@ -129,6 +129,19 @@
     kept();
   }
 
+  @Test
+  void anAuthoriserThatChangesItsMindIsAskedOnceARequest() throws Exception {
+    open(false);
+    one.mood(Mood.FLIPS);
+    Daemon daemon = at.started("", "");
+    World.Caller caller = at.caller(daemon);
+    for (int i = 0; i < 10; i++) {
+      assertEquals(i % 2 == 0 ? 200 : 403, asked(caller, "r" + i, 2_000));
+    }
+    assertEquals(10, one.checks());
+    kept();
+  }
+
   /** The limit is far off: only the client's own time bounds the call. */
   @Test
   void anAuthoriserThatHangsPastTheClientsDeadline() throws Exception {
