A replaced counter is told by one call, and each door puts back its own part

A counter that is lost comes back empty, and nothing but a total that halves told of it: a firm met through many doors was granted one more burst for each loss.

CounterWatch (willowdoor.recovery, no I/O) adds to a sentinel name of its door, first on each new connection and four times a second; a counter that answers less than it has confirmed is another one. The module gets the event CounterReplaced: where a window is counted by totals, each door puts back what it had itself added, the most spent first at 2,000 calls a second for the fleet, and no answer raises a level until the window's end.

A first full test run was red: tests that count the counter's calls saw the watch's.

--- a/door/src/main/java/willowdoor/net/Config.java
+++ b/door/src/main/java/willowdoor/net/Config.java
@@ -13,10 +13,15 @@
 import willowdoor.wire.JsonFields;
 import willowdoor.wire.WireSettings;
 
-/** What a front door is told at its start: on the platform, the file that {@code GW_CONFIG} names. */
+/**
+ * What a front door is told at its start: on the platform, the file that {@code GW_CONFIG} names.
+ *
+ * @param watchCounter the counter is asked who it is, some calls a second; the platform spares them
+ */
 public record Config(InetSocketAddress listen, InetSocketAddress discovery, InetSocketAddress counter,
     long seed,
-    Settings settings, Bounds limits, double connectLimitMs, double idleLimitMs, RosterNews known) {
+    Settings settings, Bounds limits, double connectLimitMs, double idleLimitMs, RosterNews known,
+    boolean watchCounter) {
 
   /** The addresses that a new configuration may move. */
   record Peers(InetSocketAddress discovery, InetSocketAddress counter) { }
@@ -56,7 +61,8 @@
         : address(fields, "counter");
     return new Config(address(fields, "listen"), address(fields, "discovery"), counter, seed(fields), parsed,
         held, JsonFields.number(bounds, "DialTimeoutMs", 250),
-        JsonFields.number(bounds, "ConnIdleMs", 15_000), RosterNews.of(JsonFields.child(fields, "known")));
+        JsonFields.number(bounds, "ConnIdleMs", 15_000), RosterNews.of(JsonFields.child(fields, "known")),
+            false);
   }
 
   private static long seed(Map<String, Object> fields) throws IOException {
--- a/door/src/main/java/willowdoor/net/CounterClient.java
+++ b/door/src/main/java/willowdoor/net/CounterClient.java
@@ -21,8 +21,18 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.logging.Logger;
 import willowdoor.policy.GatewayApi.Counted;
 import willowdoor.policy.GatewayApi.Status;
+import willowdoor.recovery.CounterWatch;
+import willowdoor.recovery.WatchAction;
+import willowdoor.recovery.WatchAction.Check;
+import willowdoor.recovery.WatchAction.Replaced;
+import willowdoor.recovery.WatchAction.WakeAt;
+import willowdoor.recovery.WatchEvent;
+import willowdoor.recovery.WatchEvent.Answered;
+import willowdoor.recovery.WatchEvent.Connected;
+import willowdoor.recovery.WatchEvent.Woken;
 
 /**
  * Calls to the counter, pipelined on a few kept connections. A call goes to the connection with the fewest
@@ -31,6 +41,8 @@
  */
 final class CounterClient {
 
+  private static final Logger LOG = Logger.getLogger(CounterClient.class.getName());
+
   static final int CONNECTIONS = 12;
   static final double CONNECT_LIMIT_MS = 250;
   /** Answers that one connection may owe; beyond that a call is turned away here. */
@@ -50,6 +62,8 @@
 
   /** One call, or a ping where the name is null; it keeps its place when it is given up. */
   private static final class Call {
+    /** The watch's number of it, or -1 for any other call. */
+    long check = -1;
     final String name;
     final double startedAt;
     Link link;
@@ -67,6 +81,9 @@
   private final double limitMs;
   private final Consumer<Counted> listener;
   private final Dialer dialer;
+  /** Null where nothing is to be told of a counter that was replaced. */
+  private CounterWatch watch;
+  private Runnable replaced;
   private final List<Link> links = new ArrayList<>(CONNECTIONS);
   /** Connections to the address that a new configuration has left; in use until new ones are up. */
   private final List<Link> leaving = new ArrayList<>(0);
@@ -86,9 +103,22 @@
     this.dialer = dialer;
   }
 
+  /**
+   * Has the counter asked who it is, on each new connection first; to be told before the start.
+   *
+   * @param whenReplaced run when another counter answers than before
+   */
+  void watch(CounterWatch counterWatch, Runnable whenReplaced) {
+    watch = counterWatch;
+    replaced = whenReplaced;
+  }
+
   void start() {
     if (counter != null) {
       open();
+      if (watch != null) {
+        loop.execute(() -> tell(new Woken()));
+      }
     }
     loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
   }
@@ -129,6 +159,34 @@
     watchLimit();
   }
 
+  private void tell(WatchEvent event) {
+    for (WatchAction action : watch.on(clock.now(), event)) {
+      if (action instanceof Check c) {
+        check(c);
+      } else if (action instanceof Replaced r) {
+        LOG.info("another counter answers than before (" + r.origin() + "); it is number " + r.incarnation());
+        replaced.run();
+      } else if (action instanceof WakeAt w) {
+        loop.schedule(() -> tell(new Woken()), (long) Math.ceil(Math.max(0, w.atMs() - clock.now()) * 1000)
+            + 1,
+            TimeUnit.MICROSECONDS);
+      }
+    }
+  }
+
+  private void check(Check c) {
+    Link link = c.link() >= 0 && c.link() < links.size() ? links.get(c.link()) : leastOwing(links);
+    if (link == null || !link.open() || link.owed.size() >= MOST_OWED) {
+      loop.execute(() -> tell(new Answered(c.number(), Double.NaN)));
+      return;
+    }
+    Call call = new Call(c.name(), clock.now());
+    call.check = c.number();
+    pending.add(call);
+    link.send(call, "incr " + c.name() + ' ' + plain(c.amount()) + ' ' + (long) c.ttlMs() + "\r\n");
+    watchLimit();
+  }
+
   /** Decimal digits without an exponent, which the counter does not read. */
   static String plain(double amount) {
     if (amount == Math.rint(amount) && Math.abs(amount) < 1e9) {
@@ -158,7 +216,9 @@
     }
     call.done = true;
     lastOfName.remove(call.name, call);
-    if (call.name != null) {
+    if (call.check >= 0) {
+      tell(new Answered(call.check, status == Status.OK ? total : Double.NaN));
+    } else if (call.name != null) {
       listener.accept(new Counted(call.name, status, total, clock.now() - call.startedAt));
     }
   }
@@ -233,6 +293,9 @@
         } else if (f.isSuccess()) {
           channel = f.channel();
           heardAt = clock.now();
+          if (watch != null && links.contains(this)) {
+            tell(new Connected(links.indexOf(this)));
+          }
         } else {
           later();
         }
--- a/door/src/main/java/willowdoor/net/FrontDoor.java
+++ b/door/src/main/java/willowdoor/net/FrontDoor.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.logging.Logger;
 import willowdoor.policy.QuotaPolicy;
+import willowdoor.recovery.CounterWatch;
 
 /**
  * One real front door: its wiring, and the steps of its life. The platform's {@link #serve} takes them in one
@@ -111,6 +112,9 @@
         config.limits(), places);
     counter = new CounterClient(loop, clock, Dialer.sockets(loop, CounterClient.CONNECT_LIMIT_MS),
         config.counter(), config.settings().allowed().countLimitMs(), driver::onCounted);
+    if (config.watchCounter()) {
+      counter.watch(new CounterWatch(Long.toHexString(config.seed())), driver::onCounterReplaced);
+    }
     counter.start();
     driver.start(counter, config.known());
     discovery = new DiscoveryClient(loop, clock, config.discovery(), config.known().version(),
--- a/door/src/main/java/willowdoor/net/ModuleDriver.java
+++ b/door/src/main/java/willowdoor/net/ModuleDriver.java
@@ -19,6 +19,7 @@
 import willowdoor.policy.GatewayApi.Cancel;
 import willowdoor.policy.GatewayApi.ClientLeft;
 import willowdoor.policy.GatewayApi.Counted;
+import willowdoor.policy.GatewayApi.CounterReplaced;
 import willowdoor.policy.GatewayApi.Event;
 import willowdoor.policy.GatewayApi.Fail;
 import willowdoor.policy.GatewayApi.Foresee;
@@ -231,6 +232,10 @@
     deliver(counted);
   }
 
+  void onCounterReplaced() {
+    deliver(new CounterReplaced());
+  }
+
   void onRoster(RosterNews news) {
     backends.onRoster(news);
     deliver(new Roster(news.full() ? RosterForm.COMPLETE : RosterForm.CHANGES, news.entries()));
--- a/door/src/test/java/willowdoor/net/CounterClientTest.java
+++ b/door/src/test/java/willowdoor/net/CounterClientTest.java
@@ -10,11 +10,13 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import willowdoor.policy.GatewayApi.Counted;
 import willowdoor.policy.GatewayApi.Status;
+import willowdoor.recovery.CounterWatch;
 
 /** The counter's client against a scripted counter. */
 @Timeout(30)
@@ -192,4 +194,29 @@
       add("c", 1);
     } while (Peers.next(ends).status() != Status.OK);
   }
+
+  @Test
+  void anotherCounterIsNoticedAndNoCallOfTheModuleIsConfusedByIt() throws Exception {
+    BlockingQueue<String> replaced = new LinkedBlockingQueue<>();
+    client = new CounterClient(group.next(), new Clock(), Dialer.sockets(group.next(), 250),
+        new InetSocketAddress("127.0.0.1", peers.counter.getLocalPort()), 5_000, ends::add);
+    client.watch(new CounterWatch("d1"), () -> replaced.add("replaced"));
+    AtomicBoolean empty = new AtomicBoolean();
+    peers.counting = line -> {
+      if (empty.getAndSet(false)) {
+        peers.forgetCounts();
+      }
+      return peers.count(line);
+    };
+    group.next().submit(client::start).sync();
+    do {
+      add("up", 0);
+    } while (Peers.next(ends).status() == Status.UNREACHABLE);
+    // A check a quarter of a second; the emptied counter shows with the next one.
+    empty.set(true);
+    assertEquals("replaced", Peers.next(replaced));
+    add("a", 2);
+    assertEquals(2, Peers.next(ends).total());
+    assertEquals(0, ends.size(), "no check is told as a call of the module");
+  }
 }
--- a/door/src/test/java/willowdoor/net/Peers.java
+++ b/door/src/test/java/willowdoor/net/Peers.java
@@ -151,6 +151,11 @@
     return "ok " + counts.merge(parts[1], Double.valueOf(parts[2]), Double::sum);
   }
 
+  /** As a counter that began anew. */
+  void forgetCounts() {
+    counts.clear();
+  }
+
   private void serveDiscovery(InputStream in, OutputStream out, Socket socket) throws IOException {
     Message request = read(in);
     write(out, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
--- a/policy/src/main/java/willowdoor/policy/GatewayApi.java
+++ b/policy/src/main/java/willowdoor/policy/GatewayApi.java
@@ -89,6 +89,9 @@
   /** The end of a call to the counter; total is valid with OK. */
   public record Counted(String name, Status status, double total, double latencyMs) implements Event { }
 
+  /** Another counter answers than before: it has none, or not all, of what was added until now. */
+  public record CounterReplaced() implements Event { }
+
   public record Woken(String label) implements Event { }
 
   /** What a module has its gateway do. */
--- a/policy/src/main/java/willowdoor/policy/GatewayState.java
+++ b/policy/src/main/java/willowdoor/policy/GatewayState.java
@@ -70,6 +70,10 @@
     /** The window last answered for, and its total then. */
     long window = Long.MIN_VALUE;
     double seen;
+    /** What this gateway itself has added to that window's count, as answered for. */
+    double given;
+    /** The window in which the counter was replaced: until its end no answer raises the level. */
+    long rebuilt = Long.MIN_VALUE;
     /** The ceiling: what counted sends may use together, and this gateway's own part. */
     double counted;
     double own;
--- a/policy/src/main/java/willowdoor/policy/QuotaPolicy.java
+++ b/policy/src/main/java/willowdoor/policy/QuotaPolicy.java
@@ -44,6 +44,8 @@
   private static final double PACE_LEAST = 0.02;
   /** Where calling resumes when an absent counter is back, so that all gateways together do not flood it. */
   private static final double PACE_BACK = 0.3;
+  /** Calls a second by which all gateways together put back what a replaced counter has lost. */
+  private static final double REBUILD_FLEET_PER_S = 2_000;
   /** A customer known to be spent is still asked about this often, as refunds of others may have come. */
   private static final double SPENT_RECHECK_MS = 400;
   /** How long the spending of a customer is remembered for its rates: longer than a burst, a few refills. */
@@ -129,6 +131,8 @@
       onOutcome(e);
     } else if (event instanceof Counted e) {
       onCounted(e);
+    } else if (event instanceof CounterReplaced) {
+      onCounterReplaced();
     } else if (event instanceof Woken e) {
       onWoken(e);
     } else if (event instanceof Roster e) {
@@ -234,6 +238,8 @@
     }
   };
   private final Map<String, ArrayDeque<Call>> calls = new HashMap<>();
+  /** Accounts whose units are to be put back at a counter that replaced another, at most all there are. */
+  private final ArrayDeque<Account> rebuilding = new ArrayDeque<>();
   private double pace = 1;
   private double pacedAt = Double.NEGATIVE_INFINITY, trialAt = Double.NEGATIVE_INFINITY, answeredAt;
   private int callsFailed;
@@ -289,9 +295,7 @@
     job.waiting = true;
     job.called = true;
     job.asked = a.plain || a.level >= units ? units : 0;
-    Call call = new Call(a, a.windowNow(now), job.asked + a.owed, job);
-    calls.computeIfAbsent(a.name(call.window), n -> new ArrayDeque<>()).add(call);
-    out.add(new Add(a.name(call.window), call.amount, COUNT_TTL_MS));
+    calls(new Call(a, a.windowNow(now), job.asked + a.owed, job));
     a.flying += job.asked;
     a.owed = 0;
   }
@@ -308,6 +312,11 @@
     Account a = call.account;
     Job job = call.job;
     a.advance();
+    if (job == null) {
+      judgeCounter(e);
+      wasPutBack(call, e);
+      return;
+    }
     if (e.status() == Status.SPOILT && job.waiting && !job.reread) {
       readAgain(e.name(), call);
       return;
@@ -380,10 +389,13 @@
     if (!fresh && others < 0 && total < a.seen / 2) {
       others = Math.max(0, total - call.amount);
     }
+    a.given = fresh ? call.amount : a.given + call.amount;
     a.window = call.window;
     a.seen = total;
     if (a.plain) {
-      a.level = call.window == a.windowNow(now) ? a.plan.burst() - (total - call.job.asked) : a.level;
+      double told = a.plan.burst() - (total - call.job.asked);
+      double level = call.window == a.rebuilt ? Math.min(a.level, told) : told;
+      a.level = call.window == a.windowNow(now) ? level : a.level;
       learnRates(a, Math.max(0, others), since);
       return;
     }
@@ -403,6 +415,63 @@
     learnRates(a, others, since);
   }
 
+  /**
+   * Another counter counts from here on. Where one burst a window is counted by totals alone, each gateway
+   * puts
+   * back what it had added itself, with the customer's next add: all of them together make the old total, and
+   * none of it comes twice. Until the window's end no answer raises the level, as others may not have put
+   * theirs
+   * back yet. Where a bucket is followed, the replica keeps what is known, and totals are read from nought
+   * on.
+   */
+  private void onCounterReplaced() {
+    for (Account a : accounts.values()) {
+      if (a.plain && a.window == a.windowNow(now)) {
+        a.owed += a.given;
+        a.rebuilt = a.window;
+      }
+      a.given = 0;
+      a.seen = 0;
+    }
+    rebuilding.clear();
+    accounts.values().stream().filter(a -> a.rebuilt == a.windowNow(now) && a.owed > 0)
+        .sorted(Comparator.comparingDouble(a -> -a.owed)).forEach(rebuilding::add);
+    putBack();
+  }
+
+  /** Puts back unasked too, the most spent first: a customer may turn to a gateway that knows nothing of
+  it. */
+  private void putBack() {
+    int calls = (int) Math.max(1, REBUILD_FLEET_PER_S * TICK_MS / 1000 / Math.max(1, settings.gateways()));
+    while (calls > 0 && !rebuilding.isEmpty()) {
+      Account a = rebuilding.poll();
+      if (a.owed > 0 && a.rebuilt == a.windowNow(now)) {
+        calls--;
+        Call call = new Call(a, a.rebuilt, a.owed, null);
+        calls(call);
+        a.owed = 0;
+      }
+    }
+  }
+
+  private void calls(Call call) {
+    String name = call.account.name(call.window);
+    calls.computeIfAbsent(name, n -> new ArrayDeque<>()).add(call);
+    out.add(new Add(name, call.amount, COUNT_TTL_MS));
+  }
+
+  /** The end of a call that put back what is known, and that no request waits for. */
+  private void wasPutBack(Call call, Counted e) {
+    Account a = call.account;
+    if (e.status() == Status.OK && call.window == a.window) {
+      a.given += call.amount;
+      a.seen = e.total();
+      a.level = Math.min(a.level, a.plan.burst() - e.total());
+    } else if (e.status().provesNotRun() && call.window == a.window) {
+      a.owed += call.amount;
+    }
+  }
+
   private void learnRates(Account a, double others, double sinceMs) {
     double age = Double.isNaN(a.syncedAt) ? sinceMs : now - a.syncedAt;
     double keep = Math.exp(-(a.plain ? age : sinceMs) / (a.plain ? SPELL_MS / 3 : RATE_MEMORY_MS));
@@ -921,7 +990,8 @@
       out.add(new FollowRoster());
     } else if (now >= wakeAt) {
       (stalled() ? List.<Job>of() : List.copyOf(open.values())).forEach(this::look);
-      arm(stalled() ? 1 : open.isEmpty() ? PULSE_MS : TICK_MS);
+      putBack();
+      arm(stalled() ? 1 : open.isEmpty() && rebuilding.isEmpty() ? PULSE_MS : TICK_MS);
     }
   }
 
--- /dev/null
+++ b/policy/src/main/java/willowdoor/recovery/CounterWatch.java
@@ -0,0 +1,189 @@
+package willowdoor.recovery;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import willowdoor.recovery.WatchAction.Check;
+import willowdoor.recovery.WatchAction.Origin;
+import willowdoor.recovery.WatchAction.Replaced;
+import willowdoor.recovery.WatchAction.WakeAt;
+import willowdoor.recovery.WatchEvent.Answered;
+import willowdoor.recovery.WatchEvent.Connected;
+import willowdoor.recovery.WatchEvent.Woken;
+
+/**
+ * Tells one counter from another, by one call and for every name at once, within a protocol that can only add
+ * to names. No I/O, no clock, no thread.
+ *
+ * <p>Each door adds to a sentinel name that no other door uses, and only ever more than nothing. A counter
+ * that
+ * has confirmed a total can never again answer a later call with less than that total and the call's
+ * amount. If
+ * it does, it is not the counter that confirmed it: it began anew, or with a copy that lacks that add. This
+ * holds however answers are lost, late or out of order, as only a lower bound is used; adds whose answers
+ * were
+ * lost can raise a total, and then hide a replacement from that call, but never make one up.
+ *
+ * <p>So that they can't hide an empty counter either, a name begins with an add of {@value #BASE}: without
+ * it,
+ * what a door adds in any count of calls stays below.
+ *
+ * <p>Names live for {@value #NAME_LIFE_MS} ms at the most, as the protocol has it. Well before, a new name is
+ * begun, and the old one is checked on until an answer to a check that was sent after the new one's first
+ * answer: if the old one still holds then, the new one was begun at the same counter. A door that could ask
+ * nobody for so long that no name is left to go by takes the counter for another one.
+ *
+ * <p>A check goes out first on each new connection, and in any case every {@value #CHECK_MS} ms, for counters
+ * that change behind a connection that stays. What it can't tell: a copy that lacks no check of this door, so
+ * one younger than the last check; and that two counters serve different doors (a split), as each door sees
+ * one.
+ */
+public final class CounterWatch {
+
+  /** How often at least the counter is asked who it is. */
+  static final double CHECK_MS = 250;
+  /** For so long the protocol keeps a name at the most. */
+  static final double NAME_LIFE_MS = 60_000;
+  /** A name is used for so long; the rest is for calls that come late. */
+  static final double NAME_USE_MS = 25_000;
+  /** A name older than this is not asked: its life could end before the answer is made. */
+  static final double NAME_TRUST_MS = 42_000;
+  /** The first add to a name. */
+  static final double BASE = 1e6;
+  /** Checks out at the most; beyond it none is begun, as the counter answers none. */
+  static final int MOST_OUT = 64;
+
+  /** One sentinel name, and the largest total that was confirmed; 0 before the first answer. */
+  private static final class Name {
+    private final String text;
+    private final double begunAt;
+    private double confirmed;
+
+    Name(String text, double begunAt) {
+      this.text = text;
+      this.begunAt = begunAt;
+    }
+  }
+
+  /**
+   * A check that is out.
+   *
+   * @param least the least total that the counter which confirmed the name can answer
+   * @param vouches it was sent after the first answer for the current name, so that its own answer tells that
+   *     both names are at one counter
+   */
+  private record Out(Name name, double least, boolean vouches) { }
+
+  private final String door;
+  private final Map<Long, Out> out = new LinkedHashMap<>();
+  private List<WatchAction> actions = new ArrayList<>();
+  private double now;
+  private long numbers;
+  private int names;
+  private int incarnation = 1;
+  private Name current;
+  /** The name before, until it has vouched for the current one. */
+  private Name before;
+  private double checkedAt = Double.NEGATIVE_INFINITY;
+
+  /**
+   * A watch for one door.
+   *
+   * @param door distinguishes its names from those of all other doors and of its own earlier lives; letters
+   * and
+   *     digits, 32 at the most
+   */
+  public CounterWatch(String door) {
+    if (!door.matches("[A-Za-z0-9]{1,32}")) {
+      throw new IllegalArgumentException("door: \"" + door + "\" (expected: 1 to 32 letters and digits)");
+    }
+    this.door = door;
+  }
+
+  /** How many counters were seen, from 1. */
+  public int incarnation() {
+    return incarnation;
+  }
+
+  /** Whether a counter has confirmed any total, so that a replacement would be noticed. */
+  public boolean vouched() {
+    return current != null && current.confirmed > 0 || before != null && before.confirmed > 0;
+  }
+
+  /** Takes one event and gives what to do, in order. */
+  public List<WatchAction> on(double nowMs, WatchEvent event) {
+    now = nowMs;
+    actions = new ArrayList<>(2);
+    if (event instanceof Connected e) {
+      check(e.link());
+    } else if (event instanceof Answered e) {
+      onAnswered(e);
+    } else if (event instanceof Woken) {
+      if (now - checkedAt >= CHECK_MS) {
+        check(-1);
+      }
+      actions.add(new WakeAt(Math.max(now, checkedAt) + CHECK_MS));
+    }
+    return actions;
+  }
+
+  private void check(int link) {
+    checkedAt = now;
+    boolean hadVouched = vouched();
+    if (current == null || now - current.begunAt > NAME_USE_MS) {
+      before = current != null && current.confirmed > 0 ? current : before;
+      current = new Name("~" + door + ":" + names++, now);
+    }
+    if (before != null && now - before.begunAt > NAME_TRUST_MS) {
+      // It may be forgotten before an answer comes: it can vouch for nothing any more.
+      before = null;
+    }
+    if (hadVouched && !vouched()) {
+      incarnation++;
+      out.clear();
+      actions.add(new Replaced(incarnation, Origin.UNTOLD));
+    }
+    if (before != null) {
+      send(link, before);
+    }
+    send(link, current);
+  }
+
+  private void send(int link, Name name) {
+    if (out.size() >= MOST_OUT) {
+      return;
+    }
+    double amount = name.confirmed >= BASE ? 1 : BASE;
+    long number = numbers++;
+    out.put(number, new Out(name, name.confirmed + amount, name == before && current.confirmed > 0));
+    actions.add(new Check(number, link, name.text, amount, NAME_LIFE_MS));
+  }
+
+  private void onAnswered(Answered e) {
+    Out check = out.remove(e.number());
+    if (check == null || Double.isNaN(e.total()) || check.name != current && check.name != before) {
+      return;
+    }
+    Name name = check.name;
+    if (name.confirmed > 0 && e.total() < check.least) {
+      replaced(e.total() < BASE ? Origin.EMPTY : Origin.OLD_COPY);
+      return;
+    }
+    name.confirmed = Math.max(name.confirmed, e.total());
+    if (check.vouches) {
+      before = null;
+    }
+  }
+
+  /** What was confirmed before is void; a new name begins at the new counter, and late answers tell
+  nothing. */
+  private void replaced(Origin origin) {
+    incarnation++;
+    before = null;
+    current = null;
+    out.clear();
+    actions.add(new Replaced(incarnation, origin));
+    check(-1);
+  }
+}
--- a/policy/src/test/java/willowdoor/policy/QuotaPolicyTest.java
+++ b/policy/src/test/java/willowdoor/policy/QuotaPolicyTest.java
@@ -14,6 +14,7 @@
 import willowdoor.policy.GatewayApi.Cancel;
 import willowdoor.policy.GatewayApi.ClientLeft;
 import willowdoor.policy.GatewayApi.Counted;
+import willowdoor.policy.GatewayApi.CounterReplaced;
 import willowdoor.policy.GatewayApi.Fail;
 import willowdoor.policy.GatewayApi.FollowRoster;
 import willowdoor.policy.GatewayApi.Foresee;
@@ -86,6 +87,53 @@
     assertFalse(f.did(Add.class));
   }
 
+  /** Met through so many gateways that one burst a window is counted by the totals alone. */
+  private static void broad(Fixtures f, String id, double units) {
+    f.on(new Request(id, "safe", "broad", 42, 40, units, f.now + 4_000));
+  }
+
+  @Test
+  void whatThisGatewayAddedIsPutBackOnceAfterAReplacement() {
+    Fixtures f = new Fixtures(Fixtures.settings(true, 40, false)).backends(4);
+    broad(f, "a", 3);
+    assertEquals(3, f.only(Add.class).amount());
+    f.total(97);
+    f.on(new CounterReplaced());
+    assertEquals(3, f.only(Add.class).amount(), "its own 3, not the 97 of all");
+    f.total(3);
+    broad(f, "b", 2);
+    assertEquals(2, f.only(Add.class).amount(), "put back once");
+    f.total(5);
+    broad(f, "c", 4);
+    assertFalse(f.did(Send.class), "the 94 of others are not forgotten, though no total tells them");
+    f.on(new CounterReplaced());
+    assertTrue(f.only(Add.class).amount() <= 5, "once for each counter: " + f.lastAdd());
+  }
+
+  @Test
+  void whatProvablyWasNotPutBackIsPutBackLater() {
+    Fixtures f = new Fixtures(Fixtures.settings(true, 40, false)).backends(4);
+    broad(f, "a", 3);
+    f.total(50);
+    f.on(new CounterReplaced());
+    f.callFails(Status.UNREACHABLE);
+    broad(f, "b", 2);
+    assertEquals(2 + 3, f.only(Add.class).amount());
+  }
+
+  @Test
+  void aFollowedBucketKeepsItsLevelThroughAReplacement() {
+    Fixtures f = Fixtures.counted();
+    f.request("safe", "rated", 3);
+    f.total(200);
+    f.on(new CounterReplaced());
+    f.pass(500).request("safe", "rated", 1);
+    if (f.did(Add.class)) {
+      f.total(f.lastAdd().amount());
+    }
+    assertFalse(f.did(Send.class), "it is spent, whatever the empty counter says");
+  }
+
   @Test
   void twoBurstsDoNotPassAtTheEdgeOfAWindow() {
     Fixtures f = Fixtures.counted();
--- a/testkit/src/main/java/willowdoor/testkit/StandInCounter.java
+++ b/testkit/src/main/java/willowdoor/testkit/StandInCounter.java
@@ -85,7 +85,7 @@
     hanging = on;
   }
 
-  /** Calls taken so far. */
+  /** Calls taken so far, but for those by which doors ask who answers (their names begin with ~). */
   public synchronized long calls() {
     return calls;
   }
@@ -121,8 +121,8 @@
   }
 
   private synchronized String call(String line) {
-    calls++;
     String[] parts = line.split(" ");
+    calls += parts.length > 1 && parts[1].startsWith("~") ? 0 : 1;
     try {
       if (parts.length != 4 || !parts[0].equals("incr") || parts[1].length() > 64) {
         return "error";
