--- a/authz/src/main/java/willowdoor/extauthz/Answers.java
+++ b/authz/src/main/java/willowdoor/extauthz/Answers.java
@@ -52,6 +52,8 @@
   private static final int LONGEST_METADATA = 1_024;
   private static final int LEAST_STATUS = 300;
   private static final int MOST_STATUS = 599;
+  /** Has no body (RFC 9110, 15.4.5): what follows would be read as another answer. */
+  private static final int NOT_MODIFIED = 304;
 
   private final AnswerBounds bounds;
 
@@ -132,7 +134,7 @@
   private Read denied(CheckResponse answer, Code code, String metadata) {
     DeniedHttpResponse denied = answer.getDeniedResponse();
     int status = denied.getStatus().getCodeValue();
-    if (status < LEAST_STATUS || status > MOST_STATUS) {
+    if (status < LEAST_STATUS || status > MOST_STATUS || status == NOT_MODIFIED) {
       status = usualStatus(code);
     }
     List<Change> headers = new ArrayList<>();
--- a/authz/src/test/java/willowdoor/extauthz/AnswersTest.java
+++ b/authz/src/test/java/willowdoor/extauthz/AnswersTest.java
@@ -133,6 +133,15 @@
         .build())).denial().status(), "never the look of a served request");
   }
 
+  @ParameterizedTest
+  @ValueSource(ints = {100, 204, 299, 304, 600})
+  void aStatusThatFramesOtherwiseOrLooksServedIsNotTaken(int status) {
+    assertEquals(403, assertInstanceOf(Denied.class, answers.read(CheckResponse.newBuilder()
+        .setStatus(com.google.rpc.Status.newBuilder().setCode(7)).setDeniedResponse(
+            DeniedHttpResponse.newBuilder().setStatus(HttpStatus.newBuilder().setCodeValue(status)))
+        .build())).denial().status());
+  }
+
   @Test
   void permissionToUseItAgainIsANumberOverNought() {
     for (Value v : List.of(Value.newBuilder().setNumberValue(-1).build(), Value.newBuilder()
--- a/daemon/src/test/java/willowdoor/daemon/life/World.java
+++ b/daemon/src/test/java/willowdoor/daemon/life/World.java
@@ -16,6 +16,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.function.BooleanSupplier;
+import java.util.function.UnaryOperator;
 import java.util.stream.Stream;
 import willowdoor.daemon.config.DaemonConfig;
 import willowdoor.daemon.fleet.DoorFiles;
@@ -48,8 +49,13 @@
 
   /** A daemon on that address by the rig's terms, with other lines in its file's place for some. */
   Daemon daemon(InetSocketAddress listen, String end) throws Exception {
+    return daemon(listen, end, text -> text);
+  }
+
+  /** The same with a change of the text before. */
+  Daemon daemon(InetSocketAddress listen, String end, UnaryOperator<String> change) throws Exception {
     Path file = files.write(0, listen);
-    Files.writeString(file, Files.readString(file) + end);
+    Files.writeString(file, change.apply(Files.readString(file)) + end);
     Daemon daemon = Daemon.create(DaemonConfig.read(file), file);
     daemons.add(daemon);
     return daemon;
@@ -151,6 +157,12 @@
       return body;
     }
 
+    /** The answer to a request that was sent as raw text. */
+    int receive(String id) throws IOException {
+      current = id;
+      return receive();
+    }
+
     /** The answer's status; -1 when the connection ended without one. */
     int receive() throws IOException {
       headers.clear();
--- a/testkit/src/main/java/willowdoor/testkit/StandInCounter.java
+++ b/testkit/src/main/java/willowdoor/testkit/StandInCounter.java
@@ -42,6 +42,9 @@
   private InetSocketAddress address;
   private volatile double delayMs = 1;
   private volatile boolean hanging;
+  private volatile boolean losing;
+  private volatile boolean resetting;
+  private Map<String, Count> copy = new HashMap<>();
   private long calls;
   /** What was added to all names of a customer, whatever became of them; the customer is what stands before
   the colon. */
@@ -80,6 +83,44 @@
     delayMs = ms;
   }
 
+  /** Total of all living names of a customer; the customer is what stands before the colon. */
+  public synchronized double total(String beforeColon) {
+    double now = ledger.now();
+    return counts.entrySet().stream().filter(e -> e.getKey().startsWith(beforeColon + ":")
+        && e.getValue().endsAt() >= now).mapToDouble(e -> e.getValue().total()).sum();
+  }
+
+  /** From here on it adds and loses the answers, or answers again. */
+  public void loseAnswers(boolean on) {
+    losing = on;
+  }
+
+  /** From here on it resets a connection with every call, which is added, or stays open again. */
+  public void reset(boolean on) {
+    resetting = on;
+  }
+
+  /** Keeps a copy of all totals as they are now. */
+  public synchronized void keepCopy() {
+    copy = new HashMap<>(counts);
+  }
+
+  /** It is back where it was with all that it had: it was only out of reach. */
+  public void comeBack() {
+    listen(address);
+    ledger.machine(Ledger.Kind.STARTED, "counter", "");
+  }
+
+  /** It is back where it was, with the copy that was kept last. */
+  public void comeBackWithCopy() {
+    synchronized (this) {
+      counts.clear();
+      counts.putAll(copy);
+    }
+    listen(address);
+    ledger.machine(Ledger.Kind.STARTED, "counter", "");
+  }
+
   /** From here on it takes calls and answers none, or answers again. */
   public void hang(boolean on) {
     hanging = on;
@@ -158,7 +199,15 @@
         answer(ctx, "pong");
         return;
       }
-      ctx.executor().schedule(() -> answer(ctx, call(line)), (long) (delayMs * 1000), TimeUnit.MICROSECONDS);
+      ctx.executor().schedule(() -> {
+        String text = call(line);
+        if (resetting) {
+          ctx.channel().config().setOption(ChannelOption.SO_LINGER, 0);
+          ctx.close();
+        } else if (!losing) {
+          answer(ctx, text);
+        }
+      }, (long) (delayMs * 1000), TimeUnit.MICROSECONDS);
     }
 
     private void answer(ChannelHandlerContext ctx, String text) {
