Ceilings are divided among the doors by gifts, so that no split of the counter passes them

Need: the users' ceiling rule is absolute, and a part of each ceiling was used together by the shared count.

Change: CeilingRights (no I/O) keeps each door's rights; the only change is that a holder lowers its own and then tells one receiver (demarcation protocol, bounded counter), within the counter's one call, by digits of a name that only the receiver goes by. CeilingShares drives it, on with the watch, off on the platform. The watch tells an old copy from an empty counter and how old the copy is, so that what the copy has is not put back or counted twice. While the counter is away, a door whose replica is spent sends on what is left of its even part.

--- a/door/src/main/java/willowdoor/net/Config.java
+++ b/door/src/main/java/willowdoor/net/Config.java
@@ -16,7 +16,9 @@
 /**
  * What a front door is told at its start: on the platform, the file that {@code GW_CONFIG} names.
  *
- * @param watchCounter the counter is asked who it is, some calls a second; the platform spares them
+ * @param watchCounter the counter is not relied on to be one and the same: it is asked who it is, some
+ * calls a
+ *     second, and ceilings are divided among the doors; the platform spares both
  */
 public record Config(InetSocketAddress listen, InetSocketAddress discovery, InetSocketAddress counter,
     long seed,
--- a/door/src/main/java/willowdoor/net/CounterClient.java
+++ b/door/src/main/java/willowdoor/net/CounterClient.java
@@ -21,6 +21,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.DoubleConsumer;
 import java.util.logging.Logger;
 import willowdoor.policy.GatewayApi.Counted;
 import willowdoor.policy.GatewayApi.Status;
@@ -83,7 +84,7 @@
   private final Dialer dialer;
   /** Null where nothing is to be told of a counter that was replaced. */
   private CounterWatch watch;
-  private Runnable replaced;
+  private DoubleConsumer replaced;
   private final List<Link> links = new ArrayList<>(CONNECTIONS);
   /** Connections to the address that a new configuration has left; in use until new ones are up. */
   private final List<Link> leaving = new ArrayList<>(0);
@@ -108,7 +109,7 @@
    *
    * @param whenReplaced run when another counter answers than before
    */
-  void watch(CounterWatch counterWatch, Runnable whenReplaced) {
+  void watch(CounterWatch counterWatch, DoubleConsumer whenReplaced) {
     watch = counterWatch;
     replaced = whenReplaced;
   }
@@ -165,7 +166,7 @@
         check(c);
       } else if (action instanceof Replaced r) {
         LOG.info("another counter answers than before (" + r.origin() + "); it is number " + r.incarnation());
-        replaced.run();
+        replaced.accept(r.lostSinceMs());
       } else if (action instanceof WakeAt w) {
         loop.schedule(() -> tell(new Woken()), (long) Math.ceil(Math.max(0, w.atMs() - clock.now()) * 1000)
             + 1,
--- a/door/src/main/java/willowdoor/net/FrontDoor.java
+++ b/door/src/main/java/willowdoor/net/FrontDoor.java
@@ -114,6 +114,7 @@
         config.counter(), config.settings().allowed().countLimitMs(), driver::onCounted);
     if (config.watchCounter()) {
       counter.watch(new CounterWatch(Long.toHexString(config.seed())), driver::onCounterReplaced);
+      driver.divide(new CeilingShares(loop, clock, counter, config.settings()));
     }
     counter.start();
     driver.start(counter, config.known());
--- a/door/src/main/java/willowdoor/net/ModuleDriver.java
+++ b/door/src/main/java/willowdoor/net/ModuleDriver.java
@@ -127,6 +127,8 @@
   private final BackendPool backends;
   private CounterClient counter;
   private Gate gate;
+  /** Null where firms' ceilings are used together by the shared count. */
+  private CeilingShares ceilings;
   private final Map<String, Live> live = new HashMap<>();
   private final ArrayDeque<Event> inbox = new ArrayDeque<>();
   private int heldBytes;
@@ -229,11 +231,18 @@
   }
 
   void onCounted(Counted counted) {
-    deliver(counted);
+    if (ceilings == null || !ceilings.takes(counted)) {
+      deliver(counted);
+    }
+  }
+
+  /** Has firms' ceilings divided among the doors from here on. */
+  void divide(CeilingShares shares) {
+    ceilings = shares;
   }
 
-  void onCounterReplaced() {
-    deliver(new CounterReplaced());
+  void onCounterReplaced(double lostSinceMs) {
+    deliver(new CounterReplaced(lostSinceMs));
   }
 
   void onRoster(RosterNews news) {
@@ -281,7 +290,8 @@
   private void step(Event event) {
     List<Action> actions;
     try {
-      actions = policy.on(clock.now(), event);
+      boolean divided = ceilings != null && event instanceof Request;
+      actions = policy.on(clock.now(), divided ? ceilings.shared((Request) event) : event);
     } catch (RuntimeException e) {
       LOG.log(Level.SEVERE, "the module failed on " + event, e);
       recover(event);
--- a/door/src/main/java/willowdoor/net/RequestReader.java
+++ b/door/src/main/java/willowdoor/net/RequestReader.java
@@ -42,6 +42,7 @@
   private final Map<String, RequestClass> classes = new HashMap<>();
   private final Map<String, ?> plans;
   private final int gateways;
+  private final int self;
   private final double mostUnits;
 
   RequestReader(Settings settings) {
@@ -50,6 +51,7 @@
     settings.plans().forEach(p -> named.put(p.name(), p));
     plans = named;
     gateways = settings.gateways();
+    self = settings.self();
     mostUnits = settings.maxUnits() > 0 ? settings.maxUnits() : Double.POSITIVE_INFINITY;
   }
 
@@ -112,7 +114,9 @@
         || first >= gateways) {
       throw new BadRequest("X-Quota is out of range");
     }
-    return new Request(id, type, plan, customer, (int) spread, units, giveUpMs);
+    int place = Math.floorMod(self - (int) first, gateways);
+    return new Request(id, type, plan, customer, (int) spread, units, giveUpMs, place < spread ? place : -1,
+        null);
   }
 
   private static String firstPart(String uri) throws BadRequest {
--- a/door/src/test/java/willowdoor/net/CounterClientTest.java
+++ b/door/src/test/java/willowdoor/net/CounterClientTest.java
@@ -200,7 +200,7 @@
     BlockingQueue<String> replaced = new LinkedBlockingQueue<>();
     client = new CounterClient(group.next(), new Clock(), Dialer.sockets(group.next(), 250),
         new InetSocketAddress("127.0.0.1", peers.counter.getLocalPort()), 5_000, ends::add);
-    client.watch(new CounterWatch("d1"), () -> replaced.add("replaced"));
+    client.watch(new CounterWatch("d1"), at -> replaced.add("replaced"));
     AtomicBoolean empty = new AtomicBoolean();
     peers.counting = line -> {
       if (empty.getAndSet(false)) {
--- a/policy/src/main/java/willowdoor/policy/GatewayApi.java
+++ b/policy/src/main/java/willowdoor/policy/GatewayApi.java
@@ -67,8 +67,30 @@
 
   public record Roster(RosterForm form, List<BackendEntry> entries) implements Event { }
 
+  /**
+   * A request to decide on.
+   *
+   * @param place this gateway's place among those through which its customer's requests may come, or -1
+   * @param ceiling what of its customer's ceiling this gateway may use; null where gateways use it together
+   * by
+   *     the shared count, which has to be one count then at any moment
+   */
   public record Request(String id, String className, String planName, long customer, int entryPoints,
-      double units, double giveUpMs) implements Event { }
+      double units, double giveUpMs, int place, CeilingShare ceiling) implements Event {
+
+    public Request(String id, String className, String planName, long customer, int entryPoints,
+        double units, double giveUpMs) {
+      this(id, className, planName, customer, entryPoints, units, giveUpMs, -1, null);
+    }
+
+    /** The same with that share. */
+    public Request with(CeilingShare other) {
+      return new Request(id, className, planName, customer, entryPoints, units, giveUpMs, place, other);
+    }
+  }
+
+  /** A share of a customer's ceiling, from 0 to 1, until a moment, and the share from that moment on. */
+  public record CeilingShare(double share, double untilMs, double then) { }
 
   /**
    * A request that something else has to decide on first. One that would be refused by what is known already
@@ -89,8 +111,19 @@
   /** The end of a call to the counter; total is valid with OK. */
   public record Counted(String name, Status status, double total, double latencyMs) implements Event { }
 
-  /** Another counter answers than before: it has none, or not all, of what was added until now. */
-  public record CounterReplaced() implements Event { }
+  /**
+   * Another counter answers than before.
+   *
+   * @param lostSinceMs what was added until then may be in it (it began with a copy), what was added later is
+   *     not; negative infinity when it has nothing
+   */
+  public record CounterReplaced(double lostSinceMs) implements Event {
+
+    /** One that has nothing of what was added until now. */
+    public CounterReplaced() {
+      this(Double.NEGATIVE_INFINITY);
+    }
+  }
 
   public record Woken(String label) implements Event { }
 
--- a/policy/src/main/java/willowdoor/policy/GatewayState.java
+++ b/policy/src/main/java/willowdoor/policy/GatewayState.java
@@ -70,6 +70,9 @@
     /** The window last answered for, and its total then. */
     long window = Long.MIN_VALUE;
     double seen;
+    /** The total seen at a counter that another one, begun with a copy, has replaced; 0 once that answered.
+        */
+    double before;
     /** What this gateway itself has added to that window's count, as answered for. */
     double given;
     /** The window in which the counter was replaced: until its end no answer raises the level. */
@@ -77,6 +80,8 @@
     /** The ceiling: what counted sends may use together, and this gateway's own part. */
     double counted;
     double own;
+    /** The gateway's share of the ceiling as told with the last request; null: by the shared count. */
+    GatewayApi.CeilingShare share;
     /** What this gateway may send on unasked. */
     double part;
     int out;
--- a/policy/src/main/java/willowdoor/policy/QuotaPolicy.java
+++ b/policy/src/main/java/willowdoor/policy/QuotaPolicy.java
@@ -131,8 +131,8 @@
       onOutcome(e);
     } else if (event instanceof Counted e) {
       onCounted(e);
-    } else if (event instanceof CounterReplaced) {
-      onCounterReplaced();
+    } else if (event instanceof CounterReplaced e) {
+      onCounterReplaced(e.lostSinceMs());
     } else if (event instanceof Woken e) {
       onWoken(e);
     } else if (event instanceof Roster e) {
@@ -151,8 +151,9 @@
 
   /** What this gateway knows of one customer: a replica of its plan's bucket, fed by the shared totals. */
   private final class Account extends AccountState {
-    Account(long customer, Plan plan, int gateways) {
-      super(customer, plan, Math.max(1, Math.min(gateways, settings.gateways())), now);
+    Account(Request r, Plan plan) {
+      super(r.customer(), plan, Math.max(1, Math.min(r.entryPoints(), settings.gateways())), now);
+      share = r.ceiling();
       double refillMs = plan.rate() > 0 ? 1000 * plan.burst() / plan.rate() : 0;
       double followed = plan.ceilingRate() > 0 ? WINDOW_MS : WINDOW_MS * FOLLOWING / this.gateways;
       windowMs = Math.max(refillMs, Math.min(WINDOW_MS, followed));
@@ -164,15 +165,29 @@
       othersRate = plan.rate() * (plain ? USUAL_USE : 1 - 1.0 / this.gateways);
     }
 
-    /** The share of a ceiling for gateways by themselves: all for two, for more a largest request each. */
+    /**
+     * The share of a ceiling for gateways by themselves: all for two, for more a largest request each. Where
+     * shares are told, all of it, as one count can't be relied on.
+     */
     double ownShare() {
-      return Math.min(1, Math.max(2.0 / gateways, gateways * settings.maxUnits() / plan.ceilingBurst()));
+      return share != null ? 1
+          : Math.min(1, Math.max(2.0 / gateways, gateways * settings.maxUnits() / plan.ceilingBurst()));
     }
 
     void fillCeiling(double dt) {
       double burst = plan.ceilingBurst() + plan.ceilingSlack() / 2;
+      double part = share == null ? ownShare() / gateways
+          : now < share.untilMs() ? share.share() : share.then();
       counted = Math.min(burst * (1 - ownShare()), counted + plan.ceilingRate() * (1 - ownShare()) * dt);
-      own = Math.min(burst * ownShare() / gateways, own + plan.ceilingRate() * ownShare() / gateways * dt);
+      own = Math.min(burst * part, own + plan.ceilingRate() * part * dt);
+    }
+
+    /** What another share than before has filled until now is counted by the less of both. */
+    void shared(CeilingShare told) {
+      CeilingShare before = share;
+      share = told != null && before != null && told.share() > before.share() ? before : told;
+      advance();
+      share = told;
     }
 
     /** This gateway's even part of the quota: what it may send on unasked. */
@@ -245,9 +260,9 @@
   private int callsFailed;
 
   private Account account(Request r) {
-    Account a = accounts.computeIfAbsent(r.customer(), c -> new Account(c,
-        plans.getOrDefault(r.planName(), mostCarefulPlan()), r.entryPoints()));
-    a.advance();
+    Account a = accounts.computeIfAbsent(r.customer(), c -> new Account(r,
+        plans.getOrDefault(r.planName(), mostCarefulPlan())));
+    a.shared(r.ceiling());
     return a;
   }
 
@@ -382,6 +397,10 @@
   private void observe(Account a, Call call, double total) {
     boolean fresh = a.window != call.window;
     double growth = fresh ? total : total - a.seen;
+    if (!fresh && a.before > 0) {
+      growth = Math.max(call.amount, total - a.before);
+    }
+    a.before = 0;
     boolean carried = !Double.isNaN(a.syncedAt);
     double started = call.window * a.windowMs - a.phase;
     double since = now - (fresh || !carried ? started : a.syncedAt);
@@ -417,20 +436,22 @@
 
   /**
    * Another counter counts from here on. Where one burst a window is counted by totals alone, each gateway
-   * puts
-   * back what it had added itself, with the customer's next add: all of them together make the old total, and
-   * none of it comes twice. Until the window's end no answer raises the level, as others may not have put
-   * theirs
-   * back yet. Where a bucket is followed, the replica keeps what is known, and totals are read from nought
-   * on.
+   * puts back what it had added itself and the new one lacks, with the customer's next add: all of them
+   * together make the old total, and none of it comes twice. Until the window's end no answer raises the
+   * level, as others may not have put theirs back yet. Where a bucket is followed, the replica keeps what is
+   * known. Totals are read from nought on, or, where a copy has a part of the window, from what was seen
+   * before.
    */
-  private void onCounterReplaced() {
+  private void onCounterReplaced(double lostSince) {
     for (Account a : accounts.values()) {
+      double begun = a.windowStart(now);
+      boolean partly = lostSince > begun;
       if (a.plain && a.window == a.windowNow(now)) {
-        a.owed += a.given;
+        a.owed += a.given * (partly ? (now - lostSince) / (now - begun) : 1);
         a.rebuilt = a.window;
       }
       a.given = 0;
+      a.before = partly ? Math.max(a.before, a.seen) : 0;
       a.seen = 0;
     }
     rebuilding.clear();
@@ -439,8 +460,7 @@
     putBack();
   }
 
-  /** Puts back unasked too, the most spent first: a customer may turn to a gateway that knows nothing of
-  it. */
+  /** Puts back unasked too, the most spent first: a customer may turn to a gateway that knows nothing. */
   private void putBack() {
     int calls = (int) Math.max(1, REBUILD_FLEET_PER_S * TICK_MS / 1000 / Math.max(1, settings.gateways()));
     while (calls > 0 && !rebuilding.isEmpty()) {
@@ -488,7 +508,8 @@
     double units = job.request.units();
     double room = answered || a.plain ? a.level : a.level - a.flying + (job.called ? job.asked : 0);
     boolean unasked = settings.allowed().sharedCount() && !answered;
-    boolean within = room >= units && (!unasked || !a.plain || a.part >= units);
+    boolean within = room >= units && (!unasked || !a.plain || a.part >= units)
+        || unasked && !a.plain && callsFailed >= COUNTER_AWAY_AFTER && a.part >= units;
     boolean barred = a.plan.rate() > 0 && !within || unasked && pressed(job, UNCONFIRMED);
     if (barred || !holdsCeiling(a, units, answered)) {
       a.owed -= job.added && !a.plain ? units : 0;
--- a/policy/src/main/java/willowdoor/recovery/CounterWatch.java
+++ b/policy/src/main/java/willowdoor/recovery/CounterWatch.java
@@ -17,17 +17,15 @@
  * to names. No I/O, no clock, no thread.
  *
  * <p>Each door adds to a sentinel name that no other door uses, and only ever more than nothing. A counter
- * that
- * has confirmed a total can never again answer a later call with less than that total and the call's
- * amount. If
- * it does, it is not the counter that confirmed it: it began anew, or with a copy that lacks that add. This
- * holds however answers are lost, late or out of order, as only a lower bound is used; adds whose answers
- * were
- * lost can raise a total, and then hide a replacement from that call, but never make one up.
+ * that has confirmed a total can never again answer a later call with less than that total and the call's
+ * amount. If it does, it is not the counter that confirmed it: it began anew, or with a copy that lacks that
+ * add. This holds however answers are lost, late or out of order, as only a lower bound is used; adds whose
+ * answers were lost can raise a total, and then hide a replacement from that call, but never make one up.
  *
  * <p>So that they can't hide an empty counter either, a name begins with an add of {@value #BASE}: without
- * it,
- * what a door adds in any count of calls stays below.
+ * it, what a door adds in any count of calls stays below. What a copy has of a name tells how old it is: each
+ * check adds one, and the times of the checks are kept. A copy from before the name was begun looks empty by
+ * it, so the name used before is asked for then, and only its answer tells an empty counter from a copy.
  *
  * <p>Names live for {@value #NAME_LIFE_MS} ms at the most, as the protocol has it. Well before, a new name is
  * begun, and the old one is checked on until an answer to a check that was sent after the new one's first
@@ -49,6 +47,8 @@
   static final double NAME_USE_MS = 25_000;
   /** A name older than this is not asked: its life could end before the answer is made. */
   static final double NAME_TRUST_MS = 42_000;
+  /** The name before is asked for what a copy has until then: well before it is forgotten. */
+  static final double RETIRED_TRUST_MS = 55_000;
   /** The first add to a name. */
   static final double BASE = 1e6;
   /** Checks out at the most; beyond it none is begun, as the counter answers none. */
@@ -59,6 +59,8 @@
     private final String text;
     private final double begunAt;
     private double confirmed;
+    /** When each check of it was sent: the n-th made its total {@link #BASE} and n - 1, if none was lost. */
+    private final List<Double> sentAt = new ArrayList<>();
 
     Name(String text, double begunAt) {
       this.text = text;
@@ -85,6 +87,11 @@
   private Name current;
   /** The name before, until it has vouched for the current one. */
   private Name before;
+  /** The name used before the current one, kept longer: whether a counter that lacks the current one has
+      it. */
+  private Name retired;
+  /** The check that asks for the retired name, or -1; until it ends nothing else is taken. */
+  private long asksRetired = -1;
   private double checkedAt = Double.NEGATIVE_INFINITY;
 
   /**
@@ -130,9 +137,13 @@
 
   private void check(int link) {
     checkedAt = now;
+    if (asksRetired >= 0) {
+      return;
+    }
     boolean hadVouched = vouched();
     if (current == null || now - current.begunAt > NAME_USE_MS) {
       before = current != null && current.confirmed > 0 ? current : before;
+      retired = current != null && current.confirmed > 0 ? current : retired;
       current = new Name("~" + door + ":" + names++, now);
     }
     if (before != null && now - before.begunAt > NAME_TRUST_MS) {
@@ -141,8 +152,9 @@
     }
     if (hadVouched && !vouched()) {
       incarnation++;
+      retired = null;
       out.clear();
-      actions.add(new Replaced(incarnation, Origin.UNTOLD));
+      actions.add(new Replaced(incarnation, Origin.UNTOLD, Double.NEGATIVE_INFINITY));
     }
     if (before != null) {
       send(link, before);
@@ -155,6 +167,7 @@
       return;
     }
     double amount = name.confirmed >= BASE ? 1 : BASE;
+    name.sentAt.add(now);
     long number = numbers++;
     out.put(number, new Out(name, name.confirmed + amount, name == before && current.confirmed > 0));
     actions.add(new Check(number, link, name.text, amount, NAME_LIFE_MS));
@@ -162,12 +175,19 @@
 
   private void onAnswered(Answered e) {
     Out check = out.remove(e.number());
+    if (asksRetired >= 0) {
+      if (e.number() == asksRetired) {
+        asksRetired = -1;
+        replaced(retired, Double.isNaN(e.total()) ? 0 : e.total());
+      }
+      return;
+    }
     if (check == null || Double.isNaN(e.total()) || check.name != current && check.name != before) {
       return;
     }
     Name name = check.name;
     if (name.confirmed > 0 && e.total() < check.least) {
-      replaced(e.total() < BASE ? Origin.EMPTY : Origin.OLD_COPY);
+      another(name, e.total());
       return;
     }
     name.confirmed = Math.max(name.confirmed, e.total());
@@ -176,14 +196,32 @@
     }
   }
 
-  /** What was confirmed before is void; a new name begins at the new counter, and late answers tell
-  nothing. */
-  private void replaced(Origin origin) {
+  /** One that lacks the name may have a copy from before the name was begun: an older name tells. */
+  private void another(Name name, double total) {
+    if (total > BASE || retired == null || retired == name || now - retired.begunAt > RETIRED_TRUST_MS) {
+      replaced(name, total);
+      return;
+    }
+    out.clear();
+    asksRetired = numbers;
+    send(-1, retired);
+  }
+
+  /**
+   * What was confirmed before is void; a new name begins at the new counter, and late answers tell nothing.
+   *
+   * @param total of that name at the new counter, with the amount that asked for it; 0 when that is not known
+   */
+  private void replaced(Name name, double total) {
+    boolean copy = total > BASE;
+    int inCopy = (int) Math.min(name.sentAt.size(), Math.max(1, total - BASE));
+    double lostSince = copy ? name.sentAt.get(inCopy - 1) : Double.NEGATIVE_INFINITY;
     incarnation++;
     before = null;
     current = null;
+    retired = null;
     out.clear();
-    actions.add(new Replaced(incarnation, origin));
+    actions.add(new Replaced(incarnation, copy ? Origin.OLD_COPY : Origin.EMPTY, lostSince));
     check(-1);
   }
 }
--- /dev/null
+++ b/policy/src/main/java/willowdoor/recovery/RightsEvent.java
@@ -0,0 +1,24 @@
+package willowdoor.recovery;
+
+/** What {@link CeilingRights} is told. Times are milliseconds on a clock that only moves forward. */
+public sealed interface RightsEvent {
+
+  /**
+   * A request of a firm under a ceiling has come to this door.
+   *
+   * @param doors how many doors its firm's requests may come through
+   * @param place this door's place among them, from 0, or -1 when it is none of them
+   * @param rate units a second by which the ceiling fills
+   * @param burst units that it holds at the most
+   * @param mostUnits units that one request may name at the most
+   * @param units that this request names
+   */
+  record Asked(long customer, int doors, int place, double rate, double burst, double mostUnits,
+      double units) implements RightsEvent { }
+
+  /** The end of a call; the total is NaN when no readable answer came. */
+  record Answered(String name, double total) implements RightsEvent { }
+
+  /** The moment that a {@link RightsAction.WakeAt} named, or a later one. */
+  record Woken() implements RightsEvent { }
+}
--- a/policy/src/main/java/willowdoor/recovery/WatchAction.java
+++ b/policy/src/main/java/willowdoor/recovery/WatchAction.java
@@ -25,8 +25,9 @@
    * The counter that answers now is not the one that answered before, or can't be told from another.
    *
    * @param incarnation counts the counters that this door has seen, from 1
+   * @param lostSinceMs when the last check was sent that an old copy has; negative infinity for any other
    */
-  record Replaced(int incarnation, Origin origin) implements WatchAction { }
+  record Replaced(int incarnation, Origin origin, double lostSinceMs) implements WatchAction { }
 
   /** Be woken then. */
   record WakeAt(double atMs) implements WatchAction { }
--- a/policy/src/test/java/willowdoor/policy/CeilingTest.java
+++ b/policy/src/test/java/willowdoor/policy/CeilingTest.java
@@ -1,5 +1,6 @@
 package willowdoor.policy;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.HashMap;
@@ -9,6 +10,7 @@
 import org.junit.jupiter.api.Test;
 import willowdoor.policy.GatewayApi.Action;
 import willowdoor.policy.GatewayApi.Add;
+import willowdoor.policy.GatewayApi.CeilingShare;
 import willowdoor.policy.GatewayApi.Counted;
 import willowdoor.policy.GatewayApi.Outcome;
 import willowdoor.policy.GatewayApi.Request;
@@ -83,4 +85,46 @@
     sent++;
     gateway.on(new Outcome(s.request(), 0, s.backend(), Status.OK, 50, true, 1, null));
   }
+
+  private static int sendsAtOnce(Fixtures f, CeilingShare share, int tries) {
+    int sends = 0;
+    for (int k = 0; k < tries; k++) {
+      f.on(new Request("t" + f.now + "-" + k, "safe", "ceiled", 42, 2, 1, f.now + 4000).with(share));
+      if (f.did(Add.class)) {
+        f.total(1);
+      }
+      sends += f.did(Send.class) ? 1 : 0;
+    }
+    return sends;
+  }
+
+  /** Burst 20 and half of the slack: that is what shares are of. Totals leave the quota open throughout. */
+  @Test
+  void aToldShareIsAllThatAGatewayUsesAndItHoldsUntilItsMoment() {
+    double all = Fixtures.CEILED.ceilingBurst() + Fixtures.CEILED.ceilingSlack() / 2;
+    Fixtures whole = new Fixtures(Fixtures.settings(true, 2, false)).backends(4).pass(60_000);
+    Fixtures quarter = new Fixtures(Fixtures.settings(true, 2, false)).backends(4).pass(60_000);
+    Fixtures none = new Fixtures(Fixtures.settings(true, 2, false)).backends(4).pass(60_000);
+    CeilingShare forGood = new CeilingShare(0.25, Double.POSITIVE_INFINITY, 0.25);
+    assertEquals((int) all, sendsAtOnce(whole, new CeilingShare(1, Double.POSITIVE_INFINITY, 1), 40));
+    assertEquals((int) (0.25 * all), sendsAtOnce(quarter, forGood, 40));
+    assertEquals(0, sendsAtOnce(none, new CeilingShare(0, Double.POSITIVE_INFINITY, 0), 40));
+    // A second gives a quarter of the ceiling's rate.
+    assertEquals((int) (0.25 * Fixtures.CEILED.ceilingRate()), sendsAtOnce(quarter.pass(1_000), forGood, 40));
+  }
+
+  @Test
+  void aShareThatGrowsFillsFromThenOnAndOneThatHasEndedFillsByWhatFollowsIt() {
+    double rate = Fixtures.CEILED.ceilingRate();
+    Fixtures f = new Fixtures(Fixtures.settings(true, 2, false)).backends(4).pass(60_000);
+    CeilingShare small = new CeilingShare(0.25, Double.POSITIVE_INFINITY, 0.25);
+    sendsAtOnce(f, small, 40);
+    CeilingShare grown = new CeilingShare(0.75, f.now + 4_000, 0);
+    assertEquals((int) (0.25 * rate), sendsAtOnce(f.pass(1_000), grown, 40),
+        "the second before was of the old");
+    assertEquals((int) (0.75 * rate), sendsAtOnce(f.pass(1_000), grown, 40));
+    f.pass(3_000);
+    assertEquals(0, sendsAtOnce(f, new CeilingShare(0, Double.POSITIVE_INFINITY, 0), 40),
+        "after its moment nothing has filled");
+  }
 }
--- a/policy/src/test/java/willowdoor/recovery/CounterWatchTest.java
+++ b/policy/src/test/java/willowdoor/recovery/CounterWatchTest.java
@@ -84,10 +84,10 @@
   void anEmptyOneIsToldByTheFirstCall() {
     connect(0);
     counter = new Model();
-    assertEquals(new Replaced(2, Origin.EMPTY), connect(100));
+    assertEquals(new Replaced(2, Origin.EMPTY, Double.NEGATIVE_INFINITY), connect(100));
     assertEquals(null, wake(400));
     counter = new Model();
-    assertEquals(new Replaced(3, Origin.EMPTY), wake(700));
+    assertEquals(new Replaced(3, Origin.EMPTY, Double.NEGATIVE_INFINITY), wake(700));
   }
 
   @Test
@@ -97,13 +97,47 @@
     wake(300);
     Model whole = counter.copy();
     counter = copy;
-    assertEquals(new Replaced(2, Origin.OLD_COPY), connect(400));
+    assertEquals(new Replaced(2, Origin.OLD_COPY, 0), connect(400), "the check at 0 is the last that it has");
     connect(500);
     counter = counter.copy();
     assertEquals(null, connect(600));
     assertFalse(whole.names.isEmpty());
   }
 
+  /** The copy is older than the current name, so only the name before tells that it is one, and how old. */
+  @Test
+  void aCopyFromBeforeTheCurrentNameIsToldFromAnEmptyOne() {
+    for (double t = 0; t <= 24_000; t += 250) {
+      wake(t);
+    }
+    Model copy = counter.copy();
+    for (double t = 24_250; t <= 28_000; t += 250) {
+      wake(t);
+    }
+    counter = copy;
+    assertEquals(new Replaced(2, Origin.OLD_COPY, 24_000), connect(28_100));
+    assertEquals(null, wake(28_500));
+    counter = new Model();
+    assertEquals(new Replaced(3, Origin.EMPTY, Double.NEGATIVE_INFINITY), connect(28_600));
+  }
+
+  /** An answer that never comes must not keep it waiting: it is told as an empty one. */
+  @Test
+  void whereTheOlderNameIsNotAnsweredForItIsTakenForEmpty() {
+    connect(0);
+    for (double t = 250; t <= 28_000; t += 250) {
+      wake(t);
+    }
+    counter = new Model();
+    Check first = (Check) watch.on(28_100, new Connected(0)).get(0);
+    List<WatchAction> asks = watch.on(28_101, new Answered(first.number(), counter.add(28_101, first)));
+    assertEquals(1, asks.size());
+    assertEquals(List.of(), watch.on(28_102, new Connected(1)), "nothing else meanwhile");
+    List<WatchAction> told = watch.on(28_200, new Answered(((Check) asks.get(0)).number(), Double.NaN));
+    assertEquals(new Replaced(2, Origin.EMPTY, Double.NEGATIVE_INFINITY), told.get(0));
+    assertEquals(null, answerAll(28_200, told.subList(1, told.size())));
+  }
+
   @Test
   void aReplacementBetweenTheTwoNamesOfAChangeIsTold() {
     connect(0);
@@ -121,7 +155,7 @@
   @Test
   void withoutAnyAnswerForTooLongItIsTakenForAnother() {
     connect(0);
-    assertEquals(new Replaced(2, Origin.UNTOLD), connect(50_000));
+    assertEquals(new Replaced(2, Origin.UNTOLD, Double.NEGATIVE_INFINITY), connect(50_000));
     assertEquals(null, connect(50_100));
   }
 
@@ -200,18 +234,26 @@
         boolean empty = random.nextBoolean();
         lacks = empty || lacks;
         counter = empty ? new Model() : copy.copy();
-        boolean noticeable = watch.vouched() && lacks;
         List<Check> lost = new ArrayList<>(wire);
         wire.clear();
         for (Check c : lost) {
-          watch.on(now, new Answered(c.number(), Double.NaN));
+          for (WatchAction a : watch.on(now, new Answered(c.number(), Double.NaN))) {
+            // It was asking for an older name at the counter before.
+            assertTrue(replaced || !(a instanceof Replaced), "false alarm, seed " + seed + " step " + step);
+            replaced &= !(a instanceof Replaced);
+            told += a instanceof Replaced ? 1 : 0;
+          }
         }
+        boolean noticeable = watch.vouched() && lacks;
         replaced |= lacks;
         List<WatchAction> first = watch.on(now, new Connected(1));
         boolean seen = first.stream().anyMatch(Replaced.class::isInstance);
         for (WatchAction a : first) {
           if (a instanceof Check c) {
             List<WatchAction> then = watch.on(now, new Answered(c.number(), counter.add(now, c)));
+            if (!seen && then.size() == 1 && then.get(0) instanceof Check older) {
+              then = watch.on(now, new Answered(older.number(), counter.add(now, older)));
+            }
             seen |= then.stream().anyMatch(Replaced.class::isInstance);
             then.stream().filter(Check.class::isInstance).forEach(x -> wire.add((Check) x));
           }
