--- a/daemon/src/main/java/willowdoor/daemon/config/DaemonConfig.java
+++ b/daemon/src/main/java/willowdoor/daemon/config/DaemonConfig.java
@@ -5,6 +5,7 @@
 import java.nio.charset.CharacterCodingException;
 import java.nio.file.Files;
 import java.nio.file.NoSuchFileException;
+import java.nio.file.InvalidPathException;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -29,6 +30,7 @@
 import willowdoor.policy.GatewayApi.RequestClass;
 import willowdoor.policy.GatewayApi.Rules;
 import willowdoor.policy.GatewayApi.Settings;
+import willowdoor.valkey.ValkeySettings;
 
 /**
  * The daemon's configuration, read from TOML. {@code deploy/willowdoor.toml} documents every key. All errors
@@ -44,8 +46,15 @@
   /** Who this instance is in its fleet; zone may be empty. */
   public record Instance(String name, InetSocketAddress listen, int doors, int index, String zone) { }
 
-  /** The shared counter: where, and for how long a call is waited for. */
-  public record Counter(InetSocketAddress address, double callLimitMs) { }
+  /** What the shared counter speaks: lines of the platform's protocol, or what Valkey and Redis do. */
+  enum Store { LINES, VALKEY }
+
+  /**
+   * The shared counter: where, and for how long a call is waited for.
+   *
+   * @param valkey how to use the Valkey or Redis server there, or null where it is a counter of lines
+   */
+  public record Counter(InetSocketAddress address, double callLimitMs, ValkeySettings valkey) { }
 
   /** What the process may hold. */
   public record Limits(int descriptors, int memoryMb) { }
@@ -145,7 +154,8 @@
       InetSocketAddress discovery = d.address("address");
       d.end();
       Section c = root.table("counter");
-      Counter counter = new Counter(c.address("address"), c.number("call_limit_ms", 50, 1, 10_000));
+      Counter counter = new Counter(c.address("address"), c.number("call_limit_ms", 50, 1, 10_000),
+          valkey(c));
       c.end();
       Section l = root.table("limits");
       Limits limits = new Limits(l.whole("descriptors", 1_024, 128, 1_000_000),
@@ -213,6 +223,26 @@
       return value;
     }
 
+    /** Keys of the other kind of store are unknown here, so that none is thought to be in use. */
+    private static ValkeySettings valkey(Section c) {
+      if (c.choice("store", Store.class, Store.LINES) == Store.LINES) {
+        return null;
+      }
+      String prefix = c.text("prefix", "willowdoor");
+      String user = c.text("user", "");
+      String file = c.text("password_file", "");
+      try {
+        String password = file.isEmpty() ? "" : Files.readString(Path.of(file)).strip();
+        return new ValkeySettings(user, password, prefix);
+      } catch (IOException | InvalidPathException e) {
+        c.problem("password_file", '"' + file + '"', "a file that can be read");
+      } catch (IllegalArgumentException e) {
+        c.problem(e.getMessage().startsWith("prefix") ? "prefix" : "password_file", e.getMessage(),
+            "what stands in brackets");
+      }
+      return null;
+    }
+
     private Settings settings(Instance instance, Counter counter, Section b) {
       Section u = root.table("units");
       double mostUnits = u.number("most", 8, 1, MOST_UNITS);
--- /dev/null
+++ b/daemon/src/main/java/willowdoor/daemon/fleet/CounterCommand.java
@@ -0,0 +1,291 @@
+package willowdoor.daemon.fleet;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import java.util.concurrent.Callable;
+import java.util.stream.Collectors;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+import willowdoor.testkit.BackendPark;
+import willowdoor.testkit.ClientFleet;
+import willowdoor.testkit.Judge.Rule;
+import willowdoor.testkit.Judge.Verdict;
+import willowdoor.testkit.Quotas;
+import willowdoor.testkit.Quotas.Half;
+import willowdoor.testkit.Quotas.Use;
+import willowdoor.testkit.StandInCounter;
+import willowdoor.testkit.Terms;
+import willowdoor.testkit.Terms.PlanTerms;
+
+/** Runs fleets whose counter is lost, replaced, split or lamed, and measures it beside the stated bounds. */
+@Command(name = "counter", mixinStandardHelpOptions = true, description = {
+    "Runs fleets on loopback whose counter fails, and holds what was sent on to stated bounds.",
+    "  cases     one fleet for each kind of failure: overshoot beside its bound, ceilings, refusals",
+    "  recovery  the counter is replaced by an empty one: when each door calls again, and how much"})
+public final class CounterCommand implements Callable<Integer> {
+
+  enum Run { cases, recovery }
+
+  /** What becomes of the counter; the time for which it does is part of the bound. */
+  enum Case {
+    none(0), away(7_000), hangs(7_000), half_cut_off(7_000), empty(0), briefly(500),
+        twice_in_a_window(400),
+    old_copy(0), split_first_wins(10_000), split_second_wins(10_000), split_empty(10_000), flaps(6_000),
+        late(7_000),
+    loses_answers(5_000), answers_twice(5_000), a_tenth_of_the_rate(7_000), resets(5_000), door_anew(3_000);
+
+    private final double forMs;
+
+    Case(double forMs) {
+      this.forMs = forMs;
+    }
+  }
+
+  private static final double QUIET_MS = 8_000;
+  private static final double AFTER_MS = 7_000;
+  private static final double TOLD_MS = 500;
+  private static final double FLAP_MS = 300;
+  private static final double LATE_MS = 70;
+  /** Below this share of its quota over the run a firm is one that stays below it. */
+  private static final double BELOW = 0.8;
+
+  @Parameters(paramLabel = "RUN", description = "${COMPLETION-CANDIDATES}")
+  private Run what;
+  @Option(names = "--doors", defaultValue = "6", description = "Instances (default: ${DEFAULT-VALUE}).")
+  private int doorCount;
+  @Option(names = "--rate", defaultValue = "240", description =
+      "Requests a second (default: ${DEFAULT-VALUE}).")
+  private double rate;
+  @Option(names = "--case", description = "Only these cases: ${COMPLETION-CANDIDATES}.")
+  private List<Case> only;
+  @Option(names = "--seed", defaultValue = "1", description = "Of the load (default: ${DEFAULT-VALUE}).")
+  private long seed;
+  @Spec
+  private CommandSpec spec;
+  private PrintWriter out;
+
+  @Override
+  public Integer call() throws IOException {
+    out = spec.commandLine().getOut();
+    return what == Run.cases ? cases() : recovery();
+  }
+
+  private FleetRun fleet(int mostSpread) throws IOException {
+    FleetRun run = new FleetRun(Terms.usual(), new BackendPark.Make(12, 4, 64, 5, 15), doorCount, seed);
+    run.rig().park().exact();
+    run.start(new ClientFleet.Load(rate, (int) (rate / 4), 0.15, 20, mostSpread, true));
+    return run;
+  }
+
+  private int cases() throws IOException {
+    out.printf(Locale.ROOT,
+        "%d doors, %.0f requests/s, %d firms in sets of 2 to 4 doors, most of a "
+        + "firm's requests through one or two of them, 15%% of firms at 20 times the others' load; %.0f s "
+        + "before and %.0f s after each "
+        + "failure; seed %d%n", doorCount, rate, (int) (rate / 4), QUIET_MS / 1000, AFTER_MS / 1000, seed);
+    out.printf("| %-20s | %-20s | %-20s | %-8s | %-24s | %-24s | %s |%n", "case", "basic: over, of bound",
+        "full: over, of bound", "ceilings", "half unused, meanwhile", "half unused, else", "rules broken");
+    out.flush();
+    int bad = 0;
+    for (Case c : only == null ? List.of(Case.values()) : only) {
+      bad += play(c) ? 0 : 1;
+    }
+    return bad == 0 ? 0 : 1;
+  }
+
+  private boolean play(Case c) throws IOException {
+    try (FleetRun run = fleet(4)) {
+      run.clients().begin();
+      FleetRun.sleep((long) QUIET_MS);
+      double from = run.rig().ledger().now();
+      cause(c, run);
+      double to = run.rig().ledger().now();
+      FleetRun.sleep((long) AFTER_MS);
+      Verdict verdict = run.finish();
+      Quotas quotas = new Quotas(run.rig().ledger(), run.rig().terms());
+      List<Use> uses = quotas.uses();
+      double seconds = (QUIET_MS + AFTER_MS + to - from) / 1000;
+      Set<String> below = uses.stream().filter(u -> u.asked() < BELOW * u.plan().rate() * seconds)
+          .map(Use::firm).collect(Collectors.toSet());
+      Half meanwhile = quotas.half(from, to, below::contains, d -> true);
+      Half before = quotas.half(0, from, below::contains, d -> true);
+      Half after = quotas.half(to, Double.MAX_VALUE, below::contains, d -> true);
+      Half other = new Half(before.asked() + after.asked(), before.refused() + after.refused());
+      boolean kept = verdict.kept();
+      StringBuilder row = new StringBuilder(String.format("| %-20s |", c));
+      for (PlanTerms plan : run.rig().terms().plans()) {
+        double worst = uses.stream().filter(u ->
+            u.plan().equals(plan)).mapToDouble(Use::worstOver).max().orElse(0);
+        double bound = bound(c, plan, Math.min(4, doorCount), to - from);
+        kept &= worst <= bound;
+        row.append(String.format(Locale.ROOT, " %8.1f of %8.1f |", worst, bound));
+      }
+      out.printf("%s %8d | %-24s | %-24s | %d |%n", row, verdict.count(Rule.CEILING_KEPT), text(meanwhile),
+          text(other), verdict.breaches().size());
+      if (!verdict.kept()) {
+        out.print(verdict);
+      }
+      out.flush();
+      return kept;
+    }
+  }
+
+  private static String text(Half h) {
+    return String.format(Locale.ROOT, "%d of %d (%.2f%%)", h.refused(), h.asked(), 100 * h.share());
+  }
+
+  /** The formulas of docs/design/counter-loss.md, for a firm in a set of n doors. */
+  static double bound(Case c, PlanTerms plan, int n, double tookMs) {
+    double b = plan.burst();
+    double m = Terms.MOST_UNITS;
+    double gives = plan.rate() * ((c.forMs > 0 ? tookMs : 0) + TOLD_MS) / 1000;
+    double away = n * (b + gives) + n * m;
+    return b + n * m + switch (c) {
+      case none -> 0;
+      case empty -> n * m;
+      case old_copy -> n * (b + m);
+      case split_first_wins, split_second_wins, split_empty -> b + gives + n * m;
+      case door_anew -> b;
+      case briefly, twice_in_a_window -> away + 2 * n * m;
+      default -> away;
+    };
+  }
+
+  private static void cause(Case c, FleetRun run) {
+    StandInCounter counter = run.rig().counter();
+    switch (c) {
+      case none -> FleetRun.sleep(1_000);
+      case away, briefly -> {
+        counter.lose();
+        FleetRun.sleep((long) c.forMs);
+        if (c == Case.away) {
+          counter.comeBack();
+        } else {
+          counter.comeBackEmpty();
+        }
+      }
+      case hangs -> {
+        counter.hang(true);
+        FleetRun.sleep((long) c.forMs);
+        counter.hang(false);
+      }
+      case half_cut_off -> {
+        counter.cutOff(d -> d % 2 == 0);
+        FleetRun.sleep((long) c.forMs);
+        counter.reach();
+      }
+      case empty -> {
+        counter.lose();
+        counter.comeBackEmpty();
+      }
+      case twice_in_a_window -> {
+        for (int i = 0; i < 2; i++) {
+          counter.lose();
+          counter.comeBackEmpty();
+          FleetRun.sleep((long) c.forMs);
+        }
+      }
+      case old_copy -> {
+        counter.keepCopy();
+        FleetRun.sleep(5_000);
+        counter.lose();
+        counter.comeBackWithCopy();
+      }
+      case split_first_wins, split_second_wins, split_empty -> {
+        counter.split(d -> d % 3 == 0, c != Case.split_empty);
+        FleetRun.sleep((long) c.forMs);
+        counter.heal(c == Case.split_second_wins);
+      }
+      case flaps -> {
+        for (int i = 0; i < c.forMs / FLAP_MS / 2; i++) {
+          counter.lose();
+          FleetRun.sleep((long) FLAP_MS);
+          counter.comeBack();
+          FleetRun.sleep((long) FLAP_MS);
+        }
+      }
+      case late -> {
+        counter.delay(LATE_MS);
+        FleetRun.sleep((long) c.forMs);
+        counter.delay(1);
+      }
+      case loses_answers -> {
+        counter.loseAnswers(true);
+        FleetRun.sleep((long) c.forMs);
+        counter.loseAnswers(false);
+      }
+      case answers_twice -> {
+        counter.answerTwice(true);
+        FleetRun.sleep((long) c.forMs);
+        counter.answerTwice(false);
+      }
+      case a_tenth_of_the_rate -> {
+        long calls = counter.calls();
+        FleetRun.sleep(1_000);
+        counter.rate(Math.max(1, (counter.calls() - calls) / 10.0));
+        FleetRun.sleep((long) c.forMs);
+        counter.rate(Double.POSITIVE_INFINITY);
+      }
+      case resets -> {
+        counter.reset(true);
+        FleetRun.sleep((long) c.forMs);
+        counter.reset(false);
+      }
+      case door_anew -> {
+        counter.lose();
+        run.doors().get(0).kill();
+        run.doors().get(0).start();
+        FleetRun.until(() -> run.clients().up(0), 30_000);
+        FleetRun.sleep((long) c.forMs);
+        counter.comeBack();
+      }
+    }
+  }
+
+  private int recovery() throws IOException {
+    try (FleetRun run = fleet(doorCount)) {
+      StandInCounter counter = run.rig().counter();
+      run.clients().begin();
+      FleetRun.sleep((long) QUIET_MS);
+      long quiet = counter.calls();
+      FleetRun.sleep(2_000);
+      double usual = (counter.calls() - quiet) / 2.0;
+      counter.lose();
+      FleetRun.sleep(2_000);
+      counter.comeBackEmpty();
+      double back = run.rig().ledger().now();
+      long busiest = 0;
+      long[] tenths = new long[51];
+      tenths[0] = counter.calls();
+      for (int i = 1; i < tenths.length; i++) {
+        while (run.rig().ledger().now() < back + 100 * i) {
+          FleetRun.sleep(1);
+        }
+        tenths[i] = counter.calls();
+        busiest = Math.max(busiest, tenths[i] - tenths[Math.max(0, i - 10)]);
+      }
+      FleetRun.until(() -> counter.firstCalls().size() == doorCount, 10_000);
+      List<Double> calledAgain = counter.firstCalls().values().stream().map(t -> t - back).sorted().toList();
+      Verdict verdict = run.finish();
+      out.printf(Locale.ROOT,
+          "%d doors, %.0f requests/s, sets of up to %d doors, seed %d: %.0f calls/s before; "
+          + "after 2 s away and back empty, doors call again after %.0f ms (median), %.0f ms (last of %d); "
+          + "busiest second of "
+          + "the first five %d calls; rules broken %d%n", doorCount, rate, doorCount, seed, usual,
+          calledAgain.get(calledAgain.size() / 2), calledAgain.get(calledAgain.size() - 1),
+              calledAgain.size(), busiest,
+          verdict.breaches().size());
+      if (!verdict.kept()) {
+        out.print(verdict);
+      }
+      out.flush();
+      return verdict.kept() ? 0 : 1;
+    }
+  }
+}
--- a/daemon/src/main/java/willowdoor/daemon/fleet/DoorFiles.java
+++ b/daemon/src/main/java/willowdoor/daemon/fleet/DoorFiles.java
@@ -91,7 +91,7 @@
         deadline_ms = %s
         repeat = "unsafe"
         """, index, text(listen), doors, index, index % 2 == 0 ? "a" : "b",
-        text(rig.discovery().agentOf("d" + index)), text(rig.counter().address()), t.counterLimitMs(),
+        text(rig.discovery().agentOf("d" + index)), text(rig.counter().address(index)), t.counterLimitMs(),
         control(index), t.coldFrom(), t.coldMs(), t.tipMultiple(), t.tipAfterMs(), Terms.MOST_UNITS,
         t.deadlineMs(), t.deadlineMs(), t.keyWindowMs(), t.deadlineMs()));
     for (PlanTerms p : t.plans()) {
--- a/daemon/src/main/java/willowdoor/daemon/life/Daemon.java
+++ b/daemon/src/main/java/willowdoor/daemon/life/Daemon.java
@@ -17,6 +17,7 @@
 import willowdoor.life.LifeEvent.EndSignal;
 import willowdoor.net.Config;
 import willowdoor.net.FrontDoor;
+import willowdoor.valkey.ValkeyStore;
 
 /**
  * One instance of the daemon: a door by a checked configuration, its life, its control socket and what
@@ -41,7 +42,9 @@
     this.config = config;
     this.file = file;
     Config wired = config.door(new SecureRandom().nextLong());
-    door = FrontDoor.wired(wired);
+    // Without such a store none of its classes is loaded.
+    door = FrontDoor.wired(wired, config.counter().valkey() == null ? null
+        : ValkeyStore.maker(config.counter().valkey()));
     instance = new Instance(door, new InstanceLife(config.end()), new Instance.Surroundings() {
       @Override
       public void warmUp() {
--- a/daemon/src/test/java/willowdoor/daemon/ArchitectureTest.java
+++ b/daemon/src/test/java/willowdoor/daemon/ArchitectureTest.java
@@ -27,7 +27,8 @@
             "com.fasterxml..", "java.util.concurrent..", "java.time..", "java.util.logging..",
                 "willowdoor.net..",
             "willowdoor.wire..", "willowdoor.benchlink..", "willowdoor.daemon..", "willowdoor.testkit..",
-            "willowdoor.extauthz..", "io.grpc..", "com.google..", "io.envoyproxy..")
+            "willowdoor.extauthz..", "willowdoor.valkey..", "io.lettuce..", "io.grpc..", "com.google..",
+            "io.envoyproxy..")
         .orShould().callMethod(System.class, "nanoTime").orShould().callMethod(System.class,
             "currentTimeMillis")
         .orShould().dependOnClassesThat().areAssignableTo(Thread.class).check(ALL);
@@ -38,7 +39,7 @@
     noClasses().that().resideInAnyPackage("willowdoor", "willowdoor.net..", "willowdoor.wire..",
         "willowdoor.benchlink..").should().dependOnClassesThat().resideInAnyPackage("willowdoor.daemon..",
         "willowdoor.testkit..", "willowdoor.life..", "willowdoor.authz..", "willowdoor.extauthz..",
-            "io.grpc..",
+        "willowdoor.valkey..", "io.lettuce..", "io.grpc..",
         "com.google..", "io.envoyproxy..", "picocli..", "org.tomlj..").check(ALL);
   }
 
@@ -49,6 +50,15 @@
             "willowdoor.benchlink..", "willowdoor.wire..", "picocli..", "org.tomlj..").check(ALL);
   }
 
+  @Test
+  void theStoreKnowsNoProductNoRigAndNoOtherFront() {
+    noClasses().that().resideInAPackage("willowdoor.valkey..").should().dependOnClassesThat()
+        .resideInAnyPackage("willowdoor.daemon..", "willowdoor.testkit..", "willowdoor.life..",
+            "willowdoor.extauthz..", "willowdoor.benchlink..", "willowdoor.wire..", "picocli..",
+                "org.tomlj..")
+        .check(ALL);
+  }
+
   @Test
   void theRigKnowsNoDoor() {
     noClasses().that().resideInAPackage("willowdoor.testkit..").should().dependOnClassesThat()
@@ -80,7 +90,9 @@
           .startsWith("org/tomlj")
           || e.getName().startsWith("willowdoor/daemon") || e.getName().startsWith("willowdoor/testkit")
           || e.getName().startsWith("willowdoor/life") || e.getName().startsWith("willowdoor/authz")
-          || e.getName().startsWith("willowdoor/extauthz") || e.getName().startsWith("io/grpc")
+          || e.getName().startsWith("willowdoor/extauthz") || e.getName().startsWith("willowdoor/valkey")
+          || e.getName().startsWith("io/lettuce") || e.getName().startsWith("reactor") ||
+              e.getName().startsWith("io/grpc")
           || e.getName().startsWith("io/envoyproxy") || e.getName().startsWith("com/google")));
     }
   }
--- a/daemon/src/test/java/willowdoor/daemon/config/DaemonConfigTest.java
+++ b/daemon/src/test/java/willowdoor/daemon/config/DaemonConfigTest.java
@@ -59,6 +59,29 @@
     assertEquals(1_024, c.effective().get("limits.descriptors"));
   }
 
+  @Test
+  void aValkeyStoreHasKeysOfItsOwn(@TempDir Path folder) throws Exception {
+    assertEquals(null, DaemonConfig.parse(FILE, GOOD).counter().valkey());
+    String address = "address = \"[::1]:6400\"\n";
+    Path password = Files.writeString(folder.resolve("password"), "secret\n");
+    DaemonConfig c = DaemonConfig.parse(FILE, GOOD.replace(address, address
+        + "store = \"valkey\"\nuser = \"door\"\nprefix = \"p1\"\npassword_file = \"" + password + "\"\n"));
+    assertEquals("secret", c.counter().valkey().password());
+    assertEquals("door", c.counter().valkey().user());
+    assertEquals("p1", c.counter().valkey().prefix());
+    assertTrue(c.effective().values().stream().noneMatch(v -> v.toString().contains("secret")));
+    assertEquals(List.of("line 8: counter.prefix: unknown key "
+        + "(expected: one of [address, call_limit_ms, store])"),
+        errors(GOOD.replace(address, address + "prefix = \"p1\"\n")));
+    assertEquals(List.of("line 8: counter.store: redis (expected: one of [lines, valkey])"),
+        errors(GOOD.replace(address, address + "store = \"redis\"\n")));
+    assertEquals(List.of("line 9: counter.password_file: \"/no/such/file\" "
+        + "(expected: a file that can be read)"),
+        errors(GOOD.replace(address, address + "store = \"valkey\"\npassword_file = \"/no/such/file\"\n")));
+    assertEquals(1, errors(GOOD.replace(address, address + "store = \"valkey\"\nprefix = \"a b\"\n")).size());
+    assertEquals(1, errors(GOOD.replace(address, address + "store = \"valkey\"\nuser = \"door\"\n")).size());
+  }
+
   @Test
   void tellsAllErrorsAtOnceInTheOrderOfTheirLines() {
     assertEquals(List.of(
--- a/daemon/src/test/java/willowdoor/daemon/fleet/FleetTest.java
+++ b/daemon/src/test/java/willowdoor/daemon/fleet/FleetTest.java
@@ -13,6 +13,7 @@
 import willowdoor.testkit.Faults.Fault;
 import willowdoor.testkit.Faults.What;
 import willowdoor.testkit.Judge.Verdict;
+import willowdoor.testkit.Quotas;
 import willowdoor.testkit.Tally.Stretch;
 import willowdoor.testkit.Terms;
 
@@ -64,6 +65,26 @@
     }
   }
 
+  /** Two counters believe that they are the one; firms' sets have doors on both sides, some firms flood. */
+  @Test
+  void aSplitOfTheCounterAndItsEndBreakNoCeiling() throws Exception {
+    try (FleetRun run = fleet()) {
+      sent(run, 500);
+      double before = run.rig().ledger().now();
+      run.rig().counter().split(door -> door % 3 == 0, true);
+      sent(run, run.clients().sent() + 900);
+      run.rig().counter().heal(true);
+      double took = run.rig().ledger().now() - before;
+      sent(run, run.clients().sent() + 300);
+      Verdict verdict = run.finish();
+      assertTrue(verdict.kept(), () -> "seed " + SEED + ": " + verdict);
+      for (Quotas.Use u : new Quotas(run.rig().ledger(), run.rig().terms()).uses()) {
+        double bound = CounterCommand.bound(CounterCommand.Case.split_second_wins, u.plan(), 4, took);
+        assertTrue(u.worstOver() <= bound, () -> "seed " + SEED + ": " + u + ", bound " + bound);
+      }
+    }
+  }
+
   @Test
   void aRollReplacesEveryDoorUnderLoadAndCostsNoRequest() throws Exception {
     try (FleetRun run = fleet()) {
--- a/daemon/src/test/java/willowdoor/daemon/life/CounterLossTest.java
+++ b/daemon/src/test/java/willowdoor/daemon/life/CounterLossTest.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.Timeout;
 import willowdoor.testkit.Ledger.Kind;
 import willowdoor.testkit.RequestKind;
+import willowdoor.testkit.StandInCounter;
 
 /** A daemon whose counter is lost, over real sockets. */
 @Timeout(60)
@@ -23,6 +24,7 @@
   private Daemon daemon;
   private World.Caller caller;
   private int number;
+  private int served;
 
   /** One of forty doors, so that a window is counted by its total alone. */
   @BeforeEach
@@ -88,6 +90,63 @@
     putBackInAnyTrial(() -> world.rig.counter().comeBackWithCopy());
   }
 
+  private interface Mood {
+    void of(StandInCounter counter, boolean on);
+  }
+
+  /** What is served counts once: less would be a gift, and what was refused may be in it, as it was added. */
+  private void countsAllThatWasServed(Mood mood) throws Exception {
+    World.await("counter used", () -> asked200() && world.rig.counter().added(FIRM) > 0);
+    mood.of(world.rig.counter(), true);
+    for (int i = 0; i < 3 * ASKED; i++) {
+      served += ask() == 200 ? 1 : 0;
+    }
+    mood.of(world.rig.counter(), false);
+    double before = world.rig.counter().added(FIRM);
+    World.await("counter used again", () -> asked200() && world.rig.counter().added(FIRM) > before);
+    World.await("all of it counted", () -> asked200() && world.rig.counter().added(FIRM) >= served - 1e-6);
+    double added = world.rig.counter().added(FIRM);
+    assertTrue(added <= number + 1e-6, () -> added + " added, " + number + " asked, " + served + " served");
+    assertTrue(world.verdict().kept(), () -> world.verdict().toString());
+  }
+
+  private boolean asked200() {
+    try {
+      boolean ok = ask() == 200;
+      served += ok ? 1 : 0;
+      return ok;
+    } catch (Exception e) {
+      throw new AssertionError(e);
+    }
+  }
+
+  @Test
+  void addsWhoseAnswersAreLostCountOnce() throws Exception {
+    countsAllThatWasServed(StandInCounter::loseAnswers);
+  }
+
+  @Test
+  void soDoAddsWhoseConnectionsAreReset() throws Exception {
+    countsAllThatWasServed(StandInCounter::reset);
+  }
+
+  /** An answer too many is out of step: all that follows on its connection would be another call's. */
+  @Test
+  void soDoAddsThatAreAnsweredTwice() throws Exception {
+    countsAllThatWasServed(StandInCounter::answerTwice);
+  }
+
+  @Test
+  void soDoAddsThatAreAnsweredBeyondTheLimit() throws Exception {
+    countsAllThatWasServed((counter, on) -> counter.delay(on ? 90 : 1));
+  }
+
+  /** Two calls a second, and a queue before them. */
+  @Test
+  void soDoAddsThatWaitForTheirTurn() throws Exception {
+    countsAllThatWasServed((counter, on) -> counter.rate(on ? 20 : Double.POSITIVE_INFINITY));
+  }
+
   @Test
   void theSameCounterThatWasOnlyUnreachableGetsNothingTwice() throws Exception {
     for (int i = 0; i < ASKED; i++) {
--- /dev/null
+++ b/daemon/src/test/java/willowdoor/daemon/life/ValkeyCountsTest.java
@@ -0,0 +1,136 @@
+package willowdoor.daemon.life;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Assumptions;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import willowdoor.testkit.Ledger.Kind;
+import willowdoor.testkit.RealValkey;
+import willowdoor.testkit.RequestKind;
+
+/** Daemons whose shared counts are in a real server instead of the users' counter. */
+@Timeout(60)
+class ValkeyCountsTest {
+
+  private static final int ASKED = 8;
+  private static final int TRIALS = 12;
+  private static final String SUM = "EVAL \"local n=0 for _,k in ipairs(redis.call('KEYS','willowdoor:"
+      + Long.toString(0x42, 36) + ":*')) do n=n+redis.call('GET',k) end return tostring(n)\" 0";
+
+  private RealValkey server;
+  private World world;
+  private int number;
+
+  @BeforeAll
+  static void needsAServer() {
+    if (RealValkey.program() == null) {
+      System.err.println(RealValkey.MISSING);
+    }
+    Assumptions.assumeTrue(RealValkey.program() != null, RealValkey.MISSING);
+  }
+
+  @BeforeEach
+  void open() throws Exception {
+    server = new RealValkey();
+    world = new World(2, 5);
+    world.rig.park().exact();
+  }
+
+  @AfterEach
+  void close() throws Exception {
+    world.close();
+    server.close();
+  }
+
+  /** One of forty doors, so that a window is counted by its total alone. */
+  private World.Caller door(int name) throws Exception {
+    Daemon daemon = world.daemon(new InetSocketAddress("127.0.0.1", 0), "[end]\naccept_ms = 150\n",
+        text -> text.replace("doors = 1\n",
+            "doors = 40\n").replaceFirst("\\[counter\\]\naddress = \"[^\"]*\"",
+            "[counter]\nstore = \"valkey\"\naddress = \"127.0.0.1:" + server.address().getPort() + "\""))
+        .start(false);
+    World.awaitUp(daemon.address());
+    return world.new Caller(daemon.address(), "d" + name);
+  }
+
+  private int ask(World.Caller caller, int units) throws Exception {
+    String id = "r" + number++;
+    caller.raw(caller.message(id, RequestKind.BUY, 2_000)
+        .replace("units=1,spread=1", "units=" + units + ",spread=40"));
+    world.rig.ledger().request(Kind.ASKED, id, caller.door, 0, "");
+    return caller.receive(id);
+  }
+
+  private double sum() {
+    try {
+      return Double.parseDouble(server.say(SUM));
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  @Test
+  void whatTwoDoorsLetInIsOneCountAndAFirmBeyondItsQuotaIsRefused() throws Exception {
+    World.Caller one = door(0);
+    World.Caller other = door(1);
+    World.await("both count", () -> {
+      try {
+        double before = sum();
+        return ask(one, 1) == 200 && sum() > before && ask(other, 1) == 200 && sum() > before + 1.5;
+      } catch (Exception e) {
+        throw new AssertionError(e);
+      }
+    });
+    int refused = 0;
+    for (int i = 0; i < 60 && refused == 0; i++) {
+      refused += ask(i % 2 == 0 ? one : other, 8) == 200 ? 0 : 1;
+    }
+    assertEquals(1, refused, "480 units of a burst of 60");
+    assertTrue(world.verdict().kept(), () -> world.verdict().toString());
+  }
+
+  /** A window is 2 s long: a trial that its edge meets has nothing to put back, so there are some. */
+  @Test
+  void whatADoorHadAddedIsPutBackAtAServerThatBeganAnew() throws Exception {
+    World.Caller caller = door(0);
+    for (int trial = 0; trial < TRIALS; trial++) {
+      for (int i = 0; i < ASKED; i++) {
+        assertEquals(200, ask(caller, 1));
+      }
+      double before = sum();
+      server.kill();
+      server.start();
+      double limit = world.rig.ledger().now() + 1_500;
+      while (world.rig.ledger().now() < limit) {
+        if (before >= ASKED && sum() >= ASKED) {
+          return;
+        }
+        Thread.onSpinWait();
+      }
+    }
+    throw new AssertionError("nothing was put back in " + TRIALS + " trials");
+  }
+
+  @Test
+  void withoutTheServerTheDoorServesOnByItsPart() throws Exception {
+    World.Caller caller = door(0);
+    server.kill();
+    // Its part of the quota, which it may begin with nothing of, gives a unit in less than 2 s.
+    World.await("served unasked", () -> {
+      try {
+        return ask(caller, 1) == 200;
+      } catch (Exception e) {
+        throw new AssertionError(e);
+      }
+    });
+    assertTrue(world.verdict().kept(), () -> world.verdict().toString());
+  }
+}
--- a/door/src/main/java/willowdoor/net/CeilingShares.java
+++ b/door/src/main/java/willowdoor/net/CeilingShares.java
@@ -28,12 +28,12 @@
 
   private final EventLoop loop;
   private final Clock clock;
-  private final CounterClient counter;
+  private final CounterStore counter;
   private final CeilingRights rights;
   private final double mostUnits;
   private final Map<String, Plan> ceiled = new HashMap<>();
 
-  CeilingShares(EventLoop loop, Clock clock, CounterClient counter, Settings settings) {
+  CeilingShares(EventLoop loop, Clock clock, CounterStore counter, Settings settings) {
     this.loop = loop;
     this.clock = clock;
     this.counter = counter;
--- a/door/src/main/java/willowdoor/net/CounterClient.java
+++ b/door/src/main/java/willowdoor/net/CounterClient.java
@@ -40,7 +40,7 @@
  * answers owed, so that one slow part of the counter holds up only what already waits behind it; calls for
  * one name keep their order.
  */
-final class CounterClient {
+final class CounterClient implements CounterStore {
 
   private static final Logger LOG = Logger.getLogger(CounterClient.class.getName());
 
@@ -114,7 +114,8 @@
     replaced = whenReplaced;
   }
 
-  void start() {
+  @Override
+  public void start() {
     if (counter != null) {
       open();
       if (watch != null) {
@@ -133,7 +134,8 @@
   }
 
   /** Opens connections to another address; those to the old one finish what they owe. */
-  void moveTo(InetSocketAddress other) {
+  @Override
+  public void moveTo(InetSocketAddress other) {
     if (other == null || other.equals(counter)) {
       return;
     }
@@ -146,7 +148,14 @@
     loop.schedule(() -> old.forEach(Link::close), LEAVE_MS, TimeUnit.MILLISECONDS);
   }
 
-  void add(String name, double amount, double ttlMs) {
+  /** Its connections end with the loop. */
+  @Override
+  public void close() {
+    // Nothing else is held.
+  }
+
+  @Override
+  public void add(String name, double amount, double ttlMs) {
     Call call = new Call(name, clock.now());
     Call before = lastOfName.get(name);
     Link link = before != null ? before.link : leastOwing();
--- a/door/src/main/java/willowdoor/net/FrontDoor.java
+++ b/door/src/main/java/willowdoor/net/FrontDoor.java
@@ -35,7 +35,7 @@
   private final CountDownLatch drained = new CountDownLatch(1);
   private ModuleDriver driver;
   private ClientServer clients;
-  private CounterClient counter;
+  private CounterStore counter;
   private DiscoveryClient discovery;
   private Channel listening;
 
@@ -85,9 +85,14 @@
 
   /** A door with its peers' connections under way, that has no listening socket yet. */
   public static FrontDoor wired(Config config) throws InterruptedException {
+    return wired(config, null);
+  }
+
+  /** The same with shared counts elsewhere than at the platform's counter, or with null there. */
+  public static FrontDoor wired(Config config, CounterStore.Maker counts) throws InterruptedException {
     FrontDoor door = new FrontDoor();
     try {
-      door.loop.submit(() -> door.wire(config)).sync();
+      door.loop.submit(() -> door.wire(config, counts)).sync();
       return door;
     } catch (RuntimeException e) {
       door.stop();
@@ -102,7 +107,7 @@
     new WarmUp(config).run(WarmUp.LIMIT_MS);
   }
 
-  private void wire(Config config) {
+  private void wire(Config config, CounterStore.Maker counts) {
     Places places = new Places(config.limits().places());
     BackendPool backends = new BackendPool(loop, clock, Dialer.sockets(loop, config.connectLimitMs()),
         config.idleLimitMs(), places);
@@ -110,10 +115,9 @@
     driver = new ModuleDriver(loop, clock, policy, backends);
     clients = new ClientServer(loop, clock, driver, backends, new RequestReader(config.settings()),
         config.limits(), places);
-    counter = new CounterClient(loop, clock, Dialer.sockets(loop, CounterClient.CONNECT_LIMIT_MS),
-        config.counter(), config.settings().allowed().countLimitMs(), driver::onCounted);
+    counter = counts == null ? linesOf(config)
+        : counts.make(loop, clock::now, Long.toHexString(config.seed()), config, driver);
     if (config.watchCounter()) {
-      counter.watch(new CounterWatch(Long.toHexString(config.seed())), driver::onCounterReplaced);
       driver.divide(new CeilingShares(loop, clock, counter, config.settings()));
     }
     counter.start();
@@ -123,6 +127,15 @@
     discovery.start();
   }
 
+  private CounterClient linesOf(Config config) {
+    CounterClient lines = new CounterClient(loop, clock, Dialer.sockets(loop, CounterClient.CONNECT_LIMIT_MS),
+        config.counter(), config.settings().allowed().countLimitMs(), driver::counted);
+    if (config.watchCounter()) {
+      lines.watch(new CounterWatch(Long.toHexString(config.seed())), driver::replaced);
+    }
+    return lines;
+  }
+
   /** Has requests pass a gate, or with null none; on the loop, at best before the door listens. */
   public void guard(Gate gate) {
     driver.guard(gate);
@@ -273,6 +286,9 @@
 
   /** Ends the loop, and with it every socket. */
   public void stop() {
+    if (counter != null) {
+      counter.close();
+    }
     group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
   }
 }
--- a/door/src/main/java/willowdoor/net/ModuleDriver.java
+++ b/door/src/main/java/willowdoor/net/ModuleDriver.java
@@ -38,7 +38,7 @@
  * Takes events to the module and its actions to the sockets; the only caller of the module. Holds the table
  * of requests taken and attempts out. All on the event loop's thread.
  */
-final class ModuleDriver {
+final class ModuleDriver implements CounterStore.Listener {
 
   private static final Logger LOG = Logger.getLogger(ModuleDriver.class.getName());
   /** The last moment for a final answer, ahead of the client's own: later than any answer of the module. */
@@ -125,7 +125,7 @@
   private final Clock clock;
   private final QuotaPolicy policy;
   private final BackendPool backends;
-  private CounterClient counter;
+  private CounterStore counter;
   private Gate gate;
   /** Null where firms' ceilings are used together by the shared count. */
   private CeilingShares ceilings;
@@ -141,7 +141,7 @@
     this.backends = backends;
   }
 
-  void start(CounterClient counter, RosterNews known) {
+  void start(CounterStore counter, RosterNews known) {
     this.counter = counter;
     policy.start(clock.now()).forEach(this::execute);
     backends.onRoster(known);
@@ -230,7 +230,8 @@
     }
   }
 
-  void onCounted(Counted counted) {
+  @Override
+  public void counted(Counted counted) {
     if (ceilings == null || !ceilings.takes(counted)) {
       deliver(counted);
     }
@@ -241,7 +242,8 @@
     ceilings = shares;
   }
 
-  void onCounterReplaced(double lostSinceMs) {
+  @Override
+  public void replaced(double lostSinceMs) {
     deliver(new CounterReplaced(lostSinceMs));
   }
 
--- a/door/src/main/java/willowdoor/net/WarmUp.java
+++ b/door/src/main/java/willowdoor/net/WarmUp.java
@@ -71,7 +71,7 @@
     ClientServer clients = new ClientServer(loop, clock, driver, pool, new RequestReader(config.settings()),
         config.limits(), places);
     CounterClient counter = new CounterClient(loop, clock, (address, handler) -> open(counters, handler),
-        config.discovery(), config.settings().allowed().countLimitMs(), driver::onCounted);
+        config.discovery(), config.settings().allowed().countLimitMs(), driver::counted);
     counter.start();
     driver.start(counter, roster());
     for (int i = 0; i < REQUESTS && clock.now() < until; i += KEPT_FOR) {
--- a/policy/src/main/java/willowdoor/policy/QuotaPolicy.java
+++ b/policy/src/main/java/willowdoor/policy/QuotaPolicy.java
@@ -22,6 +22,8 @@
   private static final double USUAL_USE = 0.5;
   /** Counts estimated to be past the limit by this share of it are not asked for: the answer is known. */
   private static final double SURELY_SPENT = 0.5;
+  /** So many times what a window can grant, and what may be under way, is no total of a customer's. */
+  private static final double IMPLAUSIBLE = 10;
   private static final double COUNT_TTL_MS = 60_000;
   /** How often waiting requests are looked at: well under what a person or an aim notices. */
   private static final double TICK_MS = 25;
@@ -236,6 +238,15 @@
           : most() < units && now - syncedAt < SPENT_RECHECK_MS;
     }
 
+    /**
+     * A total that no customer can come to, however many gateways add to it. Guards against answers that are
+     * out of step with their calls, and so another name's. Harm: none known; it is read once more.
+     */
+    double implausible() {
+      return IMPLAUSIBLE * (plan.burst() + plan.rate() * windowMs / 1000
+          + 10 * settings.gateways() * settings.maxUnits());
+    }
+
     /** The most the bucket can hold if the others have spent nothing since the last answer. */
     double most() {
       return Math.min(plan.burst(), level + assumed) - flying;
@@ -315,16 +326,18 @@
     a.owed = 0;
   }
 
-  private void onCounted(Counted e) {
-    ArrayDeque<Call> queue = calls.get(e.name());
+  private void onCounted(Counted told) {
+    ArrayDeque<Call> queue = calls.get(told.name());
     if (queue == null) {
       return;
     }
     Call call = queue.poll();
     if (queue.isEmpty()) {
-      calls.remove(e.name());
+      calls.remove(told.name());
     }
     Account a = call.account;
+    Counted e = told.status() != Status.OK || told.total() < a.implausible() ? told
+        : new Counted(told.name(), Status.SPOILT, 0, told.latencyMs());
     Job job = call.job;
     a.advance();
     if (job == null) {
--- a/policy/src/test/java/willowdoor/policy/CounterReplacedTest.java
+++ b/policy/src/test/java/willowdoor/policy/CounterReplacedTest.java
@@ -1,5 +1,6 @@
 package willowdoor.policy;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
@@ -155,4 +156,19 @@
     Run often = flood(40, 12, true, false, 3);
     assertTrue(often.sent() <= quiet.sent() + bound(40, 12), often + " beside " + quiet);
   }
+
+  /** An answer out of step is another name's: the firm's count is read once more, and nothing is learned. */
+  @Test
+  void aTotalThatNoFirmCanComeToIsReadAgain() {
+    Fixtures f = new Fixtures(Fixtures.settings(true, 40, false)).backends(4);
+    f.on(new Request("r1", "safe", PLAN.name(), 42, 40, 2, f.now + 4000));
+    f.total(1_000_007);
+    Add again = f.only(Add.class);
+    assertEquals(0, again.amount());
+    f.total(2);
+    assertTrue(f.did(Send.class));
+    f.on(new Request("r2", "safe", PLAN.name(), 42, 40, 2, f.now + 4000));
+    f.total(4);
+    assertTrue(f.did(Send.class), "the firm is not held to what another name's total said");
+  }
 }
--- a/policy/src/test/java/willowdoor/policy/CounterScheduleTest.java
+++ b/policy/src/test/java/willowdoor/policy/CounterScheduleTest.java
@@ -10,10 +10,13 @@
 import java.util.stream.LongStream;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import willowdoor.policy.CounterWorld.Fault;
 import willowdoor.policy.CounterWorld.Firm;
 import willowdoor.policy.CounterWorld.Traffic;
 import willowdoor.policy.CounterWorld.What;
+import willowdoor.policy.GatewayApi.Plan;
 
 /**
  * Seeded schedules of troubles with the counter, each played by a fleet of six doors with twelve firms for
@@ -164,6 +167,28 @@
     assertTrue(divided == 0 && counted > 0, divided + " and " + counted);
   }
 
+  /** At the edge, within a call's time of it, and twice in the window that begins there. */
+  @ParameterizedTest
+  @EnumSource(value = What.class, names = {"AWAY", "EMPTIED", "OLD_COPY", "SPLIT"})
+  void aLossExactlyAtAWindowsEdgeStaysWithinTheBound(What what) {
+    for (Plan plan : List.of(CounterWorld.BASIC, CounterWorld.FULL)) {
+      for (long seed = 1; seed <= 10; seed++) {
+        List<Traffic> flood = List.of(new Traffic(plan, 0, 3, 20));
+        double edge = new CounterWorld(DOORS, flood, true, true, seed).edgeAfter(WARM_MS, 2_000);
+        for (double off : new double[] {-2, 0, 1}) {
+          List<Fault> faults = List.of(new Fault(what, edge + off, 1_000, 0b010), new Fault(what, edge + off
+              + 4_000, 1_000, 0b010));
+          CounterWorld w = play(new Schedule(seed, faults), true, flood, edge + 8_000);
+          Firm f = w.firms.get(0);
+          String told = "seed " + seed + ", " + faults + ": " + f.worstQuota + " over of "
+              + quotaBound(f, faults) + ", " + f.sent + " sent";
+          assertTrue(f.worstQuota <= quotaBound(f, faults) && !ceilingBroken(w), told);
+          assertTrue(f.sent >= 0.5 * f.traffic.plan().rate() * edge / 1000, told);
+        }
+      }
+    }
+  }
+
   /** What firms below their quota met while their door could not reach the counter, over 20 runs. */
   private static String row(What what, double[] blindRefused) {
     int[][] blind = new int[2][2];
--- a/policy/src/test/java/willowdoor/policy/CounterWorld.java
+++ b/policy/src/test/java/willowdoor/policy/CounterWorld.java
@@ -332,6 +332,14 @@
     f.refusedBlind += entitled != null && entitled ? 1 : 0;
   }
 
+  /** How long after the first request the first firm's window ends next, counted from a moment. */
+  double edgeAfter(double warmMs, double afterMs) {
+    double windowMs = 25_000;
+    double phase = Math.floorMod(firms.get(0).number * 0x9E3779B97F4A7C15L, (long) windowMs);
+    double at = BEGIN + warmMs + afterMs;
+    return afterMs + windowMs - (at + phase) % windowMs;
+  }
+
   /** Plays so long, with those troubles counted from the first request on; earlier nothing is asked. */
   CounterWorld play(double warmMs, double forMs, List<Fault> faults) {
     double from = BEGIN + warmMs;
--- /dev/null
+++ b/store-valkey/src/test/java/willowdoor/valkey/ValkeyStoreTest.java
@@ -0,0 +1,334 @@
+package willowdoor.valkey;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Assumptions;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import willowdoor.net.Config;
+import willowdoor.net.CounterStore;
+import willowdoor.policy.GatewayApi.Allowed;
+import willowdoor.policy.GatewayApi.Counted;
+import willowdoor.policy.GatewayApi.Rules;
+import willowdoor.policy.GatewayApi.Settings;
+import willowdoor.policy.GatewayApi.Status;
+import willowdoor.testkit.RealValkey;
+
+/** The store against a real server: what it tells when that is lost, replaced, promoted, slow or refuses. */
+@Timeout(60)
+class ValkeyStoreTest {
+
+  private static final double LIMIT_MS = 300;
+  private static final long WAIT_S = 20;
+  private static final ValkeySettings USUAL = new ValkeySettings("", "", "test");
+
+  private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final BlockingQueue<Counted> ends = new LinkedBlockingQueue<>();
+  private final BlockingQueue<Double> replaced = new LinkedBlockingQueue<>();
+  private final List<CounterStore> stores = new ArrayList<>();
+  private final List<RealValkey> servers = new ArrayList<>();
+
+  @BeforeAll
+  static void needsAServer() {
+    if (RealValkey.program() == null) {
+      System.err.println(RealValkey.MISSING);
+    }
+    Assumptions.assumeTrue(RealValkey.program() != null, RealValkey.MISSING);
+  }
+
+  @AfterEach
+  void close() throws Exception {
+    stores.forEach(CounterStore::close);
+    for (RealValkey s : servers) {
+      s.close();
+    }
+    group.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
+  }
+
+  private static double now() {
+    return System.nanoTime() / 1e6;
+  }
+
+  private RealValkey server(String... options) throws Exception {
+    RealValkey made = new RealValkey(options);
+    servers.add(made);
+    return made;
+  }
+
+  private static Config config(InetSocketAddress counter) {
+    Settings settings = new Settings(1, 0, "a", 8, 0, false, List.of(), List.of(),
+        new Allowed(true, LIMIT_MS, true, false, 6, 100, true, 2_000, false), new Rules(8, 0.2, 1_000, 2,
+            2_000));
+    return new Config(null, null, counter, 1, settings, null, 250, 15_000, null, true);
+  }
+
+  private CounterStore store(InetSocketAddress address, ValkeySettings settings) {
+    CounterStore made = ValkeyStore.maker(settings).make(group.next(), ValkeyStoreTest::now,
+        "d" + stores.size(), config(address), new CounterStore.Listener() {
+          @Override
+          public void counted(Counted end) {
+            ends.add(end);
+          }
+
+          @Override
+          public void replaced(double lostSinceMs) {
+            replaced.add(lostSinceMs);
+          }
+        });
+    stores.add(made);
+    group.next().execute(made::start);
+    return made;
+  }
+
+  private Counted add(CounterStore store, String name, double amount, double ttlMs) throws Exception {
+    group.next().execute(() -> store.add(name, amount, ttlMs));
+    Counted end = ends.poll(WAIT_S, TimeUnit.SECONDS);
+    assertEquals(name, end.name());
+    return end;
+  }
+
+  /** A store that is connected: its first add under a name of no other use has been answered. */
+  private CounterStore up(RealValkey server) throws Exception {
+    CounterStore made = store(server.address(), USUAL);
+    awaitOk(made);
+    return made;
+  }
+
+  private void awaitOk(CounterStore store) throws Exception {
+    long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_S);
+    while (add(store, "up", 0, 1_000).status() != Status.OK) {
+      assertTrue(System.nanoTime() < end, "no answer that is OK");
+    }
+  }
+
+  @Test
+  void addsOfAllDoorsMakeOneTotalAndANameIsForgottenAfterItsLife() throws Exception {
+    RealValkey server = server();
+    CounterStore one = up(server);
+    CounterStore other = up(server);
+    assertEquals(2.5, add(one, "16:1", 2.5, 60_000).total(), 1e-9);
+    assertEquals(1.25, add(other, "16:1", -1.25, 60_000).total(), 1e-9);
+    assertEquals(1.25, add(one, "16:1", 0, 60_000).total(), 1e-9);
+    assertEquals(1e6 + 7, add(one, "big", 1e6, 60_000).total() + 7, 1e-9);
+    add(one, "short", 1, 60);
+    long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_S);
+    while (add(one, "short", 0, 60).total() != 0) {
+      assertTrue(System.nanoTime() < end, "never forgotten");
+    }
+    assertTrue(replaced.isEmpty());
+  }
+
+  @Test
+  void aServerThatBeganAnewIsToldByTheFirstAnswerAndOnce() throws Exception {
+    RealValkey server = server();
+    CounterStore store = up(server);
+    assertEquals(3, add(store, "16:1", 3, 60_000).total());
+    server.kill();
+    server.start();
+    awaitOk(store);
+    assertEquals(Double.NEGATIVE_INFINITY, replaced.poll(WAIT_S, TimeUnit.SECONDS));
+    assertEquals(1, add(store, "16:1", 1, 60_000).total());
+    // The watch goes on at the new counts, and tells of the next one, but not of this one again.
+    awaitChecks(server, 3);
+    assertTrue(replaced.isEmpty(), replaced::toString);
+  }
+
+  private static void awaitChecks(RealValkey server, int more) throws Exception {
+    long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_S);
+    int seen = 0;
+    String before = "";
+    while (seen <= more) {
+      assertTrue(System.nanoTime() < end, "no checks seen");
+      String processed = server.say("EVAL \"local n=0 for _,k in ipairs(redis.call('KEYS','test:~*')) do "
+          + "n=n+redis.call('GET',k) end return tostring(n)\" 0");
+      seen += processed.equals(before) ? 0 : 1;
+      before = processed;
+    }
+  }
+
+  /** Whoever asks first after FLUSHALL on a live connection learns it. */
+  @Test
+  void flushedDataIsToldOnAConnectionThatStays() throws Exception {
+    RealValkey server = server();
+    CounterStore store = up(server);
+    for (int i = 0; i < 20; i++) {
+      add(store, "16:1", 3, 60_000);
+      assertEquals("+OK", server.say("FLUSHALL"));
+      assertEquals(1, add(store, "16:1", 1, 60_000).total());
+      assertEquals(Double.NEGATIVE_INFINITY, replaced.poll(), "told before the answer itself, round " + i);
+      assertTrue(replaced.isEmpty(), "told twice");
+    }
+  }
+
+  @Test
+  void aPromotedReplicaThatLacksTheLastWritesIsAnOldCopy() throws Exception {
+    RealValkey primary = server();
+    CounterStore store = up(primary);
+    add(store, "16:1", 3, 60_000);
+    RealValkey replica = server("--replicaof", "127.0.0.1 " + primary.address().getPort());
+    awaitEquals("3", () -> replica.say("GET test:16:1"));
+    awaitChecks(primary, 2);
+    awaitEquals(primary.say("DBSIZE"), () -> replica.say("DBSIZE"));
+    assertEquals("+OK", replica.say("REPLICAOF NO ONE"));
+    double cutAt = now();
+    awaitChecks(primary, 3);
+    assertEquals(8, add(store, "16:1", 5, 60_000).total());
+    group.next().execute(() -> store.moveTo(replica.address()));
+    double lostSince = replaced.poll(WAIT_S, TimeUnit.SECONDS);
+    assertTrue(lostSince <= cutAt && lostSince > cutAt - 10_000, lostSince + " beside " + cutAt);
+    awaitOk(store);
+    assertEquals(4, add(store, "16:1", 1, 60_000).total());
+  }
+
+  private interface Asked {
+    String get() throws Exception;
+  }
+
+  private static void awaitEquals(String wanted, Asked asked) throws Exception {
+    long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_S);
+    String got = asked.get();
+    while (!wanted.equals(got)) {
+      assertTrue(System.nanoTime() < end, "wanted " + wanted + ", got " + got);
+      got = asked.get();
+    }
+  }
+
+  @Test
+  void aReplicaThatTakesNoWritesAddsNothingAndSaysSo() throws Exception {
+    RealValkey primary = server();
+    up(primary);
+    RealValkey replica = server("--replicaof", "127.0.0.1 " + primary.address().getPort());
+    CounterStore store = store(replica.address(), USUAL);
+    Counted end = add(store, "16:1", 3, 60_000);
+    long limit = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_S);
+    while (end.status() != Status.REJECTED) {
+      assertTrue(System.nanoTime() < limit, end::toString);
+      end = add(store, "16:1", 3, 60_000);
+    }
+    assertTrue(end.status().provesNotRun());
+    assertEquals("$-1", primary.say("GET test:16:1"));
+  }
+
+  @Test
+  void flushedScriptsCostOneCallThatAddedNothing() throws Exception {
+    RealValkey server = server();
+    CounterStore store = up(server);
+    add(store, "16:1", 3, 60_000);
+    assertEquals("+OK", server.say("SCRIPT FLUSH"));
+    // A check of the watch may meet it first, and have it loaded again.
+    add(store, "16:1", 0, 60_000);
+    awaitOk(store);
+    assertEquals(3, add(store, "16:1", 0, 60_000).total());
+  }
+
+  @Test
+  void aSlowServerEndsCallsAtTheLimitAndTheAddIsMadeOnce() throws Exception {
+    RealValkey server = server();
+    CounterStore store = up(server);
+    assertEquals("+OK", server.say("CLIENT PAUSE 900 ALL"));
+    double begun = now();
+    Counted end = add(store, "16:1", 3, 60_000);
+    double took = now() - begun;
+    assertEquals(Status.TIMED_OUT, end.status());
+    assertFalse(end.status().provesNotRun());
+    assertTrue(took >= LIMIT_MS - 5 && took < 3 * LIMIT_MS, took + " ms");
+    awaitOk(store);
+    assertEquals(3, add(store, "16:1", 0, 60_000).total());
+    assertTrue(ends.isEmpty(), "the late answer is told to nobody");
+  }
+
+  @Test
+  void withoutAServerCallsEndAtOnceAndItIsFoundAgain() throws Exception {
+    RealValkey server = server();
+    CounterStore store = up(server);
+    server.kill();
+    long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_S);
+    Counted last = add(store, "16:1", 1, 60_000);
+    while (last.status() != Status.UNREACHABLE) {
+      assertTrue(System.nanoTime() < end, last::toString);
+      last = add(store, "16:1", 1, 60_000);
+    }
+    assertTrue(last.latencyMs() < LIMIT_MS / 2, last::toString);
+    server.start();
+    awaitOk(store);
+  }
+
+  /** At most once: what was out when the connection broke is not sent again. */
+  @Test
+  void nothingIsSentAgainAfterABreak() throws Exception {
+    RealValkey server = server();
+    CounterStore store = up(server);
+    for (int round = 0; round < 5; round++) {
+      String name = "16:" + round;
+      for (int i = 0; i < 200; i++) {
+        group.next().execute(() -> store.add(name, 1, 60_000));
+      }
+      server.say("CLIENT KILL TYPE normal");
+      int sure = 0;
+      int open = 0;
+      for (int i = 0; i < 200; i++) {
+        Counted end = ends.poll(WAIT_S, TimeUnit.SECONDS);
+        sure += end.status() == Status.OK ? 1 : 0;
+        open += end.status() == Status.OK || end.status().provesNotRun() ? 0 : 1;
+      }
+      awaitOk(store);
+      double total = add(store, name, 0, 60_000).total();
+      assertTrue(total >= sure && total <= sure + open, total + " of " + sure + " sure and " + open +
+          " open");
+    }
+  }
+
+  @Test
+  void callsOutAreBounded() throws Exception {
+    RealValkey server = server();
+    CounterStore store = up(server);
+    server.say("CLIENT PAUSE 600 ALL");
+    int calls = ValkeyStore.MOST_OUT + 100;
+    group.next().execute(() -> {
+      for (int i = 0; i < calls; i++) {
+        store.add("16:1", 1, 60_000);
+      }
+    });
+    int turnedAway = 0;
+    for (int i = 0; i < calls; i++) {
+      turnedAway += ends.poll(WAIT_S, TimeUnit.SECONDS).status() == Status.NOT_SENT ? 1 : 0;
+    }
+    assertTrue(turnedAway >= 100 && turnedAway <= 110, turnedAway + " turned away");
+    awaitOk(store);
+    assertEquals(calls - turnedAway, add(store, "16:1", 0, 60_000).total());
+  }
+
+  @Test
+  void aPasswordIsNeededWhereTheServerAsksForOne() throws Exception {
+    RealValkey server = server("--requirepass", "secret");
+    CounterStore right = store(server.address(), new ValkeySettings("", "secret", "test"));
+    awaitOk(right);
+    CounterStore wrong = store(server.address(), new ValkeySettings("", "other", "test"));
+    for (int i = 0; i < 20; i++) {
+      assertEquals(Status.UNREACHABLE, add(wrong, "16:1", 1, 1_000).status());
+    }
+    assertFalse(new ValkeySettings("door", "secret", "test").toString().contains("secret"));
+  }
+
+  @Test
+  void badSettingsAreNamed() {
+    assertTrue(assertThrows(IllegalArgumentException.class, () -> new ValkeySettings("", "", "a b"))
+        .getMessage().contains("\"a b\" (expected: 1 to 64"));
+    assertTrue(assertThrows(IllegalArgumentException.class, () -> new ValkeySettings("door", "", "a"))
+        .getMessage().contains("expected: one for the user door"));
+  }
+}
--- a/testkit/src/main/java/willowdoor/testkit/ClientFleet.java
+++ b/testkit/src/main/java/willowdoor/testkit/ClientFleet.java
@@ -53,9 +53,21 @@
   private static final int BODY_BYTES = 200;
   private static final long ASK_AGAIN_MS = 300;
 
-  /** What the fleet asks: this many requests a second over so many firms, a part of them heavy. */
+  /**
+   * What the fleet asks: this many requests a second over so many firms, a part of them heavy.
+   *
+   * @param uneven most of a firm's requests come through one or two doors of its set, and these change every
+   *     {@value #BUSIEST_MS} ms
+   */
   public record Load(double requestsPerSecond, int firms, double heavyShare, double heavyTimes,
-      int mostSpread) { }
+      int mostSpread, boolean uneven) {
+
+    public Load(double requestsPerSecond, int firms, double heavyShare, double heavyTimes, int mostSpread) {
+      this(requestsPerSecond, firms, heavyShare, heavyTimes, mostSpread, false);
+    }
+  }
+
+  private static final long BUSIEST_MS = 15_000;
 
   private record Firm(String id, String plan, int first, int spread, double weight) { }
 
@@ -221,6 +233,28 @@
     return firms.get(firms.size() - 1);
   }
 
+  /** Which door of the set is tried first. */
+  private int offset(Firm f) {
+    if (!load.uneven()) {
+      return random.nextInt(f.spread());
+    }
+    // A firm's busiest doors follow from its number and the span of time.
+    Random busiest = new Random(31 * f.id().hashCode() + (long) (ledger.now() / BUSIEST_MS +
+        (f.id().hashCode() & 15) / 16.0));
+    double[] weights = new double[f.spread()];
+    double sum = 0;
+    for (int i = 0; i < weights.length; i++) {
+      weights[i] = Math.pow(busiest.nextDouble(), 3);
+      sum += weights[i];
+    }
+    double at = random.nextDouble() * sum;
+    int i = 0;
+    while (i < weights.length - 1 && at >= weights[i]) {
+      at -= weights[i++];
+    }
+    return i;
+  }
+
   /** One try of a client, from its being due to its end. */
   private final class Try {
     private final Firm firm;
@@ -253,7 +287,7 @@
     void start() {
       out.incrementAndGet();
       sent.incrementAndGet();
-      door = front.choose(firm.first(), firm.spread(), random);
+      door = front.choose(firm.first(), firm.spread(), offset(firm));
       if (door == null) {
         end(End.NO_DOOR, 0);
         return;
--- a/testkit/src/main/java/willowdoor/testkit/Front.java
+++ b/testkit/src/main/java/willowdoor/testkit/Front.java
@@ -18,7 +18,6 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 
@@ -115,9 +114,8 @@
     return places.get(door).up;
   }
 
-  /** A door of the set that it holds for up, or null. */
-  Door choose(int first, int spread, Random random) {
-    int offset = random.nextInt(spread);
+  /** The door of the set at that offset, or the next one that it holds for up, or null. */
+  Door choose(int first, int spread, int offset) {
     for (int i = 0; i < spread; i++) {
       Place p = places.get((first + (offset + i) % spread) % places.size());
       if (p.up) {
--- a/testkit/src/main/java/willowdoor/testkit/StandInCounter.java
+++ b/testkit/src/main/java/willowdoor/testkit/StandInCounter.java
@@ -17,29 +17,45 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentSkipListMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.IntPredicate;
 
 /**
  * The shared counter: lines {@code incr NAME AMOUNT LIFE_MS}, answered in their order. It can be slow, hang
- * (takes calls and answers none), be lost and come back empty. Holds {@value #MOST_NAMES} names; past that it
- * answers {@code busy}.
+ * (takes calls and answers none), be lost and come back empty, with all it had or with a copy; lose answers,
+ * answer twice, reset connections, or keep to a rate. Each door may have an address of its own, by which the
+ * counter can be cut off from some doors, or be two counters that both believe to be the one. Holds
+ * {@value #MOST_NAMES} names and {@value #MOST_WAITING} calls that wait for their turn; past that it answers
+ * {@code busy}.
  */
 public final class StandInCounter {
 
   private static final int MOST_NAMES = 200_000;
   private static final double LONGEST_LIFE_MS = 60_000;
   private static final long SWEEP_MS = 1_000;
+  private static final int MOST_WAITING = 10_000;
+  private static final int ANY = -1;
 
   private record Count(double total, double endsAt) { }
 
   private final EventLoopGroup group;
   private final Ledger ledger;
   private final Map<String, Count> counts = new HashMap<>();
-  private final ChannelGroup open = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
-  private Channel listening;
-  private InetSocketAddress address;
+  /** Where it listens, by door; {@value #ANY} is the address that no door has for its own. */
+  private final Map<Integer, Port> ports = new ConcurrentSkipListMap<>();
+  private Map<String, Count> second = new HashMap<>();
+  private IntPredicate onSecond = door -> false;
+  private double freeAt;
+  private int waiting;
+  private volatile double mostPerSecond = Double.POSITIVE_INFINITY;
+  private volatile boolean doubling;
+  /** When each door first added to a firm's name since it was last back. */
+  private final Map<Integer, Double> firstCalls = new HashMap<>();
   private volatile double delayMs = 1;
   private volatile boolean hanging;
   private volatile boolean losing;
@@ -54,28 +70,117 @@
   public StandInCounter(EventLoopGroup group, Ledger ledger) {
     this.group = group;
     this.ledger = ledger;
-    listen(new InetSocketAddress("127.0.0.1", 0));
+    ports.put(ANY, new Port(ANY));
     group.next().scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
   }
 
-  private void listen(InetSocketAddress at) {
-    listening = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
-        .option(ChannelOption.SO_BACKLOG, 1024).option(ChannelOption.SO_REUSEADDR, true)
-        .childOption(ChannelOption.TCP_NODELAY, true)
-        .childHandler(new ChannelInitializer<Channel>() {
-          @Override
-          protected void initChannel(Channel ch) {
-            open.add(ch);
-            ch.pipeline().addLast(new LineBasedFrameDecoder(256),
-                new StringDecoder(StandardCharsets.US_ASCII),
-                new Calls());
-          }
-        }).bind(at).syncUninterruptibly().channel();
-    address = (InetSocketAddress) listening.localAddress();
+  /** One address of it. */
+  private final class Port extends ChannelInitializer<Channel> {
+    private final int door;
+    private final InetSocketAddress address;
+    private final ChannelGroup open = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+    private Channel listening;
+
+    Port(int door) {
+      this.door = door;
+      listen(new InetSocketAddress("127.0.0.1", 0));
+      address = (InetSocketAddress) listening.localAddress();
+    }
+
+    private void listen(InetSocketAddress at) {
+      listening = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
+          .option(ChannelOption.SO_BACKLOG, 1024).option(ChannelOption.SO_REUSEADDR, true)
+          .childOption(ChannelOption.TCP_NODELAY, true).childHandler(this).bind(at).syncUninterruptibly()
+          .channel();
+    }
+
+    @Override
+    protected void initChannel(Channel ch) {
+      open.add(ch);
+      ch.pipeline().addLast(new LineBasedFrameDecoder(256), new StringDecoder(StandardCharsets.US_ASCII),
+          new Calls(door));
+    }
+
+    void close() {
+      listening.close().syncUninterruptibly();
+      open.close().syncUninterruptibly();
+    }
+
+    void reopen() {
+      if (!listening.isOpen()) {
+        listen(address);
+      }
+    }
   }
 
+  /** The address for all that have none of their own. */
   public InetSocketAddress address() {
-    return address;
+    return ports.get(ANY).address;
+  }
+
+  /** The address of that door's own; the counter can tell the door by it. */
+  public InetSocketAddress address(int door) {
+    return ports.computeIfAbsent(door, Port::new).address;
+  }
+
+  /** From here on these doors can't reach it. */
+  public void cutOff(IntPredicate doors) {
+    some(doors).forEach(Port::close);
+  }
+
+  /** All doors can reach it again. */
+  public void reach() {
+    some(door -> true).forEach(Port::reopen);
+    back();
+  }
+
+  private List<Port> some(IntPredicate doors) {
+    return ports.values().stream().filter(p -> doors.test(p.door)).toList();
+  }
+
+  /**
+   * From here on it is two counters: these doors hear a second one, which began with all that the first had
+   * or with nothing. Their connections break.
+   */
+  public void split(IntPredicate doors, boolean copied) {
+    synchronized (this) {
+      second = copied ? new HashMap<>(counts) : new HashMap<>();
+      onSecond = doors;
+    }
+    some(doors).forEach(p -> p.open.close());
+  }
+
+  /** One of the two is the only one from here on, for all doors; connections to the other break. */
+  public void heal(boolean secondWins) {
+    IntPredicate moved = onSecond;
+    synchronized (this) {
+      if (secondWins) {
+        counts.clear();
+        counts.putAll(second);
+      }
+      onSecond = door -> false;
+    }
+    some(secondWins ? moved.negate() : moved).forEach(p -> p.open.close());
+    back();
+  }
+
+  /** From here on it takes no more calls a second than that, one after another. */
+  public void rate(double mostCallsPerSecond) {
+    mostPerSecond = mostCallsPerSecond;
+  }
+
+  /** From here on it writes each answer twice, or once again. */
+  public void answerTwice(boolean on) {
+    doubling = on;
+  }
+
+  /** When each door first added to a firm's name since the counter was last back, by the ledger's clock. */
+  public synchronized Map<Integer, Double> firstCalls() {
+    return new TreeMap<>(firstCalls);
+  }
+
+  private synchronized void back() {
+    firstCalls.clear();
   }
 
   /** Each call waits so long for its turn. */
@@ -107,7 +212,7 @@
 
   /** It is back where it was with all that it had: it was only out of reach. */
   public void comeBack() {
-    listen(address);
+    reach();
     ledger.machine(Ledger.Kind.STARTED, "counter", "");
   }
 
@@ -117,7 +222,7 @@
       counts.clear();
       counts.putAll(copy);
     }
-    listen(address);
+    reach();
     ledger.machine(Ledger.Kind.STARTED, "counter", "");
   }
 
@@ -126,7 +231,7 @@
     hanging = on;
   }
 
-  /** Calls taken so far, but for those by which doors ask who answers (their names begin with ~). */
+  /** Calls taken so far, but for those of the doors' own: who answers (~), whose a ceiling is (^). */
   public synchronized long calls() {
     return calls;
   }
@@ -142,8 +247,7 @@
 
   /** It is gone: connections end and new ones are refused. */
   public void lose() {
-    listening.close().syncUninterruptibly();
-    open.close().syncUninterruptibly();
+    some(door -> true).forEach(Port::close);
     ledger.machine(Ledger.Kind.KILLED, "counter", "");
   }
 
@@ -152,18 +256,21 @@
     synchronized (this) {
       counts.clear();
     }
-    listen(address);
+    reach();
     ledger.machine(Ledger.Kind.STARTED, "counter", "");
   }
 
   private synchronized void sweep() {
     double now = ledger.now();
     counts.values().removeIf(c -> c.endsAt() < now);
+    second.values().removeIf(c -> c.endsAt() < now);
   }
 
-  private synchronized String call(String line) {
+  private synchronized String call(String line, int door) {
     String[] parts = line.split(" ");
-    calls += parts.length > 1 && parts[1].startsWith("~") ? 0 : 1;
+    boolean ofDoors = parts.length > 1 && (parts[1].startsWith("~") || parts[1].indexOf('^') > 0);
+    calls += ofDoors ? 0 : 1;
+    Map<String, Count> counts = door >= 0 && onSecond.test(door) ? second : this.counts;
     try {
       if (parts.length != 4 || !parts[0].equals("incr") || parts[1].length() > 64) {
         return "error";
@@ -171,6 +278,9 @@
       double amount = Double.parseDouble(parts[2]);
       double life = Math.min(LONGEST_LIFE_MS, Double.parseDouble(parts[3]));
       double now = ledger.now();
+      if (!ofDoors) {
+        firstCalls.putIfAbsent(door, now);
+      }
       Count old = counts.get(parts[1]);
       if (old != null && old.endsAt() < now) {
         old = null;
@@ -188,8 +298,29 @@
     }
   }
 
+  /** How long the next call waits until it is its turn, in milliseconds; negative when too many wait. */
+  private synchronized double turn() {
+    if (waiting >= MOST_WAITING) {
+      return -1;
+    }
+    waiting++;
+    double now = ledger.now();
+    freeAt = Math.max(now, freeAt) + 1000 / mostPerSecond;
+    return freeAt - now;
+  }
+
+  private synchronized void turned() {
+    waiting--;
+  }
+
   /** One connection: calls are answered in their order, each after the delay. */
   private final class Calls extends SimpleChannelInboundHandler<String> {
+    private final int door;
+
+    Calls(int door) {
+      this.door = door;
+    }
+
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, String line) {
       if (hanging) {
@@ -199,15 +330,24 @@
         answer(ctx, "pong");
         return;
       }
+      double turn = turn();
+      if (turn < 0) {
+        answer(ctx, "busy");
+        return;
+      }
       ctx.executor().schedule(() -> {
-        String text = call(line);
+        turned();
+        String text = call(line, door);
         if (resetting) {
           ctx.channel().config().setOption(ChannelOption.SO_LINGER, 0);
           ctx.close();
         } else if (!losing) {
           answer(ctx, text);
+          if (doubling) {
+            answer(ctx, text);
+          }
         }
-      }, (long) (delayMs * 1000), TimeUnit.MICROSECONDS);
+      }, (long) ((delayMs + turn) * 1000), TimeUnit.MICROSECONDS);
     }
 
     private void answer(ChannelHandlerContext ctx, String text) {
