--- a/daemon/src/main/java/willowdoor/daemon/fleet/AuthorisedCommand.java
+++ b/daemon/src/main/java/willowdoor/daemon/fleet/AuthorisedCommand.java
@@ -265,7 +265,7 @@
   }
 
   /** From when a request was due to its answer by a node, in microseconds. */
-  private static Histogram times(FleetRun run, double fromMs, double toMs, Predicate<Asked> which) {
+  static Histogram times(FleetRun run, double fromMs, double toMs, Predicate<Asked> which) {
     Histogram h = new Histogram(MOST_US, 3);
     run.rig().ledger().histories().forEach((id, history) -> {
       Asked asked = run.rig().ledger().asked(id);
--- a/daemon/src/main/java/willowdoor/daemon/fleet/CounterCommand.java
+++ b/daemon/src/main/java/willowdoor/daemon/fleet/CounterCommand.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.concurrent.Callable;
 import java.util.stream.Collectors;
+import org.HdrHistogram.Histogram;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
@@ -19,6 +20,7 @@
 import willowdoor.testkit.Quotas;
 import willowdoor.testkit.Quotas.Half;
 import willowdoor.testkit.Quotas.Use;
+import willowdoor.testkit.RealValkey;
 import willowdoor.testkit.StandInCounter;
 import willowdoor.testkit.Terms;
 import willowdoor.testkit.Terms.PlanTerms;
@@ -27,10 +29,11 @@
 @Command(name = "counter", mixinStandardHelpOptions = true, description = {
     "Runs fleets on loopback whose counter fails, and holds what was sent on to stated bounds.",
     "  cases     one fleet for each kind of failure: overshoot beside its bound, ceilings, refusals",
-    "  recovery  the counter is replaced by an empty one: when each door calls again, and how much"})
+    "  recovery  the counter is replaced by an empty one: when each door calls again, and how much",
+    "  store     two doors beside each other: counts at a counter of lines, and at a real Valkey or Redis"})
 public final class CounterCommand implements Callable<Integer> {
 
-  enum Run { cases, recovery }
+  enum Run { cases, recovery, store }
 
   /** What becomes of the counter; the time for which it does is part of the bound. */
   enum Case {
@@ -73,7 +76,11 @@
   @Override
   public Integer call() throws IOException {
     out = spec.commandLine().getOut();
-    return what == Run.cases ? cases() : recovery();
+    return switch (what) {
+      case cases -> cases();
+      case recovery -> recovery();
+      case store -> store();
+    };
   }
 
   private FleetRun fleet(int mostSpread) throws IOException {
@@ -288,4 +295,57 @@
       return verdict.kept() ? 0 : 1;
     }
   }
+
+  private static final double STORE_WARM_MS = 10_000;
+  private static final double STORE_MEASURED_MS = 20_000;
+
+  private int store() throws IOException {
+    if (RealValkey.program() == null) {
+      out.println(RealValkey.MISSING);
+      out.flush();
+      return 1;
+    }
+    out.printf(Locale.ROOT,
+        "two doors beside each other, %.0f requests/s each, %.0f s measured after %.0f s; seed %d%n",
+        rate, STORE_MEASURED_MS / 1000, STORE_WARM_MS / 1000, seed);
+    out.flush();
+    int broken = 0;
+    try (RealValkey server = new RealValkey();
+        FleetRun lines = new FleetRun(Terms.usual(), new BackendPark.Make(12, 4, 64, 2, 3), 1, seed);
+        FleetRun valkey = new FleetRun(Terms.usual(), new BackendPark.Make(12, 4, 64, 2, 3), 1, seed)) {
+      valkey.counter("store = \"valkey\"\naddress = \"127.0.0.1:" + server.address().getPort() + '"');
+      List<FleetRun> sides = List.of(lines, valkey);
+      double[] from = new double[2];
+      double[] cpu = new double[2];
+      double[] tries = new double[2];
+      for (FleetRun side : sides) {
+        side.start(new ClientFleet.Load(rate, (int) rate, 0, 1, 1));
+      }
+      for (FleetRun side : sides) {
+        side.clients().begin();
+      }
+      FleetRun.sleep((long) STORE_WARM_MS);
+      for (int i = 0; i < 2; i++) {
+        from[i] = sides.get(i).rig().ledger().now();
+        cpu[i] = sides.get(i).doors().get(0).cpuSeconds();
+        tries[i] = sides.get(i).clients().sent();
+      }
+      FleetRun.sleep((long) STORE_MEASURED_MS);
+      for (int i = 0; i < 2; i++) {
+        FleetRun side = sides.get(i);
+        double took = side.doors().get(0).cpuSeconds() - cpu[i];
+        double sent = side.clients().sent() - tries[i];
+        double resident = side.doors().get(0).residentMb();
+        Verdict verdict = side.finish();
+        Histogram h = AuthorisedCommand.times(side, from[i], Double.MAX_VALUE, a -> true);
+        out.printf(Locale.ROOT,
+            "%-7s tries %6.0f  p50 %6.2f ms  p99 %6.2f ms  CPU %4.0f us a try  resident %5.1f MB  "
+            + "rules broken %d%n", i == 0 ? "lines" : "valkey", sent, h.getValueAtPercentile(50) / 1e3,
+            h.getValueAtPercentile(99) / 1e3, 1e6 * took / sent, resident, verdict.breaches().size());
+        broken += verdict.kept() ? 0 : 1;
+      }
+      out.flush();
+    }
+    return broken == 0 ? 0 : 1;
+  }
 }
--- a/daemon/src/main/java/willowdoor/daemon/fleet/DoorFiles.java
+++ b/daemon/src/main/java/willowdoor/daemon/fleet/DoorFiles.java
@@ -18,6 +18,8 @@
   private final Path folder;
   private final int doors;
   private String more = "";
+  /** Lines of the counter's table in the place of the rig's, or null. */
+  private String counter;
 
   public DoorFiles(Rig rig, Path folder, int doors) {
     this.rig = rig;
@@ -30,6 +32,12 @@
     more = tables;
   }
 
+  /** Has the shared counts elsewhere in every file that is written from here on: address and what goes with
+      it. */
+  public void counter(String lines) {
+    counter = lines;
+  }
+
   /** Writes door number index's file, with the backends that discovery lists now. */
   public Path write(int index, InetSocketAddress listen) {
     Path file = folder.resolve("d" + index + ".toml");
@@ -57,7 +65,7 @@
         [discovery]
         address = "%s"
         [counter]
-        address = "%s"
+        %s
         call_limit_ms = %s
         [limits]
         descriptors = 1024
@@ -91,7 +99,8 @@
         deadline_ms = %s
         repeat = "unsafe"
         """, index, text(listen), doors, index, index % 2 == 0 ? "a" : "b",
-        text(rig.discovery().agentOf("d" + index)), text(rig.counter().address(index)), t.counterLimitMs(),
+        text(rig.discovery().agentOf("d" + index)), counter != null ? counter : "address = \"" +
+            text(rig.counter().address(index)) + '"', t.counterLimitMs(),
         control(index), t.coldFrom(), t.coldMs(), t.tipMultiple(), t.tipAfterMs(), Terms.MOST_UNITS,
         t.deadlineMs(), t.deadlineMs(), t.keyWindowMs(), t.deadlineMs()));
     for (PlanTerms p : t.plans()) {
--- a/daemon/src/main/java/willowdoor/daemon/fleet/FleetRun.java
+++ b/daemon/src/main/java/willowdoor/daemon/fleet/FleetRun.java
@@ -93,6 +93,11 @@
     files.more(tables);
   }
 
+  /** Has the doors' shared counts elsewhere than at the rig's counter; to be told before they start. */
+  public void counter(String lines) {
+    files.counter(lines);
+  }
+
   /** What one door has printed. */
   public String log(int door) throws IOException {
     Path log = folder.resolve("d" + door + ".log");
