--- a/store-valkey/src/test/java/willowdoor/valkey/ValkeyStoreTest.java
+++ b/store-valkey/src/test/java/willowdoor/valkey/ValkeyStoreTest.java
@@ -324,6 +324,20 @@
     assertFalse(new ValkeySettings("door", "secret", "test").toString().contains("secret"));
   }
 
+  /** What docs/operating/counter.md has operators allow, and nothing else. */
+  @Test
+  void aUserWithTheRightsThatTheManualNamesSuffices() throws Exception {
+    RealValkey server = server();
+    assertEquals("+OK",
+        server.say("ACL SETUSER door on >secret -@all ~test:* ~test!epoch +evalsha +script|load "
+        + "+get +set +exists +incrbyfloat +pexpire"));
+    CounterStore store = store(server.address(), new ValkeySettings("door", "secret", "test"));
+    awaitOk(store);
+    assertEquals(3, add(store, "16:1", 3, 60_000).total());
+    assertEquals("+OK", server.say("ACL SETUSER door -incrbyfloat"));
+    assertEquals(Status.REJECTED, add(store, "16:1", 3, 60_000).status());
+  }
+
   @Test
   void badSettingsAreNamed() {
     assertTrue(assertThrows(IllegalArgumentException.class, () -> new ValkeySettings("", "", "a b"))
