--- a/bench/start.py
+++ b/bench/start.py
@@ -1,7 +1,7 @@
 #!/usr/bin/env python3
-"""Time from exec to GET /up 200, and resident memory then, of the platform's jar.
+"""Time from exec to GET /up 200, CPU used until then and resident memory, of the platform's jar.
 
-usage: bench/start.py [--runs N] ROOT@FOLDER [ROOT@FOLDER]
+usage: bench/start.py [--runs N] [--option=-XX:...] ROOT@FOLDER [ROOT@FOLDER]
 
 Each FOLDER, told from its checkout's ROOT (from where the archive was made), holds willowdoor.jar and
 willowdoor.jsa. With two folders the runs alternate between them, so
@@ -9,9 +9,9 @@
 """
 import argparse, json, os, signal, socket, statistics, subprocess, tempfile, time
 
-OPTIONS = ("-XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xshare:auto -XX:-UsePerfData -Xms48m -Xmx48m -Xss256k "
+OPTIONS = ("-XX:+UseSerialGC -XX:TieredStopAtLevel=1 -XX:CICompilerCount=1 -Xshare:auto -XX:-UsePerfData -Xms48m -Xmx48m -Xss256k "
            "-XX:MaxDirectMemorySize=32m -XX:MaxMetaspaceSize=40m -XX:ReservedCodeCacheSize=24m "
-           "-XX:+ExitOnOutOfMemoryError -Dio.netty.leakDetection.level=disabled").split()
+           "-XX:+ExitOnOutOfMemoryError -Dio.netty.leakDetection.level=disabled -Dio.netty.jfr.enabled=false").split()
 
 
 def free_port():
@@ -45,7 +45,16 @@
         return False
 
 
-def once(folder):
+def cpu_ms(pid):
+    """What all its threads have used so far; threads that have ended are not counted."""
+    tasks = 0
+    for task in os.listdir("/proc/%d/task" % pid):
+        with open("/proc/%d/task/%s/schedstat" % (pid, task)) as f:
+            tasks += int(f.read().split()[0]) / 1e6
+    return tasks
+
+
+def once(folder, more=()):
     port, dead = free_port(), free_port()
     with tempfile.TemporaryDirectory() as tmp:
         path = os.path.join(tmp, "config.json")
@@ -53,7 +62,7 @@
             json.dump(config(port, dead), f)
         root, _, folder = folder.rpartition("@")
         jar = os.path.join(folder, "willowdoor.jar")
-        command = ["java", *OPTIONS, "-XX:SharedArchiveFile=" + os.path.join(folder, "willowdoor.jsa"),
+        command = ["java", *OPTIONS, *more, "-XX:SharedArchiveFile=" + os.path.join(folder, "willowdoor.jsa"),
                    "-Djava.io.tmpdir=" + tmp, "-jar", jar, "serve"]
         began = time.monotonic()
         door = subprocess.Popen(command, cwd=root or ".", env=dict(os.environ, GW_CONFIG=path), stderr=subprocess.DEVNULL)
@@ -63,33 +72,36 @@
                     raise SystemExit("%s did not come up" % folder)
                 time.sleep(0.005)
             took = time.monotonic() - began
+            cpu = cpu_ms(door.pid)
             with open("/proc/%d/status" % door.pid) as f:
                 rss = next(int(line.split()[1]) for line in f if line.startswith("VmRSS"))
         finally:
             door.send_signal(signal.SIGKILL)
             door.wait()
-    return took * 1000, rss / 1024
+    return took * 1000, rss / 1024, cpu
 
 
 def main():
     args = argparse.ArgumentParser(description=__doc__)
     args.add_argument("--runs", type=int, default=10)
+    args.add_argument("--option", action="append", default=[], help="one more option of the JVM; may be given again")
     args.add_argument("folders", nargs="+")
     args = args.parse_args()
     for folder in args.folders:
-        once(folder)
+        once(folder, args.option)
     seen = {folder: [] for folder in args.folders}
     for _ in range(args.runs):
         for folder in args.folders:
-            seen[folder].append(once(folder))
+            seen[folder].append(once(folder, args.option))
     first = None
     for folder, runs in seen.items():
         took = statistics.median(r[0] for r in runs)
         rss = statistics.median(r[1] for r in runs)
-        first = first or (took, rss)
-        print("%-24s up after %6.0f ms (%.0f to %.0f), resident %5.1f MB; ratio %.3f and %.3f of the first; %d runs"
-              % (folder, took, min(r[0] for r in runs), max(r[0] for r in runs), rss, took / first[0],
-                 rss / first[1], len(runs)))
+        cpu = statistics.median(r[2] for r in runs)
+        first = first or (took, rss, cpu)
+        print("%-24s up after %6.0f ms (%.0f to %.0f), CPU %5.0f ms, resident %5.1f MB; ratios %.3f, %.3f, %.3f; %d runs"
+              % (folder, took, min(r[0] for r in runs), max(r[0] for r in runs), cpu, rss, took / first[0],
+                 cpu / first[2], rss / first[1], len(runs)))
 
 
 main()
--- a/door/src/main/java/willowdoor/net/ClientConnection.java
+++ b/door/src/main/java/willowdoor/net/ClientConnection.java
@@ -317,7 +317,7 @@
     answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, answer.content().readableBytes());
     quietSince = server.now();
     // In a crowd a kept connection is a place that another client may not find.
-    boolean keep = keepAlive && !server.draining() && !server.crowded() && !(overrun && waiting.isEmpty());
+    boolean keep = keepAlive && !server.leaving() && !server.crowded() && !(overrun && waiting.isEmpty());
     if (!keep) {
       ending = true;
       answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
--- a/door/src/main/java/willowdoor/net/ClientServer.java
+++ b/door/src/main/java/willowdoor/net/ClientServer.java
@@ -45,6 +45,7 @@
   private int receiving;
   private boolean ready;
   private boolean draining;
+  private boolean leaving;
 
   ClientServer(EventLoop loop, Clock clock, ModuleDriver driver, BackendPool backends, RequestReader reader,
       Bounds bounds, Places places) {
@@ -147,8 +148,9 @@
     return ready && !draining && backends.knowsAny();
   }
 
-  boolean draining() {
-    return draining;
+  /** Whether each answer ends its connection. */
+  boolean leaving() {
+    return leaving;
   }
 
   double now() {
@@ -209,11 +211,21 @@
     List.copyOf(connections).forEach(c -> c.endIfOverdue(now));
   }
 
-  /** From here on every answer ends its connection, or none does; new connections are still taken. */
+  /** From here on it is not to be found, or is again; connections are taken and kept as before. */
   void drain(boolean on) {
     draining = on;
   }
 
+  /** From here on every answer ends its connection, or none does; new connections are still taken. */
+  void leave(boolean on) {
+    leaving = on;
+  }
+
+  /** Takes no more connections. */
+  void stopListening(Channel listening) {
+    listening.close();
+  }
+
   /** Takes no more connections, and ends those that no request is on. */
   void stopAccepting(Channel listening) {
     listening.close();
--- a/door/src/main/java/willowdoor/net/FrontDoor.java
+++ b/door/src/main/java/willowdoor/net/FrontDoor.java
@@ -27,6 +27,8 @@
   private static final long ACCEPT_MS = 550;
   /** SIGKILL comes no sooner than 3.7 s after SIGTERM where deadlines are long: all is answered by then. */
   private static final long ANSWER_MS = 3_300;
+  /** Connections are kept for so long: a front sends on these, and on no other, till it has noticed. */
+  private static final long KEEP_MS = 2_600;
   private static final long POLL_MS = 10;
 
   private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, Transport.BEST.ioHandler());
@@ -214,11 +216,13 @@
   /** Answers {@code GET /up} with 503, and ends each connection with its next answer. */
   public void beginDrain() {
     clients.drain(true);
+    clients.leave(true);
   }
 
   /** Serves on as before {@link #beginDrain}. */
   public void resume() {
     clients.drain(false);
+    clients.leave(false);
   }
 
   /** Closes this process's hold of the listening socket, and ends connections that no request is on. */
@@ -266,8 +270,12 @@
 
   /** The planned end: accept a little longer, answer all that was taken, then let the process go. */
   void drain() {
-    loop.execute(this::beginDrain);
-    loop.schedule(this::stopAccepting, ACCEPT_MS, TimeUnit.MILLISECONDS);
+    loop.execute(() -> clients.drain(true));
+    loop.schedule(() -> clients.stopListening(listening), ACCEPT_MS, TimeUnit.MILLISECONDS);
+    loop.schedule(() -> {
+      beginDrain();
+      stopAccepting();
+    }, KEEP_MS, TimeUnit.MILLISECONDS);
     loop.scheduleWithFixedDelay(() -> {
       if (clients.idle()) {
         drained.countDown();
--- a/door/src/test/java/willowdoor/net/FrontDoorTest.java
+++ b/door/src/test/java/willowdoor/net/FrontDoorTest.java
@@ -15,6 +15,7 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -246,21 +247,33 @@
     assertEquals(200, peers.client().ask(Peers.get("r2", 3000)).status());
   }
 
-  /** A planned end: what was taken is answered, and the answer ends the connection. */
+  /**
+   * A planned end: what comes on connections that stand is served, as a front that has not noticed sends
+   * nowhere else; then an answer ends its connection, an idle one is ended, and what was taken is answered.
+   */
   @Test
   void drainsWithoutLosingARequest() throws Exception {
     FrontDoor door = peers.start();
     CountDownLatch told = new CountDownLatch(1);
+    AtomicBoolean hold = new AtomicBoolean();
     peers.answer = (request, out) -> {
-      await(told);
+      if (hold.get()) {
+        await(told);
+      }
       return Peers.write(out, Peers.OK);
     };
     Client idle = peers.client();
     Client busy = peers.client();
-    busy.send(Peers.get("r1", 3000));
-    Peers.next(peers.atBackend);
     Thread end = new Thread(door::drain);
     end.start();
+    while (idle.ask("GET /up HTTP/1.1\r\nHost: x\r\n\r\n").status() == 200) {
+      Thread.onSpinWait();
+    }
+    Message kept = busy.ask(Peers.get("r1", 3000));
+    assertEquals(200, kept.status());
+    assertNull(kept.header("Connection"));
+    hold.set(true);
+    busy.send(Peers.get("r2", 3000));
     assertTrue(idle.ended());
     told.countDown();
     Message answer = busy.receive();
--- a/policy/src/main/java/willowdoor/policy/GatewayState.java
+++ b/policy/src/main/java/willowdoor/policy/GatewayState.java
@@ -5,6 +5,7 @@
 import willowdoor.policy.GatewayApi.Request;
 import willowdoor.policy.GatewayApi.RequestClass;
 import willowdoor.policy.GatewayApi.Rules;
+import willowdoor.policy.GatewayApi.Settings;
 
 /** What {@link QuotaPolicy} remembers, without any decision: all of those are in the module. */
 final class GatewayState {
@@ -96,6 +97,7 @@
 
   /** One customer as this gateway sees it. */
   static class AccountState {
+    private static final double IMPLAUSIBLE = 10;
     final long customer;
     final Plan plan;
     /** Through how many gateways its requests may come. */
@@ -164,11 +166,36 @@
       return Math.max(out, places) + asking;
     }
 
+    /**
+     * A total that no customer can come to, however many gateways add to it: so many times what a window can
+     * grant, and what may be under way. Guards against answers that are out of step with their calls, and so
+     * another name's. Harm: none known; it is read once more.
+     */
+    double implausible(Settings settings) {
+      return IMPLAUSIBLE * (plan.burst() + plan.rate() * windowMs / 1000
+          + 10 * settings.gateways() * settings.maxUnits());
+    }
+
     String name(long ofWindow) {
       return Long.toString(customer, 36) + ":" + ofWindow;
     }
   }
 
+  /** One attempt of a request; itself alone is equal to it, as each is sent once. */
+  static final class Attempt<J, B> {
+    final J job;
+    final int number;
+    final B backend;
+    final double sentAt;
+
+    Attempt(J job, int number, B backend, double sentAt) {
+      this.job = job;
+      this.number = number;
+      this.backend = backend;
+      this.sentAt = sentAt;
+    }
+  }
+
   /** One backend as this gateway sees it. */
   static class BackendState {
     final long id;
--- a/policy/src/main/java/willowdoor/policy/QuotaPolicy.java
+++ b/policy/src/main/java/willowdoor/policy/QuotaPolicy.java
@@ -22,8 +22,6 @@
   private static final double USUAL_USE = 0.5;
   /** Counts estimated to be past the limit by this share of it are not asked for: the answer is known. */
   private static final double SURELY_SPENT = 0.5;
-  /** So many times what a window can grant, and what may be under way, is no total of a customer's. */
-  private static final double IMPLAUSIBLE = 10;
   private static final double COUNT_TTL_MS = 60_000;
   /** How often waiting requests are looked at: well under what a person or an aim notices. */
   private static final double TICK_MS = 25;
@@ -282,15 +280,6 @@
           : most() < units && now - syncedAt < SPENT_RECHECK_MS;
     }
 
-    /**
-     * A total that no customer can come to, however many gateways add to it. Guards against answers that are
-     * out of step with their calls, and so another name's. Harm: none known; it is read once more.
-     */
-    double implausible() {
-      return IMPLAUSIBLE * (plan.burst() + plan.rate() * windowMs / 1000
-          + 10 * settings.gateways() * settings.maxUnits());
-    }
-
     /** The most the bucket can hold if the others have spent nothing since the last answer. */
     double most() {
       return Math.min(plan.burst(), level + assumed) - flying;
@@ -483,7 +472,7 @@
       onPlaceCounted(call, told);
       return;
     }
-    Counted e = told.status() != Status.OK || told.total() < a.implausible() ? told
+    Counted e = told.status() != Status.OK || told.total() < a.implausible(settings) ? told
         : new Counted(told.name(), Status.SPOILT, 0, told.latencyMs());
     Job job = call.job;
     a.advance();
@@ -761,7 +750,7 @@
   // ---- Backends ----
 
   private final class Backend extends BackendState {
-    final LinkedHashSet<Attempt> out = new LinkedHashSet<>();
+    final LinkedHashSet<Attempt<Job, Backend>> out = new LinkedHashSet<>();
 
     Backend(long id) {
       super(id, now);
@@ -774,7 +763,7 @@
      */
     double held(double needs) {
       double mine = 0;
-      for (Attempt a : out) {
+      for (Attempt<Job, Backend> a : out) {
         double theirs = a.job.need();
         mine += Math.min(1, Math.max(theirs / 4, theirs - (now - a.sentAt) / fleetSlow) / needs);
       }
@@ -804,7 +793,7 @@
       double needs = job.need();
       double w = needs * slowness() * (1 + held(needs) / size);
       if (!out.isEmpty()) {
-        Attempt oldest = out.iterator().next();
+        Attempt<Job, Backend> oldest = out.iterator().next();
         w += Math.max(0, now - oldest.sentAt - OVERDUE * oldest.job.need() * fleetSlow);
       }
       if (!zone.equals(settings.zone())) {
@@ -814,8 +803,6 @@
     }
   }
 
-  private record Attempt(Job job, int number, Backend backend, double sentAt) { }
-
   private final TreeMap<Long, Backend> backends = new TreeMap<>();
   private final Map<String, Mean> failing = new HashMap<>();
   private double fleetService = UNKNOWN_SERVICE_MS;
@@ -929,7 +916,7 @@
     return b.zone.equals(job.keyedTo.zone) && (job.type.group() == Group.ZONE || b.cell == job.keyedTo.cell);
   }
 
-  private void learn(Backend b, Attempt attempt, Outcome e) {
+  private void learn(Backend b, Attempt<Job, Backend> attempt, Outcome e) {
     Load load = e.load();
     if (load != null && !Double.isNaN(load.inFlight())) {
       b.reported = load.inFlight();
@@ -983,7 +970,7 @@
    * outlives its process. Guards against connections that fail for any other cause, of which a few would
    * leave the whole fleet taken for cold. Harm: none known, as the list's word on a start stays.
    */
-  private void trust(Backend b, Attempt attempt) {
+  private void trust(Backend b, Attempt<Job, Backend> attempt) {
     if (attempt.sentAt < b.doubtedAt) {
       b.startedMs = b.toldStart;
       b.doubtedAt = Double.NEGATIVE_INFINITY;
@@ -996,7 +983,7 @@
   /** A request taken and not yet finally answered. */
   private final class Job extends JobState {
     final Account account;
-    Attempt live;
+    Attempt<Job, Backend> live;
     Backend keyedTo, lastBackend;
 
     Job(Request request, RequestClass type, Account account) {
@@ -1014,7 +1001,7 @@
   }
 
   private final LinkedHashMap<String, Job> open = new LinkedHashMap<>();
-  private final Map<String, Attempt> attempts = new HashMap<>();
+  private final Map<String, Attempt<Job, Backend>> attempts = new HashMap<>();
   private final double retriesSaved;
   private double retryTokens;
   private double meanWorth = Double.NaN;
@@ -1087,7 +1074,7 @@
    * The time that this gateway itself stood still is not the fleet's. An attempt that timed out while others
    * were answered lost its answer: that tells of no wait. Harm: a few slow backends stay unseen here.
    */
-  private void measureWait(Attempt attempt, Outcome e) {
+  private void measureWait(Attempt<Job, Backend> attempt, Outcome e) {
     boolean lost = e.status() == Status.TIMED_OUT && okAt > attempt.sentAt;
     okAt = e.status() == Status.OK ? now : okAt;
     if (e.status() == Status.OK || e.status() == Status.REJECTED || e.status() == Status.TIMED_OUT && !lost) {
@@ -1134,7 +1121,7 @@
     double spent = job.attempts == 0 ? -RETRY_EARNED : job.unreached ? 0 : 1;
     retryTokens = Math.min(retriesSaved, retryTokens - spent);
     job.unreached = false;
-    Attempt attempt = new Attempt(job, job.attempts, b, now);
+    Attempt<Job, Backend> attempt = new Attempt<>(job, job.attempts, b, now);
     job.attempts++;
     job.live = attempt;
     job.lastBackend = b;
@@ -1156,7 +1143,7 @@
   }
 
   private void onOutcome(Outcome e) {
-    Attempt attempt = attempts.remove(e.request() + "#" + e.attempt());
+    Attempt<Job, Backend> attempt = attempts.remove(e.request() + "#" + e.attempt());
     if (attempt == null) {
       return;
     }
@@ -1289,7 +1276,7 @@
    * back stops nothing on a backend that works on. Harm: one slow request looks the same; budgeted.
    */
   private void abandonSilent(Job job) {
-    Attempt a = job.live;
+    Attempt<Job, Backend> a = job.live;
     if (a.backend.answeredAt <= a.sentAt
         && now - a.sentAt > Math.max(job.aim() * FIRST_TRY_OF_AIM, SILENT * job.need())
         && !job.abandoned && !job.streaming && settings.allowed().cancel()
