--- a/daemon/src/main/java/willowdoor/daemon/fleet/CounterCommand.java
+++ b/daemon/src/main/java/willowdoor/daemon/fleet/CounterCommand.java
@@ -20,8 +20,8 @@
 import willowdoor.testkit.Quotas;
 import willowdoor.testkit.Quotas.Half;
 import willowdoor.testkit.Quotas.Use;
-import willowdoor.testkit.RealValkey;
 import willowdoor.testkit.StandInCounter;
+import willowdoor.testkit.StandInValkey;
 import willowdoor.testkit.Terms;
 import willowdoor.testkit.Terms.PlanTerms;
 
@@ -30,7 +30,7 @@
     "Runs fleets on loopback whose counter fails, and holds what was sent on to stated bounds.",
     "  cases     one fleet for each kind of failure: overshoot beside its bound, ceilings, refusals",
     "  recovery  the counter is replaced by an empty one: when each door calls again, and how much",
-    "  store     two doors beside each other: counts at a counter of lines, and at a real Valkey or Redis"})
+    "  store     two doors beside each other: counts at a counter of lines, and at a stand-in of Valkey"})
 public final class CounterCommand implements Callable<Integer> {
 
   enum Run { cases, recovery, store }
@@ -300,17 +300,12 @@
   private static final double STORE_MEASURED_MS = 20_000;
 
   private int store() throws IOException {
-    if (RealValkey.program() == null) {
-      out.println(RealValkey.MISSING);
-      out.flush();
-      return 1;
-    }
     out.printf(Locale.ROOT,
         "two doors beside each other, %.0f requests/s each, %.0f s measured after %.0f s; seed %d%n",
         rate, STORE_MEASURED_MS / 1000, STORE_WARM_MS / 1000, seed);
     out.flush();
     int broken = 0;
-    try (RealValkey server = new RealValkey();
+    try (StandInValkey server = new StandInValkey();
         FleetRun lines = new FleetRun(Terms.usual(), new BackendPark.Make(12, 4, 64, 2, 3), 1, seed);
         FleetRun valkey = new FleetRun(Terms.usual(), new BackendPark.Make(12, 4, 64, 2, 3), 1, seed)) {
       valkey.counter("store = \"valkey\"\naddress = \"127.0.0.1:" + server.address().getPort() + '"');
--- /dev/null
+++ b/testkit/src/main/java/willowdoor/testkit/StandInValkey.java
@@ -0,0 +1,469 @@
+package willowdoor.testkit;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.redis.ArrayRedisMessage;
+import io.netty.handler.codec.redis.ErrorRedisMessage;
+import io.netty.handler.codec.redis.FullBulkStringRedisMessage;
+import io.netty.handler.codec.redis.InlineCommandRedisMessage;
+import io.netty.handler.codec.redis.IntegerRedisMessage;
+import io.netty.handler.codec.redis.RedisArrayAggregator;
+import io.netty.handler.codec.redis.RedisBulkStringAggregator;
+import io.netty.handler.codec.redis.RedisDecoder;
+import io.netty.handler.codec.redis.RedisEncoder;
+import io.netty.handler.codec.redis.RedisMessage;
+import io.netty.handler.codec.redis.SimpleStringRedisMessage;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.math.BigDecimal;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * A server of the Redis serialization protocol, version 2, as Valkey and Redis document it: names with a
+ * life, scripts by their digest, users and their rights, pauses, a replica that is promoted. Of scripts it
+ * runs one kind only, the door's add, which it knows by the commands that the text calls; any other is
+ * answered with an error. {@link #refuse} has it answer data commands with an error line, as a server that
+ * loads its data, has moved a slot or is out of memory does. Holds {@value #MOST_NAMES} names, past which
+ * adds are answered OOM, and {@value #MOST_PAUSED} commands during a pause, past which connections end.
+ */
+public final class StandInValkey implements AutoCloseable {
+
+  private static final int MOST_NAMES = 200_000;
+  private static final int MOST_PAUSED = 20_000;
+  private static final int MOST_BULK = 64 * 1024;
+  private static final int MOST_WORDS = 1_024;
+  private static final long LIMIT_MS = 20_000;
+  private static final Pattern CALLS = Pattern.compile("redis\\.call\\('([A-Z]+)'");
+  /** The commands that the door's script calls, in the order of its text. */
+  private static final List<String> ADD = List.of("GET", "SET", "EXISTS", "INCRBYFLOAT", "PEXPIRE");
+  private static final RedisMessage OK = new SimpleStringRedisMessage("OK");
+
+  private record Value(String text, double endsAt) { }
+
+  /** A user: its password, whether it may do anything, else its commands and the patterns of its keys. */
+  private static final class User {
+    private String password = "";
+    private boolean all = true;
+    private final Set<String> commands = new HashSet<>();
+    private final List<Pattern> keys = new ArrayList<>();
+
+    boolean may(String command) {
+      return all || commands.contains(command);
+    }
+
+    boolean mayUse(String key) {
+      return all || keys.stream().anyMatch(p -> p.matcher(key).matches());
+    }
+  }
+
+  /** What a command ends with that it may not do, or that is wrong: the error's whole line. */
+  private static final class Refused extends Exception {
+    private static final long serialVersionUID = 1;
+
+    Refused(String line) {
+      super(line, null, false, false);
+    }
+  }
+
+  private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1,
+      NioIoHandler.newFactory());
+  private final EventLoop loop = group.next();
+  private final Map<String, Value> data = new HashMap<>();
+  private final Map<String, List<String>> scripts = new HashMap<>();
+  private final Map<String, User> users = new HashMap<>();
+  private final List<StandInValkey> replicas = new ArrayList<>();
+  private final ArrayDeque<Runnable> paused = new ArrayDeque<>();
+  private final ChannelGroup connections = new DefaultChannelGroup(loop);
+  private StandInValkey primary;
+  private double pausedUntil;
+  private String refusal;
+  private long adds;
+  private Channel listening;
+  private InetSocketAddress address = new InetSocketAddress("127.0.0.1", 0);
+
+  /** One that asks for no password. */
+  public StandInValkey() throws IOException {
+    this("");
+  }
+
+  /** One whose default user has this password; "" asks for none. */
+  public StandInValkey(String password) throws IOException {
+    users.put("default", new User());
+    users.get("default").password = password;
+    start();
+  }
+
+  /** A replica of another, which takes no writes until it is told {@code REPLICAOF NO ONE}. */
+  public static StandInValkey replicaOf(StandInValkey primary) throws IOException {
+    StandInValkey made = new StandInValkey();
+    made.primary = primary;
+    primary.onLoop(() -> {
+      Map<String, Value> copy = new HashMap<>(primary.data);
+      made.loop.execute(() -> made.data.putAll(copy));
+      primary.replicas.add(made);
+    });
+    made.onLoop(() -> { });
+    return made;
+  }
+
+  public InetSocketAddress address() {
+    return address;
+  }
+
+  /** Starts it, empty, at its address. */
+  public void start() throws IOException {
+    try {
+      listening = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
+          .option(ChannelOption.SO_REUSEADDR, true)
+          .childHandler(new ChannelInitializer<Channel>() {
+            @Override
+            protected void initChannel(Channel channel) {
+              connections.add(channel);
+              channel.pipeline().addLast(new RedisDecoder(true), new RedisBulkStringAggregator(),
+                  new RedisArrayAggregator(MOST_WORDS, 1), new RedisEncoder(), new Connection());
+            }
+          }).bind(address).sync().channel();
+      address = (InetSocketAddress) listening.localAddress();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new IOException(e);
+    }
+  }
+
+  /** Ends it as a kill does: connections break, and what it held is gone. */
+  public void kill() throws IOException {
+    listening.close().syncUninterruptibly();
+    onLoop(() -> {
+      connections.close();
+      data.clear();
+      scripts.clear();
+      paused.clear();
+      pausedUntil = 0;
+      refusal = null;
+    });
+  }
+
+  /** Has data commands answered with this error line, such as {@code LOADING ...}; null ends it. */
+  public void refuse(String line) throws IOException {
+    onLoop(() -> refusal = line);
+  }
+
+  /** Adds made so far. */
+  public long adds() throws IOException {
+    long[] told = new long[1];
+    onLoop(() -> told[0] = adds);
+    return told[0];
+  }
+
+  /** The sum of the counts whose names begin so. */
+  public double sum(String prefix) throws IOException {
+    double[] told = new double[1];
+    onLoop(() -> data.forEach((key, value) -> told[0] += key.startsWith(prefix) && value.endsAt > now()
+        ? Double.parseDouble(value.text) : 0));
+    return told[0];
+  }
+
+  /** Has it do a command by a connection of its own, as a terminal would; the answer's first line. */
+  public String say(String command) throws IOException {
+    try (Socket s = new Socket(address.getAddress(), address.getPort())) {
+      s.setSoTimeout((int) LIMIT_MS);
+      s.getOutputStream().write((command + "\r\n").getBytes(StandardCharsets.US_ASCII));
+      BufferedReader in = new BufferedReader(new InputStreamReader(s.getInputStream(),
+          StandardCharsets.US_ASCII));
+      String line = in.readLine();
+      return line == null ? "" : line.startsWith("$") && !line.equals("$-1") ? in.readLine() : line;
+    }
+  }
+
+  @Override
+  public void close() throws IOException {
+    kill();
+    group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+  }
+
+  private void onLoop(Runnable what) throws IOException {
+    try {
+      loop.submit(what).get(LIMIT_MS, TimeUnit.MILLISECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new IOException(e);
+    } catch (ExecutionException | java.util.concurrent.TimeoutException e) {
+      throw new IOException(e);
+    }
+  }
+
+  private static double now() {
+    return System.nanoTime() / 1e6;
+  }
+
+  /** One client's connection: its user, and its commands in their order. */
+  private final class Connection extends SimpleChannelInboundHandler<RedisMessage> {
+    private User user = users.get("default").password.isEmpty() ? users.get("default") : null;
+    private String name = "default";
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, RedisMessage message) {
+      List<String> words = new ArrayList<>();
+      if (message instanceof InlineCommandRedisMessage line) {
+        words.addAll(List.of(line.content().trim().split(" +")));
+      } else if (message instanceof ArrayRedisMessage array) {
+        for (RedisMessage m : array.children()) {
+          if (m instanceof FullBulkStringRedisMessage text && text.content().readableBytes() <= MOST_BULK) {
+            words.add(text.content().toString(StandardCharsets.UTF_8));
+          }
+        }
+      }
+      if (words.isEmpty() || words.get(0).isEmpty()) {
+        ctx.writeAndFlush(new ErrorRedisMessage("ERR Protocol error: expected a command"));
+        ctx.close();
+      } else if (now() >= pausedUntil && paused.isEmpty()) {
+        answer(ctx, words);
+      } else if (paused.size() >= MOST_PAUSED) {
+        ctx.close();
+      } else {
+        paused.add(() -> answer(ctx, words));
+      }
+    }
+
+    private void answer(ChannelHandlerContext ctx, List<String> words) {
+      RedisMessage answer;
+      try {
+        answer = perform(ctx, words.get(0).toUpperCase(Locale.ROOT), words);
+      } catch (Refused e) {
+        answer = new ErrorRedisMessage(e.getMessage());
+      } catch (IndexOutOfBoundsException | NumberFormatException e) {
+        answer = new ErrorRedisMessage("ERR wrong number or kind of arguments for '" + words.get(0)
+            + "' command");
+      }
+      ctx.writeAndFlush(answer);
+    }
+
+    private RedisMessage perform(ChannelHandlerContext ctx, String command, List<String> words)
+        throws Refused {
+      if (command.equals("AUTH")) {
+        return authenticate(words);
+      }
+      if (user == null) {
+        throw new Refused("NOAUTH Authentication required.");
+      }
+      String sub = words.size() > 1 ? words.get(1).toLowerCase(Locale.ROOT) : "";
+      String right = command.toLowerCase(Locale.ROOT) + (command.equals("SCRIPT") ? "|" + sub : "");
+      if (!user.may(right)) {
+        throw new Refused("NOPERM User " + name + " has no permissions to run the '" + right + "' command");
+      }
+      return switch (command) {
+        case "PING" -> new SimpleStringRedisMessage("PONG");
+        case "HELLO" -> throw new Refused("NOPROTO unsupported protocol version");
+        case "CLIENT" -> client(ctx, sub, words);
+        case "ACL" -> setUser(sub, words);
+        case "SCRIPT" -> script(sub, words);
+        case "REPLICAOF" -> promote(words);
+        default -> onData(command, words);
+      };
+    }
+
+    private RedisMessage authenticate(List<String> words) throws Refused {
+      String who = words.size() > 2 ? words.get(1) : "default";
+      User found = users.get(who);
+      if (found == null || !found.password.equals(words.get(words.size() - 1))) {
+        throw new Refused("WRONGPASS invalid username-password pair or user is disabled.");
+      }
+      user = found;
+      name = who;
+      return OK;
+    }
+
+    private RedisMessage client(ChannelHandlerContext ctx, String sub, List<String> words) {
+      if (sub.equals("pause")) {
+        long ms = Long.parseLong(words.get(2));
+        pausedUntil = now() + ms;
+        loop.schedule(StandInValkey.this::goOn, ms, TimeUnit.MILLISECONDS);
+      } else if (sub.equals("kill")) {
+        int ended = connections.size() - 1;
+        connections.close(c -> c != ctx.channel());
+        return new IntegerRedisMessage(ended);
+      }
+      return OK;
+    }
+
+    private RedisMessage onData(String command, List<String> words) throws Refused {
+      if (refusal != null) {
+        throw new Refused(refusal);
+      }
+      switch (command) {
+        case "GET" -> {
+          Value v = live(words.get(1));
+          return v == null ? FullBulkStringRedisMessage.NULL_INSTANCE : text(v.text);
+        }
+        case "DBSIZE" -> {
+          data.values().removeIf(v -> v.endsAt <= now());
+          return new IntegerRedisMessage(data.size());
+        }
+        case "FLUSHALL" -> {
+          data.clear();
+          return OK;
+        }
+        case "EVALSHA" -> {
+          return add(words);
+        }
+        default -> throw new Refused("ERR unknown command '" + command + "'");
+      }
+    }
+
+    /** The door's add: the epoch, made where there is none; the count; its life where it is new. */
+    private RedisMessage add(List<String> words) throws Refused {
+      List<String> calls = scripts.get(words.get(1));
+      if (calls == null) {
+        throw new Refused("NOSCRIPT No matching script. Please use EVAL.");
+      }
+      if (!calls.equals(ADD)) {
+        throw new Refused("ERR this stand-in runs no script that calls " + calls + " (expected: " + ADD
+            + ")");
+      }
+      for (String call : calls) {
+        if (!user.may(call.toLowerCase(Locale.ROOT))) {
+          throw new Refused("ERR ACL failure in script: User " + name + " has no permissions to run the '"
+              + call.toLowerCase(Locale.ROOT) + "' command");
+        }
+      }
+      String count = words.get(3);
+      String epochKey = words.get(4);
+      if (!user.mayUse(count) || !user.mayUse(epochKey)) {
+        throw new Refused("NOPERM No permissions to access a key");
+      }
+      if (primary != null) {
+        throw new Refused("READONLY You can't write against a read only replica.");
+      }
+      if (data.size() >= MOST_NAMES) {
+        throw new Refused("OOM command not allowed when used memory > 'maxmemory'.");
+      }
+      Value epoch = live(epochKey);
+      if (epoch == null) {
+        epoch = new Value(words.get(7), Double.POSITIVE_INFINITY);
+        write(epochKey, epoch);
+      }
+      Value before = live(count);
+      BigDecimal total = new BigDecimal(before == null ? "0" : before.text).add(new BigDecimal(words.get(5)));
+      String told = total.signum() == 0 ? "0" : total.stripTrailingZeros().toPlainString();
+      write(count, new Value(told, before == null ? now() + Long.parseLong(words.get(6)) : before.endsAt));
+      adds++;
+      return new ArrayRedisMessage(List.of(text(told), text(epoch.text)));
+    }
+  }
+
+  private RedisMessage setUser(String sub, List<String> words) throws Refused {
+    if (!sub.equals("setuser")) {
+      throw new Refused("ERR unknown subcommand '" + sub + "'");
+    }
+    User user = users.computeIfAbsent(words.get(2), n -> new User());
+    for (String rule : words.subList(3, words.size())) {
+      String rest = rule.substring(1);
+      switch (rule.charAt(0)) {
+        case '>' -> user.password = rest;
+        case '~' -> user.keys.add(Pattern.compile(Pattern.quote(rest).replace("*", "\\E.*\\Q")));
+        case '+' -> {
+          user.all |= rest.equals("@all");
+          user.commands.add(rest);
+        }
+        case '-' -> {
+          user.all &= !rest.equals("@all");
+          user.commands.remove(rest);
+        }
+        default -> { }
+      }
+    }
+    return OK;
+  }
+
+  private RedisMessage script(String sub, List<String> words) {
+    if (sub.equals("flush")) {
+      scripts.clear();
+      return OK;
+    }
+    String source = words.get(2);
+    List<String> calls = new ArrayList<>();
+    for (Matcher m = CALLS.matcher(source); m.find();) {
+      calls.add(m.group(1));
+    }
+    try {
+      String digest = HexFormat.of().formatHex(MessageDigest.getInstance("SHA-1")
+          .digest(source.getBytes(StandardCharsets.UTF_8)));
+      scripts.put(digest, calls);
+      return text(digest);
+    } catch (NoSuchAlgorithmException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  /** A replica that is promoted keeps what it has, and hears nothing more of its primary. */
+  private RedisMessage promote(List<String> words) throws Refused {
+    if (!words.get(1).equalsIgnoreCase("no")) {
+      throw new Refused("ERR only REPLICAOF NO ONE is known here");
+    }
+    StandInValkey before = primary;
+    primary = null;
+    if (before != null) {
+      before.loop.execute(() -> before.replicas.remove(this));
+    }
+    return OK;
+  }
+
+  private Value live(String key) {
+    Value v = data.get(key);
+    if (v != null && v.endsAt <= now()) {
+      data.remove(key);
+      return null;
+    }
+    return v;
+  }
+
+  private void write(String key, Value value) {
+    data.put(key, value);
+    for (StandInValkey replica : replicas) {
+      replica.loop.execute(() -> {
+        if (replica.primary == this) {
+          replica.data.put(key, value);
+        }
+      });
+    }
+  }
+
+  private void goOn() {
+    while (now() >= pausedUntil && !paused.isEmpty()) {
+      paused.poll().run();
+    }
+  }
+
+  private static RedisMessage text(String text) {
+    return new FullBulkStringRedisMessage(Unpooled.copiedBuffer(text, StandardCharsets.UTF_8));
+  }
+}
