In a take-over a ceiling is of one life of the door at a time

Also seen in the code: a successor that was wired in one era and took over in the next did not count as born in it, and so had the whole part, though the old life may have given some of it away.

Change: CeilingRights is told Begun, when this life takes requests for the first time or again, and HandedOver. After the latter it grants nothing, calls nothing and hears nothing; after the former it is as a door that began then. The door tells both as it takes and leaves its listening socket.

Measured: TakeOverTest over real sockets, 20 requests on connections that the old life keeps: 20 refused, and the new one serves; with the hand-over left out on purpose the first of them is sent on and the test goes red.

--- a/daemon/src/test/java/willowdoor/daemon/life/TakeOverTest.java
+++ b/daemon/src/test/java/willowdoor/daemon/life/TakeOverTest.java
@@ -9,6 +9,7 @@
 import java.io.Closeable;
 import java.io.IOException;
 import java.io.InputStreamReader;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.net.StandardProtocolFamily;
 import java.net.UnixDomainSocketAddress;
@@ -18,7 +19,10 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.function.UnaryOperator;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -85,6 +89,59 @@
     kept();
   }
 
+  /** From the hand-over on the old life sends on nothing under a ceiling, and the new one what it may. */
+  @Test
+  void aCeilingIsOfOneLifeAtATime() throws Exception {
+    String end = "[end]\naccept_ms = 3000\n";
+    UnaryOperator<String> ofTwo = text -> text.replace("doors = 1\n", "doors = 2\n")
+        .replace("units_per_s = 5.0\n", "units_per_s = 0\n");
+    Daemon old = world.daemon(new InetSocketAddress("127.0.0.1", 0), end, ofTwo).start(false);
+    InetSocketAddress address = old.address();
+    World.awaitUp(address);
+    World.await("control socket", () -> Files.exists(control()));
+    World.Caller asking = world.new Caller(address, "d0");
+    awaitServed(asking, "a");
+    List<World.Caller> kept = new ArrayList<>();
+    for (int i = 0; i < 20; i++) {
+      kept.add(world.new Caller(address, "d0"));
+      assertEquals(200, status(kept.get(i)), "a connection that the old life has accepted");
+    }
+    Daemon fresh = world.daemon(address, end, ofTwo).start(true);
+    World.await("old one drains", () -> status(asking) != 200);
+    for (int i = 0; i < kept.size(); i++) {
+      assertEquals(429, ask(kept.get(i), "o" + i), "the old life's request " + i);
+    }
+    awaitServed(world.new Caller(address, "d0"), "n");
+    fresh.end();
+  }
+
+  private void awaitServed(World.Caller caller, String ids) {
+    int[] asked = new int[1];
+    World.await("served under its ceiling", () -> {
+      try {
+        return ask(caller, ids + asked[0]++) == 200;
+      } catch (IOException e) {
+        throw new UncheckedIOException(e);
+      }
+    });
+  }
+
+  private static int status(World.Caller caller) {
+    try {
+      caller.raw("GET /up HTTP/1.1\r\nHost: x\r\n\r\n");
+      return caller.receive("up");
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  private int ask(World.Caller caller, String id) throws IOException {
+    caller.raw(caller.message(id, RequestKind.BUY, 3_000).replace("X-Plan: full", "X-Plan: basic")
+        .replace("spread=1", "spread=2"));
+    world.rig.ledger().request(Kind.ASKED, id, "d0", 0, "");
+    return caller.receive(id);
+  }
+
   @Test
   void aSuccessorCanBeSucceeded() throws Exception {
     Daemon first = running();
--- a/door/src/main/java/willowdoor/net/CeilingShares.java
+++ b/door/src/main/java/willowdoor/net/CeilingShares.java
@@ -18,6 +18,8 @@
 import willowdoor.recovery.RightsEvent;
 import willowdoor.recovery.RightsEvent.Answered;
 import willowdoor.recovery.RightsEvent.Asked;
+import willowdoor.recovery.RightsEvent.Begun;
+import willowdoor.recovery.RightsEvent.HandedOver;
 import willowdoor.recovery.RightsEvent.Woken;
 
 /**
@@ -45,6 +47,16 @@
     }
   }
 
+  /** This door takes requests from here on, or again after {@link #handOver}. */
+  void begin() {
+    tell(new Begun());
+  }
+
+  /** Another process is this door from here on: what still comes here gets nothing of a ceiling. */
+  void handOver() {
+    tell(new HandedOver());
+  }
+
   /** The request with the share that this door may use of its firm's ceiling, if there is one. */
   Request shared(Request r) {
     Plan plan = ceiled.get(r.planName());
--- a/door/src/main/java/willowdoor/net/FrontDoor.java
+++ b/door/src/main/java/willowdoor/net/FrontDoor.java
@@ -38,6 +38,8 @@
   private ModuleDriver driver;
   private ClientServer clients;
   private CounterStore counter;
+  /** Null where ceilings are not divided. */
+  private CeilingShares ceilings;
   private DiscoveryClient discovery;
   private Channel listening;
 
@@ -120,7 +122,8 @@
     counter = counts == null ? linesOf(config)
         : counts.make(loop, clock::now, Long.toHexString(config.seed()), config, driver);
     if (config.watchCounter()) {
-      driver.divide(new CeilingShares(loop, clock, counter, config.settings()));
+      ceilings = new CeilingShares(loop, clock, counter, config.settings());
+      driver.divide(ceilings);
     }
     counter.start();
     driver.start(counter, config.known());
@@ -200,6 +203,9 @@
 
   /** Takes connections from here on. */
   public void accept() {
+    if (ceilings != null) {
+      ceilings.begin();
+    }
     listening.config().setAutoRead(true);
   }
 
@@ -208,8 +214,14 @@
     clients.serve();
   }
 
-  /** Leaves new connections to whoever else holds the listening socket; {@link #accept} takes it back. */
+  /**
+   * Leaves new connections, and this door's parts of ceilings, to whoever else holds the listening socket;
+   * {@link #accept} takes them back.
+   */
   public void leaveListening() {
+    if (ceilings != null) {
+      ceilings.handOver();
+    }
     listening.config().setAutoRead(false);
   }
 
--- a/policy/src/main/java/willowdoor/recovery/CeilingRights.java
+++ b/policy/src/main/java/willowdoor/recovery/CeilingRights.java
@@ -10,6 +10,8 @@
 import willowdoor.recovery.RightsAction.WakeAt;
 import willowdoor.recovery.RightsEvent.Answered;
 import willowdoor.recovery.RightsEvent.Asked;
+import willowdoor.recovery.RightsEvent.Begun;
+import willowdoor.recovery.RightsEvent.HandedOver;
 import willowdoor.recovery.RightsEvent.Woken;
 
 /**
@@ -33,7 +35,8 @@
  * less than that.
  *
  * <p>A door that began within an era can't know what its life before had given away: until that era's end it
- * keeps to the floor, and gives nothing. Received gifts are not given on, for the same reason.
+ * keeps to the floor, and gives nothing. Received gifts are not given on, for the same reason. A life that
+ * hands over to another keeps nothing for what it still takes; one that takes back is as one that begins.
  *
  * <p>Bounds: sets of {@value #MOST_DOORS} doors at the most (larger ones keep even parts), {@value
  * #MOST_FIRMS} firms (further ones keep even parts), {@value #CALLS_PER_S} calls a second of a door (what is
@@ -143,7 +146,8 @@
     }
   }
 
-  private final double bornAt;
+  private double bornAt;
+  private boolean handedOver;
   private final LinkedHashMap<Long, Firm> firms = new LinkedHashMap<>(16, 0.75f, true);
   private List<RightsAction> actions = new ArrayList<>();
   private double now;
@@ -170,6 +174,11 @@
       onAsked(e);
     } else if (event instanceof Answered e) {
       onAnswered(e);
+    } else if (event instanceof Begun) {
+      bornAt = now;
+      handedOver = false;
+    } else if (event instanceof HandedOver) {
+      handedOver = true;
     } else if (event instanceof Woken) {
       firms.forEach((customer, f) -> turn(customer, f));
       actions.add(new WakeAt(now + WAKE_MS));
@@ -178,7 +187,7 @@
   }
 
   private void onAsked(Asked e) {
-    if (e.place() < 0 || e.place() >= e.doors()) {
+    if (handedOver || e.place() < 0 || e.place() >= e.doors()) {
       actions.add(new Share(0, Double.POSITIVE_INFINITY, 0));
     } else if (e.doors() == 1 || e.doors() > MOST_DOORS) {
       actions.add(new Share(1.0 / e.doors(), Double.POSITIVE_INFINITY, 1.0 / e.doors()));
@@ -256,7 +265,7 @@
   /** Tells what was asked for here since the last time, and hears of the others, when it is time to. */
   private void turn(long customer, Firm f) {
     roll(customer, f);
-    if (now < f.callAt || now < quietUntil || now - f.askedAt > ERA_MS) {
+    if (handedOver || now < f.callAt || now < quietUntil || now - f.askedAt > ERA_MS) {
       return;
     }
     int steps = (int) Math.min(f.untold, BASE - 1 - f.told);
@@ -293,7 +302,8 @@
     int colon = e.name().indexOf(':');
     long customer = Long.parseLong(e.name().substring(0, mark), 36);
     Firm f = firms.get(customer);
-    if (f == null || Long.parseLong(e.name().substring(colon + 1)) != f.era || f.era != era(customer)) {
+    if (f == null || handedOver || Long.parseLong(e.name().substring(colon + 1)) != f.era
+        || f.era != era(customer)) {
       return;
     }
     String of = e.name().substring(mark + 1, colon);
--- a/policy/src/main/java/willowdoor/recovery/RightsEvent.java
+++ b/policy/src/main/java/willowdoor/recovery/RightsEvent.java
@@ -21,4 +21,13 @@
 
   /** The moment that a {@link RightsAction.WakeAt} named, or a later one. */
   record Woken() implements RightsEvent { }
+
+  /**
+   * This life of the door takes requests from here on: for the first time, or again after {@link HandedOver}.
+   * What another life of the same door has given away or spent until now is not known to it.
+   */
+  record Begun() implements RightsEvent { }
+
+  /** Another life of the same door uses its parts from here on, and this one none of them. */
+  record HandedOver() implements RightsEvent { }
 }
--- a/policy/src/test/java/willowdoor/recovery/CeilingRightsTest.java
+++ b/policy/src/test/java/willowdoor/recovery/CeilingRightsTest.java
@@ -17,6 +17,8 @@
 import willowdoor.recovery.RightsAction.WakeAt;
 import willowdoor.recovery.RightsEvent.Answered;
 import willowdoor.recovery.RightsEvent.Asked;
+import willowdoor.recovery.RightsEvent.Begun;
+import willowdoor.recovery.RightsEvent.HandedOver;
 import willowdoor.recovery.RightsEvent.Woken;
 
 /** Parts of a ceiling that move between doors, and never make more than the whole. */
@@ -115,6 +117,30 @@
     assertEquals(0.25, tell(doors.get(1), end, asked(4, 1, 1)).share());
   }
 
+  /** Both lives of a door have one part between them at the most, whatever the old one had given. */
+  @Test
+  void aLifeThatHandsOverKeepsNothingAndTheNextKeepsToTheFloor() {
+    List<CeilingRights> doors = doors(2);
+    CeilingRights next = new CeilingRights(ERA - 2_000);
+    skewed(doors, ERA, 12_000);
+    double now = ERA + 12_000;
+    double given = tell(doors.get(1), now, asked(2, 1, 1)).share();
+    assertTrue(given < 0.5, "gave nothing: " + given);
+    tell(doors.get(1), now, new HandedOver());
+    tell(next, now, new Begun());
+    int before = calls;
+    assertEquals(0, tell(doors.get(1), now + 10, asked(2, 1, 8)).share());
+    tell(doors.get(1), now + 1_500, new Woken());
+    assertEquals(before, calls, "a life that is over goes on calling");
+    double floor = tell(next, now + 10, asked(2, 1, 8)).share();
+    assertTrue(floor > 0 && floor <= given, floor + " after " + given);
+    assertTrue(floor + tell(doors.get(0), now + 10, asked(2, 0, 1)).share() <= 1);
+    // The successor died: the old life can't know what that one has spent.
+    tell(doors.get(1), now + 2_000, new Begun());
+    assertEquals(floor, tell(doors.get(1), now + 2_000, asked(2, 1, 1)).share());
+    assertEquals(0.5, tell(doors.get(1), ERA + 2 * CeilingRights.ERA_MS, asked(2, 1, 1)).share());
+  }
+
   @Test
   void aDoorBornInTheEraKeepsToTheFloorAndGivesNothing() {
     CeilingRights born = new CeilingRights(ERA + 5_000);
