--- a/daemon/src/main/java/willowdoor/daemon/fleet/CounterCommand.java
+++ b/daemon/src/main/java/willowdoor/daemon/fleet/CounterCommand.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.PrintWriter;
+import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Locale;
 import java.util.Set;
@@ -41,18 +42,28 @@
         twice_in_a_window(400),
     old_copy(0), split_first_wins(10_000), split_second_wins(10_000), split_empty(10_000), flaps(6_000),
         late(7_000),
-    loses_answers(5_000), answers_twice(5_000), a_tenth_of_the_rate(7_000), resets(5_000), door_anew(3_000);
+    loses_answers(5_000), answers_twice(5_000), a_tenth_of_the_rate(7_000), resets(5_000), door_anew(3_000),
+    store_killed(3_000), store_promoted(1_000), store_split(10_000);
 
     private final double forMs;
 
     Case(double forMs) {
       this.forMs = forMs;
     }
+
+    /** Whether the counts are in a stand-in of Valkey, which is what fails. */
+    boolean ofStore() {
+      return this == store_killed || this == store_promoted || this == store_split;
+    }
   }
 
   private static final double QUIET_MS = 8_000;
   private static final double AFTER_MS = 7_000;
   private static final double TOLD_MS = 500;
+  /** The store connects again after 1.5 s at the most, and needs a call to learn whose counts these are. */
+  private static final double STORE_TOLD_MS = 2_000;
+  /** Writes of the last second are not with the replica that is promoted. */
+  private static final long REPLICA_LACKS_MS = 1_000;
   private static final double FLAP_MS = 300;
   private static final double LATE_MS = 70;
   /** Below this share of its quota over the run a firm is one that stays below it. */
@@ -83,9 +94,65 @@
     };
   }
 
+  /** Two servers, of which one begins as the other's replica; every third door finds its own address. */
+  private record Servers(StandInValkey first, StandInValkey second, InetSocketAddress ofSome)
+      implements AutoCloseable {
+
+    static Servers make() throws IOException {
+      StandInValkey first = new StandInValkey();
+      return new Servers(first, StandInValkey.replicaOf(first),
+          first.listenAt(new InetSocketAddress("127.0.0.1", 0)));
+    }
+
+    String lines(int door) {
+      return "store = \"valkey\"\naddress = \"127.0.0.1:"
+          + (door % 3 == 0 ? ofSome : first.address()).getPort() + '"';
+    }
+
+    void cause(Case c) throws IOException {
+      switch (c) {
+        case store_killed -> {
+          first.kill();
+          FleetRun.sleep((long) c.forMs);
+          first.start();
+          first.listenAt(ofSome);
+        }
+        case store_promoted -> {
+          second.say("REPLICAOF NO ONE");
+          FleetRun.sleep(REPLICA_LACKS_MS);
+          first.kill();
+          FleetRun.sleep((long) c.forMs);
+          second.listenAt(first.address());
+          second.listenAt(ofSome);
+        }
+        default -> {
+          first.leave(ofSome);
+          second.say("REPLICAOF NO ONE");
+          second.listenAt(ofSome);
+          FleetRun.sleep((long) c.forMs);
+          second.leave(ofSome);
+          first.listenAt(ofSome);
+        }
+      }
+    }
+
+    @Override
+    public void close() throws IOException {
+      first.close();
+      second.close();
+    }
+  }
+
   private FleetRun fleet(int mostSpread) throws IOException {
+    return fleet(mostSpread, null);
+  }
+
+  private FleetRun fleet(int mostSpread, Servers servers) throws IOException {
     FleetRun run = new FleetRun(Terms.usual(), new BackendPark.Make(12, 4, 64, 5, 15), doorCount, seed);
     run.rig().park().exact();
+    if (servers != null) {
+      run.counter(servers::lines);
+    }
     run.start(new ClientFleet.Load(rate, (int) (rate / 4), 0.15, 20, mostSpread, true));
     return run;
   }
@@ -107,11 +174,15 @@
   }
 
   private boolean play(Case c) throws IOException {
-    try (FleetRun run = fleet(4)) {
+    try (Servers servers = c.ofStore() ? Servers.make() : null; FleetRun run = fleet(4, servers)) {
       run.clients().begin();
       FleetRun.sleep((long) QUIET_MS);
       double from = run.rig().ledger().now();
-      cause(c, run);
+      if (servers != null) {
+        servers.cause(c);
+      } else {
+        cause(c, run);
+      }
       double to = run.rig().ledger().now();
       FleetRun.sleep((long) AFTER_MS);
       Verdict verdict = run.finish();
@@ -151,13 +222,15 @@
   static double bound(Case c, PlanTerms plan, int n, double tookMs) {
     double b = plan.burst();
     double m = Terms.MOST_UNITS;
-    double gives = plan.rate() * ((c.forMs > 0 ? tookMs : 0) + TOLD_MS) / 1000;
+    double told = c.ofStore() ? STORE_TOLD_MS : TOLD_MS;
+    double gives = plan.rate() * ((c.forMs > 0 ? tookMs : 0) + told) / 1000;
     double away = n * (b + gives) + n * m;
     return b + n * m + switch (c) {
       case none -> 0;
       case empty -> n * m;
       case old_copy -> n * (b + m);
-      case split_first_wins, split_second_wins, split_empty -> b + gives + n * m;
+      case split_first_wins, split_second_wins, split_empty, store_split -> b + gives + n * m;
+      case store_promoted -> away + n * (b + m);
       case door_anew -> b;
       case briefly, twice_in_a_window -> away + 2 * n * m;
       default -> away;
@@ -252,6 +325,7 @@
         FleetRun.sleep((long) c.forMs);
         counter.comeBack();
       }
+      default -> throw new IllegalArgumentException("case: " + c + " (expected: one of the counter's)");
     }
   }
 
--- a/daemon/src/main/java/willowdoor/daemon/fleet/DoorFiles.java
+++ b/daemon/src/main/java/willowdoor/daemon/fleet/DoorFiles.java
@@ -6,6 +6,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Locale;
+import java.util.function.IntFunction;
 import willowdoor.testkit.Rig;
 import willowdoor.testkit.StandInDiscovery.Listed;
 import willowdoor.testkit.Terms;
@@ -19,7 +20,7 @@
   private final int doors;
   private String more = "";
   /** Lines of the counter's table in the place of the rig's, or null. */
-  private String counter;
+  private IntFunction<String> counter;
 
   public DoorFiles(Rig rig, Path folder, int doors) {
     this.rig = rig;
@@ -32,9 +33,8 @@
     more = tables;
   }
 
-  /** Has the shared counts elsewhere in every file that is written from here on: address and what goes with
-      it. */
-  public void counter(String lines) {
+  /** Has the shared counts of each door, by its number, elsewhere than at the rig's counter. */
+  public void counter(IntFunction<String> lines) {
     counter = lines;
   }
 
@@ -99,7 +99,7 @@
         deadline_ms = %s
         repeat = "unsafe"
         """, index, text(listen), doors, index, index % 2 == 0 ? "a" : "b",
-        text(rig.discovery().agentOf("d" + index)), counter != null ? counter : "address = \"" +
+        text(rig.discovery().agentOf("d" + index)), counter != null ? counter.apply(index) : "address = \"" +
             text(rig.counter().address(index)) + '"', t.counterLimitMs(),
         control(index), t.coldFrom(), t.coldMs(), t.tipMultiple(), t.tipAfterMs(), Terms.MOST_UNITS,
         t.deadlineMs(), t.deadlineMs(), t.keyWindowMs(), t.deadlineMs()));
--- a/daemon/src/main/java/willowdoor/daemon/fleet/FleetRun.java
+++ b/daemon/src/main/java/willowdoor/daemon/fleet/FleetRun.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
+import java.util.function.IntFunction;
 import java.util.stream.Stream;
 import willowdoor.testkit.BackendPark;
 import willowdoor.testkit.ClientFleet;
@@ -95,6 +96,11 @@
 
   /** Has the doors' shared counts elsewhere than at the rig's counter; to be told before they start. */
   public void counter(String lines) {
+    counter(door -> lines);
+  }
+
+  /** The same by the door's number. */
+  public void counter(IntFunction<String> lines) {
     files.counter(lines);
   }
 
--- a/testkit/src/main/java/willowdoor/testkit/StandInValkey.java
+++ b/testkit/src/main/java/willowdoor/testkit/StandInValkey.java
@@ -42,6 +42,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
@@ -107,7 +108,7 @@
   private double pausedUntil;
   private String refusal;
   private long adds;
-  private Channel listening;
+  private final Map<InetSocketAddress, Channel> listening = new ConcurrentHashMap<>();
   private InetSocketAddress address = new InetSocketAddress("127.0.0.1", 0);
 
   /** One that asks for no password. */
@@ -141,8 +142,13 @@
 
   /** Starts it, empty, at its address. */
   public void start() throws IOException {
+    address = listenAt(address);
+  }
+
+  /** Listens at a further address, as a server does that a failover gives one; port 0 is any that is free. */
+  public InetSocketAddress listenAt(InetSocketAddress at) throws IOException {
     try {
-      listening = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
+      Channel made = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
           .option(ChannelOption.SO_REUSEADDR, true)
           .childHandler(new ChannelInitializer<Channel>() {
             @Override
@@ -151,17 +157,26 @@
               channel.pipeline().addLast(new RedisDecoder(true), new RedisBulkStringAggregator(),
                   new RedisArrayAggregator(MOST_WORDS, 1), new RedisEncoder(), new Connection());
             }
-          }).bind(address).sync().channel();
-      address = (InetSocketAddress) listening.localAddress();
+          }).bind(at).sync().channel();
+      InetSocketAddress bound = (InetSocketAddress) made.localAddress();
+      listening.put(bound, made);
+      return bound;
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
       throw new IOException(e);
     }
   }
 
+  /** Is not found at that address any more: connections that were made to it break. */
+  public void leave(InetSocketAddress at) throws IOException {
+    listening.remove(at).close().syncUninterruptibly();
+    onLoop(() -> connections.close(c -> at.equals(c.localAddress())));
+  }
+
   /** Ends it as a kill does: connections break, and what it held is gone. */
   public void kill() throws IOException {
-    listening.close().syncUninterruptibly();
+    listening.values().forEach(l -> l.close().syncUninterruptibly());
+    listening.clear();
     onLoop(() -> {
       connections.close();
       data.clear();
@@ -254,6 +269,11 @@
       }
     }
 
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+      ctx.close();
+    }
+
     private void answer(ChannelHandlerContext ctx, List<String> words) {
       RedisMessage answer;
       try {
