Stand-ins listen where no connection can take their port while they are down

Change: stand-ins that are killed and come back listen on 127.0.0.2; a connection's own address on loopback is 127.0.0.1, so none can take the port.

--- a/daemon/src/main/java/willowdoor/daemon/fleet/AuthorisedCommand.java
+++ b/daemon/src/main/java/willowdoor/daemon/fleet/AuthorisedCommand.java
@@ -27,6 +27,7 @@
 import willowdoor.testkit.Ledger.Asked;
 import willowdoor.testkit.Ledger.Entry;
 import willowdoor.testkit.Ledger.Kind;
+import willowdoor.testkit.StandIns;
 import willowdoor.testkit.StandInAuthoriser;
 import willowdoor.testkit.Terms;
 
@@ -90,8 +91,8 @@
   private static String tables(List<StandInAuthoriser> authorisers, String log) {
     StringBuilder text = new StringBuilder("[authorisation]\nlog = \"" + log + "\"\n");
     for (StandInAuthoriser a : authorisers) {
-      text.append(String.format(Locale.ROOT, "[[authoriser]]%nname = \"%s\"%naddress = \"127.0.0.1:%d\"%n"
-          + "most_calls = 200%n", a.name(), a.address().getPort()));
+      text.append(String.format(Locale.ROOT, "[[authoriser]]%nname = \"%s\"%naddress = \"%s\"%n"
+          + "most_calls = 200%n", a.name(), StandIns.text(a.address())));
     }
     return text.toString();
   }
--- a/daemon/src/main/java/willowdoor/daemon/fleet/CounterCommand.java
+++ b/daemon/src/main/java/willowdoor/daemon/fleet/CounterCommand.java
@@ -23,6 +23,7 @@
 import willowdoor.testkit.Quotas.Use;
 import willowdoor.testkit.StandInCounter;
 import willowdoor.testkit.StandInValkey;
+import willowdoor.testkit.StandIns;
 import willowdoor.testkit.Terms;
 import willowdoor.testkit.Terms.PlanTerms;
 
@@ -101,12 +102,12 @@
     static Servers make() throws IOException {
       StandInValkey first = new StandInValkey();
       return new Servers(first, StandInValkey.replicaOf(first),
-          first.listenAt(new InetSocketAddress("127.0.0.1", 0)));
+          first.listenAt(StandIns.anyAddress()));
     }
 
     String lines(int door) {
-      return "store = \"valkey\"\naddress = \"127.0.0.1:"
-          + (door % 3 == 0 ? ofSome : first.address()).getPort() + '"';
+      return "store = \"valkey\"\naddress = \""
+          + StandIns.text(door % 3 == 0 ? ofSome : first.address()) + '"';
     }
 
     void cause(Case c) throws IOException {
@@ -382,7 +383,7 @@
     try (StandInValkey server = new StandInValkey();
         FleetRun lines = new FleetRun(Terms.usual(), new BackendPark.Make(12, 4, 64, 2, 3), 1, seed);
         FleetRun valkey = new FleetRun(Terms.usual(), new BackendPark.Make(12, 4, 64, 2, 3), 1, seed)) {
-      valkey.counter("store = \"valkey\"\naddress = \"127.0.0.1:" + server.address().getPort() + '"');
+      valkey.counter("store = \"valkey\"\naddress = \"" + StandIns.text(server.address()) + '"');
       List<FleetRun> sides = List.of(lines, valkey);
       double[] from = new double[2];
       double[] cpu = new double[2];
--- a/daemon/src/test/java/willowdoor/daemon/life/AuthorisedWorld.java
+++ b/daemon/src/test/java/willowdoor/daemon/life/AuthorisedWorld.java
@@ -10,6 +10,7 @@
 import willowdoor.testkit.Judge;
 import willowdoor.testkit.Ledger.Kind;
 import willowdoor.testkit.RequestKind;
+import willowdoor.testkit.StandIns;
 import willowdoor.testkit.StandInAuthoriser;
 
 /** A {@link World} whose buys need the allow of stand-in authorisers. */
@@ -38,8 +39,8 @@
 
   void named(StandInAuthoriser made, String more) {
     authorisers.append(String.format(Locale.ROOT,
-        "[[authoriser]]%nname = \"%s\"%naddress = \"127.0.0.1:%d\"%n"
-        + "%s%n", made.name(), made.address().getPort(), more));
+        "[[authoriser]]%nname = \"%s\"%naddress = \"%s\"%n"
+        + "%s%n", made.name(), StandIns.text(made.address()), more));
     names.add('"' + made.name() + '"');
   }
 
--- a/daemon/src/test/java/willowdoor/daemon/life/AuthoriserTlsTest.java
+++ b/daemon/src/test/java/willowdoor/daemon/life/AuthoriserTlsTest.java
@@ -23,6 +23,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import willowdoor.testkit.RequestKind;
+import willowdoor.testkit.StandIns;
 import willowdoor.testkit.StandInAuthoriser;
 
 /** Mutual TLS to authorisers, and its files changing while requests go on. */
@@ -150,7 +151,7 @@
   /** A second daemon of the same world that names its authoriser otherwise. */
   private record AuthorisedWorldPart(AuthorisedWorld at, StandInAuthoriser one, String keys) {
     Daemon started() throws Exception {
-      return at.started("[[authoriser]]\nname = \"again\"\naddress = \"127.0.0.1:" + one.address().getPort()
+      return at.started("[[authoriser]]\nname = \"again\"\naddress = \"" + StandIns.text(one.address())
           + "\"\n" + keys + "[[member]]\nname = \"all\"\nauthorisers = [\"again\"]\n", "");
     }
   }
--- a/daemon/src/test/java/willowdoor/daemon/life/ValkeyCountsTest.java
+++ b/daemon/src/test/java/willowdoor/daemon/life/ValkeyCountsTest.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import willowdoor.testkit.Ledger.Kind;
+import willowdoor.testkit.StandIns;
 import willowdoor.testkit.StandInValkey;
 import willowdoor.testkit.RequestKind;
 
@@ -44,7 +45,7 @@
     Daemon daemon = world.daemon(new InetSocketAddress("127.0.0.1", 0), "[end]\naccept_ms = 150\n",
         text -> text.replace("doors = 1\n",
             "doors = 40\n").replaceFirst("\\[counter\\]\naddress = \"[^\"]*\"",
-            "[counter]\nstore = \"valkey\"\naddress = \"127.0.0.1:" + server.address().getPort() + "\""))
+            "[counter]\nstore = \"valkey\"\naddress = \"" + StandIns.text(server.address()) + "\""))
         .start(false);
     World.awaitUp(daemon.address());
     return world.new Caller(daemon.address(), "d" + name);
--- a/testkit/src/main/java/willowdoor/testkit/StandInAuthoriser.java
+++ b/testkit/src/main/java/willowdoor/testkit/StandInAuthoriser.java
@@ -165,7 +165,7 @@
   }
 
   private void listen() {
-    InetSocketAddress at = address == null ? new InetSocketAddress("127.0.0.1", 0) : address;
+    InetSocketAddress at = address == null ? StandIns.anyAddress() : address;
     listening = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
         .option(ChannelOption.SO_REUSEADDR, true).childOption(ChannelOption.TCP_NODELAY, true)
         .childHandler(new ChannelInitializer<Channel>() {
--- a/testkit/src/main/java/willowdoor/testkit/StandInBackend.java
+++ b/testkit/src/main/java/willowdoor/testkit/StandInBackend.java
@@ -114,7 +114,7 @@
 
   /** Listens, at first on a free loopback port and later on the same one. */
   void listen(boolean cold) {
-    InetSocketAddress at = address == null ? new InetSocketAddress("127.0.0.1", 0) : address;
+    InetSocketAddress at = address == null ? StandIns.anyAddress() : address;
     listening = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
         .option(ChannelOption.SO_REUSEADDR, true).option(ChannelOption.SO_BACKLOG, 512)
         .childOption(ChannelOption.TCP_NODELAY, true).childHandler(new ChannelInitializer<Channel>() {
--- a/testkit/src/main/java/willowdoor/testkit/StandInCounter.java
+++ b/testkit/src/main/java/willowdoor/testkit/StandInCounter.java
@@ -83,7 +83,7 @@
 
     Port(int door) {
       this.door = door;
-      listen(new InetSocketAddress("127.0.0.1", 0));
+      listen(StandIns.anyAddress());
       address = (InetSocketAddress) listening.localAddress();
     }
 
--- a/testkit/src/main/java/willowdoor/testkit/StandInValkey.java
+++ b/testkit/src/main/java/willowdoor/testkit/StandInValkey.java
@@ -109,7 +109,7 @@
   private String refusal;
   private long adds;
   private final Map<InetSocketAddress, Channel> listening = new ConcurrentHashMap<>();
-  private InetSocketAddress address = new InetSocketAddress("127.0.0.1", 0);
+  private InetSocketAddress address = StandIns.anyAddress();
 
   /** One that asks for no password. */
   public StandInValkey() throws IOException {
