Fair queue: decision module, gate, settings, and its world in simulated time (off)

Change: willowdoor.fairness decides turns (hierarchical start-time fair queueing by plan, firm and client), how many may be out (trials of more and of less, kept by what they do to the answers), and come-back times that are remembered and honoured. Module fair is its gate, behind external authorisation; [fair] in the daemon's TOML, off by default. The module's Refuse says whether quota or the fleet is its cause, and tells a gate the part of a firm's use that comes through this door.

--- a/authz/src/main/java/willowdoor/extauthz/GateWarmUp.java
+++ b/authz/src/main/java/willowdoor/extauthz/GateWarmUp.java
@@ -142,6 +142,11 @@
         end(Gate.End.ANSWERED_HERE);
       }
 
+      @Override
+      public void refuse(double comeBackMs) {
+        end(Gate.End.REFUSED);
+      }
+
       private void end(Gate.End how) {
         group.next().execute(() -> {
           entry[0].ended(how);
--- a/daemon/src/main/java/willowdoor/daemon/config/DaemonConfig.java
+++ b/daemon/src/main/java/willowdoor/daemon/config/DaemonConfig.java
@@ -17,6 +17,8 @@
 import org.tomlj.Toml;
 import org.tomlj.TomlParseResult;
 import willowdoor.extauthz.ExtAuthzSettings;
+import willowdoor.fairgate.FairGate;
+import willowdoor.fairness.FairSettings;
 import willowdoor.life.InstanceLife;
 import willowdoor.net.Bounds;
 import willowdoor.net.Config;
@@ -37,11 +39,12 @@
  * of a file are told at once ({@link ConfigException}).
  *
  * @param authorisation whom members have asked, or null when no member is named
+ * @param fair how requests wait their turn, or null when none does
  * @param effective every key with the value in force, defaults included
  */
 public record DaemonConfig(Instance instance, InetSocketAddress discovery, Counter counter, Limits limits,
     InstanceLife.Bounds end, TakeOver takeOver, Backends backends, Settings settings,
-    ExtAuthzSettings authorisation, Map<String, Object> effective) {
+    ExtAuthzSettings authorisation, Fair fair, Map<String, Object> effective) {
 
   /** Who this instance is in its fleet; zone may be empty. */
   public record Instance(String name, InetSocketAddress listen, int doors, int index, String zone) { }
@@ -56,6 +59,9 @@
    */
   public record Counter(InetSocketAddress address, double callLimitMs, ValkeySettings valkey) { }
 
+  /** How requests wait their turn, and what tells a firm's clients apart. */
+  public record Fair(FairSettings settings, FairGate.ClientBy clientBy, String header) { }
+
   /** What the process may hold. */
   public record Limits(int descriptors, int memoryMb) { }
 
@@ -175,9 +181,10 @@
       Settings settings = settings(instance, counter, b);
       b.end();
       ExtAuthzSettings authorisation = new AuthorisationReader(root, settings).read();
+      Fair fair = new FairReader(root, settings).read();
       root.end();
       return new DaemonConfig(instance, discovery, counter, limits, end, takeOver, backends, settings,
-          authorisation, Map.copyOf(effective));
+          authorisation, fair, Map.copyOf(effective));
     }
 
     private static double answerMs(Section e, double accept) {
--- /dev/null
+++ b/daemon/src/main/java/willowdoor/daemon/fleet/LabCommand.java
@@ -0,0 +1,45 @@
+package willowdoor.daemon.fleet;
+
+import java.io.File;
+import java.io.IOException;
+import java.io.PrintWriter;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Spec;
+import willowdoor.emulator.fair.FairSweep;
+
+/** Experiments in simulated time round the real decisions. */
+@Command(name = "lab", mixinStandardHelpOptions = true, subcommands = LabCommand.Fair.class,
+    description = "Experiments in simulated time round the real decisions.")
+public final class LabCommand {
+
+  @Command(name = "fair", mixinStandardHelpOptions = true, description = {
+      "Floods beside well-behaved firms, with the fair queue and without.",
+      "Sweeps the flood's size and clients, the doors and how work differs; writes a table and a chart."})
+  static final class Fair implements Runnable {
+
+    @Option(names = "--seed", defaultValue = "1", description = "Default: ${DEFAULT-VALUE}.")
+    private long seed;
+
+    @Option(names = "--seconds", defaultValue = "30", description =
+        "Simulated length of each run. Default: ${DEFAULT-VALUE}.")
+    private double seconds;
+
+    @Option(names = "--chart", paramLabel = "FILE", description = "A PNG file to write the chart to.")
+    private File chart;
+
+    @Spec
+    private CommandSpec spec;
+
+    @Override
+    public void run() {
+      PrintWriter out = spec.commandLine().getOut();
+      try {
+        new FairSweep(seed, seconds * 1_000).all(out, chart);
+      } catch (IOException e) {
+        throw new java.io.UncheckedIOException("cannot write " + chart, e);
+      }
+    }
+  }
+}
--- a/daemon/src/main/java/willowdoor/daemon/life/Daemon.java
+++ b/daemon/src/main/java/willowdoor/daemon/life/Daemon.java
@@ -11,12 +11,16 @@
 import willowdoor.daemon.config.ConfigException;
 import willowdoor.daemon.config.DaemonConfig;
 import willowdoor.extauthz.ExtAuthzGate;
+import willowdoor.fairgate.FairGate;
+import willowdoor.fairness.FairCounts;
 import willowdoor.life.InstanceLife;
 import willowdoor.life.LifeEvent.Bound;
 import willowdoor.life.LifeEvent.Broken;
 import willowdoor.life.LifeEvent.EndSignal;
 import willowdoor.net.Config;
 import willowdoor.net.FrontDoor;
+import willowdoor.net.Gate;
+import willowdoor.net.GateChain;
 import willowdoor.valkey.ValkeyStore;
 
 /**
@@ -37,6 +41,7 @@
   private final ControlSocket control;
   private TakeOver takeOver;
   private ExtAuthzGate gate;
+  private FairGate fair;
 
   private Daemon(DaemonConfig config, Path file) throws InterruptedException {
     this.config = config;
@@ -101,7 +106,7 @@
     return this;
   }
 
-  /** Without members that have authorisers, no class of that is loaded. */
+  /** Without members that have authorisers, no class of that is loaded; nor of queues where none is on. */
   private void guard() throws IOException, InterruptedException {
     if (config.authorisation() != null) {
       gate = ExtAuthzGate.open(config.authorisation(), config.instance().name(), door.group(), door::now,
@@ -109,6 +114,20 @@
       ExtAuthzGate opened = gate;
       door.loop().submit(() -> door.guard(opened)).sync();
     }
+    if (config.fair() != null) {
+      fair = new FairGate(door.loop(), door::now, config.settings(), config.fair().settings(),
+          door::through, config.fair().clientBy(), config.fair().header());
+      Gate both = gate == null ? fair : new GateChain(gate, fair);
+      door.loop().submit(() -> door.guard(both)).sync();
+    }
+  }
+
+  /** What waits and has waited for its turn; null where nothing does. */
+  public FairCounts fairness() throws InterruptedException {
+    if (fair == null) {
+      return null;
+    }
+    return door.loop().submit(fair::counts).sync().getNow();
   }
 
   private void listen(boolean mayTakeOver) throws IOException, InterruptedException {
--- a/daemon/src/test/java/willowdoor/daemon/ArchitectureTest.java
+++ b/daemon/src/test/java/willowdoor/daemon/ArchitectureTest.java
@@ -21,7 +21,7 @@
   @Test
   void decisionsDoNoInputOrOutputReadNoClockAndStartNoThread() {
     noClasses().that().resideInAnyPackage("willowdoor.policy..", "willowdoor.life..",
-        "willowdoor.authz..", "willowdoor.recovery..")
+        "willowdoor.authz..", "willowdoor.recovery..", "willowdoor.fairness..")
         .should().dependOnClassesThat().resideInAnyPackage("java.io..", "java.net..", "java.nio..",
             "io.netty..",
             "com.fasterxml..", "java.util.concurrent..", "java.time..", "java.util.logging..",
@@ -39,7 +39,7 @@
     noClasses().that().resideInAnyPackage("willowdoor", "willowdoor.net..", "willowdoor.wire..",
         "willowdoor.benchlink..").should().dependOnClassesThat().resideInAnyPackage("willowdoor.daemon..",
         "willowdoor.testkit..", "willowdoor.life..", "willowdoor.authz..", "willowdoor.extauthz..",
-        "willowdoor.valkey..", "io.lettuce..", "io.grpc..",
+        "willowdoor.fairness..", "willowdoor.fairgate..", "willowdoor.emulator..", "willowdoor.valkey..", "io.lettuce..", "io.grpc..",
         "com.google..", "io.envoyproxy..", "picocli..", "org.tomlj..").check(ALL);
   }
 
@@ -71,10 +71,20 @@
   void whatServesKnowsNoRig() {
     noClasses().that().resideInAnyPackage("willowdoor.daemon.life..", "willowdoor.daemon.config..")
         .should().dependOnClassesThat().resideInAnyPackage("willowdoor.testkit..",
-            "willowdoor.daemon.fleet..",
+            "willowdoor.daemon.fleet..", "willowdoor.emulator..",
             "picocli..").check(ALL);
   }
 
+  @Test
+  void theEmulatorKnowsDecisionsOnlyAndTheQueuesGateNoOtherFront() {
+    noClasses().that().resideInAPackage("willowdoor.emulator..").should().dependOnClassesThat()
+        .resideInAnyPackage("willowdoor.net..", "willowdoor.daemon..", "willowdoor.testkit..",
+            "willowdoor.fairgate..", "io.netty..", "picocli..", "java.net..").check(ALL);
+    noClasses().that().resideInAPackage("willowdoor.fairgate..").should().dependOnClassesThat()
+        .resideInAnyPackage("willowdoor.daemon..", "willowdoor.testkit..", "willowdoor.life..",
+            "willowdoor.extauthz..", "willowdoor.emulator..", "willowdoor.wire..").check(ALL);
+  }
+
   @Test
   void packagesFormNoCircles() {
     slices().matching("willowdoor.(**)").should().beFreeOfCycles().check(ALL);
@@ -90,6 +100,7 @@
           .startsWith("org/tomlj")
           || e.getName().startsWith("willowdoor/daemon") || e.getName().startsWith("willowdoor/testkit")
           || e.getName().startsWith("willowdoor/life") || e.getName().startsWith("willowdoor/authz")
+          || e.getName().startsWith("willowdoor/fair")
           || e.getName().startsWith("willowdoor/extauthz") || e.getName().startsWith("willowdoor/valkey")
           || e.getName().startsWith("io/lettuce") || e.getName().startsWith("reactor") ||
               e.getName().startsWith("io/grpc")
--- a/door/src/main/java/willowdoor/net/FrontDoor.java
+++ b/door/src/main/java/willowdoor/net/FrontDoor.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.logging.Logger;
+import willowdoor.policy.GatewayApi.Request;
 import willowdoor.policy.QuotaPolicy;
 import willowdoor.recovery.CounterWatch;
 
@@ -146,6 +147,11 @@
     driver.guard(gate);
   }
 
+  /** The part, from 0 to 1, of a customer's use that comes through this door; on the loop. */
+  public double through(Request request) {
+    return driver.through(request);
+  }
+
   /** The one thread that all of the door is on. */
   public EventLoop loop() {
     return loop;
@@ -227,6 +233,7 @@
 
   /** Answers {@code GET /up} with 503, and ends each connection with its next answer. */
   public void beginDrain() {
+    driver.draining();
     clients.drain(true);
     clients.leave(true);
   }
--- a/door/src/main/java/willowdoor/net/Gate.java
+++ b/door/src/main/java/willowdoor/net/Gate.java
@@ -42,17 +42,40 @@
 
     /** Its final answer, which is the gate's own; the driver releases it. */
     void answer(FullHttpResponse answer);
+
+    /** It is refused: nothing of it has run. 0 gives no advice when to come back. */
+    void refuse(double comeBackMs);
   }
 
   /** A request that entered. */
   interface Entry {
     /** It has its final answer or its client left; called once, whether it had passed or not. */
     void ended(End end);
+
+    /**
+     * The module refuses it; told before its end.
+     *
+     * @param spent for its firm's sake, whose quota or ceiling is used up
+     * @param holdOffMs what the module advises; 0 where nothing may be advised
+     * @return what is advised
+     */
+    default double advised(boolean spent, double holdOffMs) {
+      return holdOffMs;
+    }
   }
 
   /** Whether this gate wants to see such a request at all. */
   boolean concerns(Request request);
 
+  /** Whether what the module would refuse by what it knows already is to be refused before it enters. */
+  default boolean foresees() {
+    return true;
+  }
+
+  /** Nothing may wait here from now on: the door drains, or another instance takes over. */
+  default void draining() {
+  }
+
   /** Takes a request that concerns it. The message is only lent, until the request passes or ends. */
   Entry enter(Request request, FullHttpRequest message, Origin origin, Passage passage);
 }
--- a/door/src/main/java/willowdoor/net/ModuleDriver.java
+++ b/door/src/main/java/willowdoor/net/ModuleDriver.java
@@ -77,6 +77,9 @@
     int out;
     /** True while the gate has it: the module has not heard of it. */
     boolean atGate;
+    /** True while the gate takes it; and whether it let it pass meanwhile. */
+    boolean entering;
+    boolean passed;
     /** Null unless it entered the gate, and once the gate has heard of its end. */
     Gate.Entry entry;
     Gate.End end;
@@ -153,6 +156,18 @@
     gate = other;
   }
 
+  /** The part of a customer's use that comes through this door. */
+  double through(Request request) {
+    return policy.through(request.customer(), request.entryPoints());
+  }
+
+  /** Has nothing wait at the gate any more. */
+  void draining() {
+    if (gate != null) {
+      gate.draining();
+    }
+  }
+
   int held() {
     return live.size();
   }
@@ -183,7 +198,10 @@
   /** At the gate, unless the module refuses it by what it knows already: that spares the asking. */
   private void enter(Live r) {
     r.atGate = true;
-    deliver(new Foresee(r.request));
+    r.entering = true;
+    if (gate.foresees()) {
+      deliver(new Foresee(r.request));
+    }
     if (r.finished) {
       return;
     }
@@ -194,7 +212,10 @@
           if (r.atGate && !r.finished) {
             r.atGate = false;
             r.forClient = forClient;
-            deliver(r.request);
+            r.passed = true;
+            if (!r.entering) {
+              deliver(r.request);
+            }
           }
         }
 
@@ -206,9 +227,20 @@
           }
           answer.release();
         }
+
+        @Override
+        public void refuse(double comeBackMs) {
+          if (r.atGate && r.finish(Gate.End.REFUSED)) {
+            r.client.refused(comeBackMs);
+            r.forgetIfDone();
+          }
+        }
       });
+      r.entering = false;
       if (r.finished) {
         r.tellGate();
+      } else if (r.passed) {
+        deliver(r.request);
       }
     } catch (RuntimeException e) {
       LOG.log(Level.SEVERE, "the gate failed on " + r.request.id(), e);
@@ -337,8 +369,10 @@
       wake(a);
     } else if (action instanceof Refuse a) {
       Live r = live.get(a.request());
-      if (r != null && r.finish(Gate.End.REFUSED)) {
-        r.client.refused(a.holdOffMs());
+      if (r != null && !r.finished) {
+        double holdOffMs = r.entry == null ? a.holdOffMs() : r.entry.advised(a.spent(), a.holdOffMs());
+        r.finish(Gate.End.REFUSED);
+        r.client.refused(holdOffMs);
         r.forgetIfDone();
       }
     } else if (action instanceof Fail a) {
--- /dev/null
+++ b/emulator/src/main/java/willowdoor/emulator/fair/FairSweep.java
@@ -0,0 +1,172 @@
+package willowdoor.emulator.fair;
+
+import java.awt.Color;
+import java.awt.Font;
+import java.io.File;
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import org.HdrHistogram.Histogram;
+import org.jfree.chart.ChartFactory;
+import org.jfree.chart.ChartUtils;
+import org.jfree.chart.JFreeChart;
+import org.jfree.chart.axis.LogAxis;
+import org.jfree.chart.axis.NumberAxis;
+import org.jfree.chart.plot.XYPlot;
+import org.jfree.chart.renderer.xy.XYLineAndShapeRenderer;
+import org.jfree.data.xy.XYSeries;
+import org.jfree.data.xy.XYSeriesCollection;
+import willowdoor.emulator.fair.FairWorld.Load;
+import willowdoor.emulator.fair.FairWorld.Manners;
+import willowdoor.emulator.fair.FairWorld.Order;
+import willowdoor.emulator.fair.FairWorld.Tally;
+import willowdoor.fairness.FairCounts;
+import willowdoor.fairness.FairSettings;
+import willowdoor.fairness.FairSettings.Bounds;
+import willowdoor.fairness.FairSettings.ComeBack;
+import willowdoor.fairness.FairSettings.Cost;
+import willowdoor.fairness.FairSettings.Limit;
+import willowdoor.fairness.FairSettings.PlanPart;
+
+/**
+ * Floods of all sizes beside nine firms that use half of the nodes between them: with the queue and without,
+ * by few clients and by many, through one door and four, with work that is always the same, that varies, and
+ * that is ten times what the flooding firm's units say. Five nodes serve 1,000 units a second.
+ */
+public final class FairSweep {
+
+  /** How requests differ in the work that they are. */
+  public enum Work { SAME, VARIES, TEN_TIMES }
+
+  private static final int OTHERS = 9;
+  private static final double OTHERS_PER_S = 55;
+  private static final double QUOTA = 100;
+  private static final double MS_PER_UNIT = 5;
+  private static final double AIM_MS = 1_000;
+  private static final int NODES = 5;
+
+  /** One run's figures. */
+  public record Row(String plan, double times, int clients, int doors, Work work, Order order, double service,
+      double p99Ms, double floodUnits, long promised, long returned, long honoured, FairCounts counts) {
+
+    double honouredShare() {
+      return returned == 0 ? 1 : (double) honoured / returned;
+    }
+  }
+
+  private final long seed;
+  private final double forMs;
+
+  /**
+   * A sweep.
+   *
+   * @param forMs simulated length of each run
+   */
+  public FairSweep(long seed, double forMs) {
+    this.seed = seed;
+    this.forMs = forMs;
+  }
+
+  /** One run; times is the flood's size in quotas, 0 is none. The plan is "metered" or "open". */
+  public Row run(String plan, double times, int clients, int doors, Work work, Order order) {
+    Map<String, PlanPart> plans = Map.of("metered", new PlanPart(0, 1, QUOTA, 2 * QUOTA, 0), "open",
+        new PlanPart(0, 1, 0, 0, 0));
+    FairSettings settings = new FairSettings(plans, plans.get("open"), doors,
+        work == Work.SAME ? Cost.UNITS : Cost.WORK, Bounds.usual(), new Limit(24, 4, 1_000),
+        new ComeBack(0.8, 10_000));
+    FairWorld world = new FairWorld(seed, settings, order, doors, NODES, 1, MS_PER_UNIT, AIM_MS);
+    if (work != Work.SAME) {
+      world.unitsVary();
+    }
+    List<Load> loads = new ArrayList<>();
+    for (int f = 1; f <= OTHERS; f++) {
+      loads.add(new Load(f, "open", OTHERS_PER_S, 3, doors, 1, 1, Manners.OBEY));
+    }
+    if (times > 0) {
+      loads.add(new Load(OTHERS + 1, plan, times * QUOTA, clients, doors, 1, work == Work.TEN_TIMES ? 10 : 1,
+          Manners.OBEY));
+    }
+    world.run(loads, forMs);
+    double asked = 0;
+    double inTime = 0;
+    Histogram waits = new Histogram(3);
+    for (int f = 1; f <= OTHERS; f++) {
+      Tally t = world.of(f);
+      asked += t.asked;
+      inTime += t.inTime;
+      waits.add(t.answered);
+    }
+    Tally flood = world.of(OTHERS + 1);
+    return new Row(plan, times, clients, doors, work, order, inTime / asked,
+        waits.getValueAtPercentile(99) / 1_000.0, flood.unitsServed / forMs * 1_000,
+        world.counts(0).promised(), flood.returned, flood.honoured, world.counts(0));
+  }
+
+  /** All of them, told as they come; then the chart, if there is a file for it. */
+  public List<Row> all(PrintWriter to, File chart) throws IOException {
+    List<Row> rows = new ArrayList<>();
+    to.println("| flood's plan | times quota | clients | doors | work | order | others served in time | without"
+        + " flood | their p99 | flood's units/s | came back when told | honoured | limit | waiting |");
+    to.println("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
+    for (Work work : Work.values()) {
+      for (int doors : new int[] {1, 4}) {
+        for (Order order : Order.values()) {
+          Row calm = run("open", 0, 1, doors, work, order);
+          for (String plan : List.of("metered", "open")) {
+            for (double times : new double[] {1, 5, 20, 50}) {
+              for (int clients : times == 20 ? new int[] {30, 10_000} : new int[] {1_000}) {
+                Row row = run(plan, times, clients, doors, work, order);
+                rows.add(row);
+                to.printf(Locale.ROOT, "| %s | %.0f | %d | %d | %s | %s | %.4f | %.4f | %.0f ms | %.0f | %d | "
+                    + "%s | %.0f | %d |%n", plan, times, clients, doors, work.name().toLowerCase(Locale.ROOT),
+                    order.name().toLowerCase(Locale.ROOT), row.service(), calm.service(), row.p99Ms(),
+                    row.floodUnits(), row.returned(), row.returned() == 0 ? "-"
+                    : String.format(Locale.ROOT, "%.4f", row.honouredShare()), row.counts().limit(),
+                    row.counts().waiting());
+                to.flush();
+              }
+            }
+          }
+        }
+      }
+    }
+    if (chart != null) {
+      draw(rows, chart);
+    }
+    return rows;
+  }
+
+  private static void draw(List<Row> rows, File file) throws IOException {
+    Map<String, XYSeries> lines = new HashMap<>();
+    XYSeriesCollection set = new XYSeriesCollection();
+    for (Row r : rows) {
+      if (r.plan().equals("open") && r.doors() == 1 && r.work() != Work.VARIES && r.clients() != 30) {
+        String name = (r.order() == Order.FAIR ? "fair queue" : "order of coming")
+            + (r.work() == Work.SAME ? "" : ", work ten times the units");
+        lines.computeIfAbsent(name, n -> {
+          XYSeries made = new XYSeries(n);
+          set.addSeries(made);
+          return made;
+        }).addOrUpdate(r.times(), r.service());
+      }
+    }
+    JFreeChart chart = ChartFactory.createXYLineChart("Nine firms beside one that floods",
+        "flood, in units a second / 100", "others answered in time, of all their requests", set);
+    XYPlot plot = chart.getXYPlot();
+    plot.setBackgroundPaint(Color.WHITE);
+    plot.setDomainGridlinePaint(Color.LIGHT_GRAY);
+    plot.setRangeGridlinePaint(Color.LIGHT_GRAY);
+    LogAxis axis = new LogAxis("flood, in hundreds of units a second (the nodes serve 10)");
+    axis.setNumberFormatOverride(java.text.NumberFormat.getIntegerInstance(Locale.ROOT));
+    axis.setSmallestValue(0.5);
+    plot.setDomainAxis(axis);
+    ((NumberAxis) plot.getRangeAxis()).setRange(0, 1.02);
+    plot.setRenderer(new XYLineAndShapeRenderer(true, true));
+    chart.getTitle().setFont(new Font(Font.SANS_SERIF, Font.BOLD, 16));
+    ChartUtils.saveChartAsPNG(file, chart, 900, 520);
+  }
+}
--- /dev/null
+++ b/emulator/src/main/java/willowdoor/emulator/fair/FairWorld.java
@@ -0,0 +1,356 @@
+package willowdoor.emulator.fair;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.function.BiConsumer;
+import org.HdrHistogram.Histogram;
+import willowdoor.emulator.SimClock;
+import willowdoor.fairness.FairAction;
+import willowdoor.fairness.FairAction.Advise;
+import willowdoor.fairness.FairAction.Refuse;
+import willowdoor.fairness.FairAction.Release;
+import willowdoor.fairness.FairAction.WakeAt;
+import willowdoor.fairness.FairCounts;
+import willowdoor.fairness.FairEvent;
+import willowdoor.fairness.FairEvent.Arrived;
+import willowdoor.fairness.FairEvent.Ended;
+import willowdoor.fairness.FairEvent.Refusing;
+import willowdoor.fairness.FairEvent.Result;
+import willowdoor.fairness.FairEvent.Through;
+import willowdoor.fairness.FairEvent.Woken;
+import willowdoor.fairness.FairQueue;
+import willowdoor.fairness.FairSettings;
+
+/**
+ * Firms and their clients, doors that each have a real {@link FairQueue}, a shared quota bucket for each firm
+ * in the policy's place, and nodes; all in simulated time, by one seed.
+ */
+public final class FairWorld {
+
+  /** How clients take advice. */
+  public enum Manners { OBEY, EARLY, LATE, NEVER, SAME_MOMENT, OTHER_DOOR }
+
+  /** Whether requests wait in the fair queue, or go to the nodes as they come and wait there. */
+  public enum Order { FAIR, FIRST_COME }
+
+  /**
+   * One firm's load.
+   *
+   * @param perSecond requests, at random moments (Poisson); clients that come back are beside them
+   * @param clients who send in turn
+   * @param doors it comes through, the first ones
+   * @param units of a request
+   * @param factor by which its requests take longer than their units say
+   */
+  public record Load(long firm, String plan, double perSecond, int clients, int doors, double units,
+      double factor, Manners manners) { }
+
+  /** What became of one firm's requests. */
+  public static final class Tally {
+    public long asked;
+    public long inTime;
+    public long tooLate;
+    public long refused;
+    public long failed;
+    public double unitsServed;
+    /** Told a promised time and came back then; and of those let through within a second and not refused. */
+    public long returned;
+    public long honoured;
+    /** Waits of those let through, in microseconds. */
+    public final Histogram waits = new Histogram(60_000_000L, 3);
+    /** From a coming to its answer, of those answered, in microseconds. */
+    public final Histogram answered = new Histogram(60_000_000L, 3);
+
+    /** Requests answered in time of all that were made, without counting the same one twice. */
+    public double service() {
+      return asked == 0 ? 1 : (double) inTime / asked;
+    }
+  }
+
+  /** One request, through all its comings. */
+  private final class Try {
+    final Load load;
+    final String id;
+    final long client;
+    final Door door;
+    final double units;
+    final double came = clock.now();
+    final double usefulUntil;
+    /** It came when it was told to. */
+    final boolean told;
+    final int comings;
+
+    Try(Load load, String id, long client, Door door, boolean told, int comings) {
+      this.load = load;
+      this.id = id;
+      this.client = client;
+      this.door = door;
+      this.told = told;
+      this.comings = comings;
+      usefulUntil = clock.now() + aimMs;
+      units = load.units() * (vary ? Math.max(0.1, Math.min(4, -Math.log(1 - random.nextDouble()))) : 1);
+    }
+  }
+
+  /** A door: its queue, and the timer that it last wished for. */
+  private final class Door {
+    final FairQueue queue;
+    final Map<String, Try> tries = new HashMap<>();
+    /** Units granted to each firm, halved now and then. */
+    final Map<Long, Double> granted = new HashMap<>();
+    double wakeAt = Double.POSITIVE_INFINITY;
+
+    Door(FairSettings settings) {
+      queue = new FairQueue(settings);
+    }
+
+    /** What the shared count tells of a firm's use through this door; without the counter, an even part. */
+    double part(long firm, int entryPoints) {
+      double all = doors.stream().mapToDouble(d -> d.granted.getOrDefault(firm, 0.0)).sum();
+      if (all > 1_000) {
+        doors.forEach(d -> d.granted.computeIfPresent(firm, (f, units) -> units / 2));
+      }
+      return counterAway || all <= 0 ? 1.0 / entryPoints : granted.getOrDefault(firm, 0.0) / all;
+    }
+
+    void tell(FairEvent event) {
+      for (FairAction a : queue.on(clock.now(), event)) {
+        if (a instanceof Release r) {
+          goOn(this, tries.get(r.id()), r.waitedMs());
+        } else if (a instanceof Refuse r) {
+          refused(tries.remove(r.id()), r.comeBackMs(), r.promised());
+        } else if (a instanceof Advise d) {
+          Try t = tries.remove(d.id());
+          tell(new Ended(t.id, Result.SPENT, 0));
+          refused(t, d.comeBackMs(), d.promised());
+        } else if (a instanceof WakeAt w) {
+          wakeAt = w.atMs();
+          clock.after(w.atMs() - clock.now(), () -> {
+            if (wakeAt <= clock.now()) {
+              wakeAt = Double.POSITIVE_INFINITY;
+              tell(new Woken());
+            }
+          });
+        }
+      }
+    }
+  }
+
+  private final class Bucket {
+    double level;
+    double at;
+
+    boolean take(double rate, double burst, double units) {
+      if (rate <= 0) {
+        return true;
+      }
+      level = at == 0 ? burst : Math.min(burst, level + rate * (clock.now() - at) / 1000);
+      at = Math.max(1e-9, clock.now());
+      if (level < units) {
+        return false;
+      }
+      level -= units;
+      return true;
+    }
+  }
+
+  private final SimClock clock = new SimClock();
+  private final SplittableRandom random;
+  private final FairSettings settings;
+  private final Order order;
+  private final double aimMs;
+  private final double msPerUnit;
+  private final List<Door> doors = new ArrayList<>();
+  private final NodePool nodes;
+  private final Map<Long, Bucket> buckets = new HashMap<>();
+  private final Map<Long, Tally> tallies = new HashMap<>();
+  private BiConsumer<Long, Double> onServed = (firm, units) -> { };
+  private long number;
+  private double until;
+  private int run;
+  /** Times told and not met yet, by firm, client and door. */
+  private final Map<String, ArrayDeque<Double>> told = new HashMap<>();
+  private boolean counterAway;
+  private boolean vary;
+
+  /**
+   * A world.
+   *
+   * @param aimMs within which an answer is wanted
+   * @param msPerUnit a unit's work, varying by a half at random
+   */
+  public FairWorld(long seed, FairSettings settings, Order order, int doorCount, int nodeCount, int workers,
+      double msPerUnit, double aimMs) {
+    random = new SplittableRandom(seed);
+    this.settings = settings;
+    this.order = order;
+    this.msPerUnit = msPerUnit;
+    this.aimMs = aimMs;
+    nodes = new NodePool(clock, nodeCount, workers);
+    for (int i = 0; i < doorCount; i++) {
+      doors.add(new Door(settings));
+    }
+  }
+
+  public SimClock clock() {
+    return clock;
+  }
+
+  /** A firm's tally so far. */
+  public Tally of(long firm) {
+    return tallies.computeIfAbsent(firm, f -> new Tally());
+  }
+
+  /** What a door's queue has counted. */
+  public FairCounts counts(int door) {
+    return doors.get(door).queue.counts();
+  }
+
+  /** Told of each answer that a firm got, in units. */
+  public void onServed(BiConsumer<Long, Double> to) {
+    onServed = to;
+  }
+
+  /** From here on each door goes by an even part of each quota, as the policy does without the counter. */
+  public void counterAway(boolean away) {
+    counterAway = away;
+  }
+
+  /** From here on a request's units vary round its load's: exponentially, from a tenth to four times. */
+  public void unitsVary() {
+    vary = true;
+  }
+
+  void pause(double ms) {
+    nodes.pause(ms);
+  }
+
+  void slow(double times) {
+    nodes.slow(t -> times);
+  }
+
+  void kill(int count) {
+    nodes.kill(count);
+  }
+
+  void revive() {
+    nodes.revive();
+  }
+
+  void tell(int door, FairEvent event) {
+    doors.get(door).tell(event);
+  }
+
+  /** Has that load come from now until then, and runs the world until it is over. */
+  public void run(List<Load> loads, double forMs) {
+    until = clock.now() + forMs;
+    int own = ++run;
+    loads.forEach(l -> next(l, own));
+    clock.runUntil(until);
+  }
+
+  /** Runs on without further load. */
+  public void runOut(double forMs) {
+    clock.runUntil(clock.now() + forMs);
+  }
+
+  private void next(Load load, int of) {
+    double wait = -Math.log(1 - random.nextDouble()) * 1000 / load.perSecond();
+    clock.after(wait, () -> {
+      if (clock.now() < until && of == run) {
+        of(load.firm()).asked++;
+        come(load, random.nextInt(load.clients()) + 1, random.nextInt(load.doors()), 0);
+        next(load, of);
+      }
+    });
+  }
+
+  /** A client's first coming in the second that it was told is the one that was promised. */
+  private void come(Load load, long client, int at, int comings) {
+    Door door = doors.get(at);
+    ArrayDeque<Double> times = told.getOrDefault(load.firm() + " " + client + " " + at, new ArrayDeque<>());
+    while (!times.isEmpty() && times.peek() < clock.now() - 1_000) {
+      times.poll();
+    }
+    boolean inTime = !times.isEmpty() && times.peek() <= clock.now() + 50;
+    if (inTime) {
+      times.poll();
+      of(load.firm()).returned++;
+    }
+    Try t = new Try(load, "r" + number++, client, door, inTime, comings);
+    if (order != Order.FAIR) {
+      goOn(door, t, 0);
+      return;
+    }
+    door.tries.put(t.id, t);
+    door.tell(new Arrived(t.id, "c", load.plan(), load.firm(), client, load.doors(), t.units, 200,
+        t.usefulUntil, aimMs));
+  }
+
+  private void goOn(Door door, Try t, double waited) {
+    FairSettings.PlanPart plan = settings.plans().getOrDefault(t.load.plan(), settings.others());
+    long bucket = counterAway ? t.load.firm() * 1_000 + doors.indexOf(door) : t.load.firm();
+    double part = counterAway ? 1.0 / t.load.doors() : 1;
+    boolean room = buckets.computeIfAbsent(bucket, f -> new Bucket())
+        .take(plan.rate() * part, plan.burst() * part, t.units);
+    if (!room) {
+      double holdOff = t.units / plan.rate() * 1000;
+      if (order == Order.FAIR) {
+        door.tell(new Through(t.load.firm(), door.part(t.load.firm(), t.load.doors())));
+        door.tell(new Refusing(t.id, true, holdOff));
+      } else {
+        refused(t, holdOff, true);
+      }
+      return;
+    }
+    door.granted.merge(t.load.firm(), t.units, Double::sum);
+    Tally tally = of(t.load.firm());
+    tally.waits.recordValue(Math.min(60_000_000L, (long) (waited * 1000)));
+    tally.honoured += t.told && waited <= 1_000 ? 1 : 0;
+    double work = t.units * msPerUnit * t.load.factor() * (0.5 + random.nextDouble());
+    nodes.run(work, ok -> ended(door, t, ok));
+  }
+
+  private void ended(Door door, Try t, boolean ok) {
+    Tally tally = of(t.load.firm());
+    boolean inTime = ok && clock.now() <= t.usefulUntil;
+    tally.inTime += inTime ? 1 : 0;
+    tally.tooLate += ok && !inTime ? 1 : 0;
+    tally.failed += ok ? 0 : 1;
+    tally.unitsServed += ok ? t.units : 0;
+    if (ok) {
+      tally.answered.recordValue(Math.min(60_000_000L, (long) ((clock.now() - t.came) * 1_000)));
+      onServed.accept(t.load.firm(), t.units);
+    }
+    if (order == Order.FAIR && door.tries.remove(t.id) != null) {
+      door.tell(new Ended(t.id, ok ? Result.SERVED : Result.FAILED, 0));
+    }
+  }
+
+  private void refused(Try t, double comeBackMs, boolean promised) {
+    of(t.load.firm()).refused++;
+    if (promised) {
+      told.computeIfAbsent(t.load.firm() + " " + t.client + " " + doors.indexOf(t.door), k -> new ArrayDeque<>())
+          .add(clock.now() + comeBackMs);
+    }
+    if (comeBackMs <= 0 || t.comings >= 5 || t.load.manners() == Manners.NEVER) {
+      return;
+    }
+    int at = doors.indexOf(t.door);
+    double jitter = random.nextDouble() * 500;
+    switch (t.load.manners()) {
+      case EARLY -> clock.after(comeBackMs * 0.3, () -> come(t.load, t.client, at, t.comings + 1));
+      case LATE -> clock.after(comeBackMs + 3_000, () -> come(t.load, t.client, at, t.comings + 1));
+      case SAME_MOMENT -> clock.after(Math.ceil((clock.now() + comeBackMs) / 1_000) * 1_000 - clock.now(),
+          () -> come(t.load, t.client, at, t.comings + 1));
+      case OTHER_DOOR -> clock.after(comeBackMs + jitter,
+          () -> come(t.load, t.client, (at + 1) % doors.size(), t.comings + 1));
+      default -> clock.after(comeBackMs + jitter,
+          () -> come(t.load, t.client, at, t.comings + 1));
+    }
+  }
+}
--- a/policy/src/main/java/willowdoor/policy/GatewayApi.java
+++ b/policy/src/main/java/willowdoor/policy/GatewayApi.java
@@ -133,8 +133,12 @@
   /** Start an attempt; the n-th Send of a request, from 0, is its attempt n. */
   public record Send(String request, long backend, double timeoutMs) implements Action { }
 
-  /** Final answer: refused, trying again is harmless; holdOffMs of 0 gives no advice. */
-  public record Refuse(String request, double holdOffMs) implements Action { }
+  /**
+   * Final answer: refused, trying again is harmless; holdOffMs of 0 gives no advice.
+   *
+   * @param spent for its customer's sake, whose quota, ceiling or places are used up; else for the fleet's
+   */
+  public record Refuse(String request, double holdOffMs, boolean spent) implements Action { }
 
   /** Final answer: failed, nothing promised. */
   public record Fail(String request) implements Action { }
--- a/policy/src/main/java/willowdoor/policy/QuotaPolicy.java
+++ b/policy/src/main/java/willowdoor/policy/QuotaPolicy.java
@@ -156,6 +156,13 @@
     return out;
   }
 
+  /** The part of a customer's use of late that came through this gateway; an even one while not known. */
+  public double through(long customer, int entryPoints) {
+    Account a = accounts.get(customer);
+    boolean known = a != null && callsFailed < COUNTER_AWAY_AFTER && a.ownRate + a.othersRate > 0;
+    return known ? a.ownRate / (a.ownRate + a.othersRate) : 1.0 / Math.max(1, entryPoints);
+  }
+
   /** Takes one event and gives what to do, in order. */
   public List<Action> on(double nowMs, Event event) {
     now = nowMs;
@@ -698,7 +705,7 @@
     if (earnsBeyond(job.account.plan)) {
       dispatch(job);
     } else {
-      refuse(job, refilledIn(job.account, job.request.units()));
+      refuse(job, refilledIn(job.account, job.request.units()), true);
     }
   }
 
@@ -720,7 +727,7 @@
     }
     a.advance();
     if (a.surelySpent(r.units()) && !earnsBeyond(a.plan)) {
-      out.add(new Refuse(r.id(), advised(refilledIn(a, r.units()))));
+      out.add(new Refuse(r.id(), advised(refilledIn(a, r.units())), true));
     }
   }
 
@@ -1032,7 +1039,7 @@
     double worth = job.worth();
     meanWorth = Double.isNaN(meanWorth) ? worth : meanWorth + 0.01 * (worth - meanWorth);
     if (open.size() >= settings.allowed().open() || late(job) || pressed(job, 0)) {
-      refuse(job, fleetService);
+      refuse(job, fleetService, false);
     } else {
       check(job);
     }
@@ -1191,7 +1198,7 @@
     boolean harmless = !job.mayHaveRun || job.type.repeat() == Repeat.SAFE
         || job.type.repeat() == Repeat.KEYED && job.type.group() == Group.ALL && now < job.keyedUntil;
     if (harmless) {
-      refuse(job, fleetService);
+      refuse(job, fleetService, false);
     } else {
       freePlace(job);
       open.remove(job.request.id());
@@ -1199,11 +1206,11 @@
     }
   }
 
-  private void refuse(Job job, double holdOffMs) {
+  private void refuse(Job job, double holdOffMs, boolean spent) {
     takeBack(job);
     freePlace(job);
     open.remove(job.request.id());
-    out.add(new Refuse(job.request.id(), advised(holdOffMs)));
+    out.add(new Refuse(job.request.id(), advised(holdOffMs), spent));
   }
 
   private double advised(double holdOffMs) {
