Fair queue: a firm stays paced until its bucket is full; flood through real doors

Need: through real doors 1.6 to 7% of clients that came back when told were refused. Cause, from prints in gate and policy: five seconds after the last refusal pacing ended, the flood passed unpaced and took the units that others had been told to come back for.

Change: a firm stays paced until its bucket is full, and where its use comes through is asked for meanwhile; true costs move the paced bucket; a refusal advises a time only if it can be promised. Command fair: three runs of real doors.

--- a/daemon/src/main/java/willowdoor/daemon/Cli.java
+++ b/daemon/src/main/java/willowdoor/daemon/Cli.java
@@ -15,6 +15,7 @@
 import willowdoor.daemon.fleet.AuthorisedCommand;
 import willowdoor.daemon.fleet.CounterCommand;
 import willowdoor.daemon.fleet.DemoCommand;
+import willowdoor.daemon.fleet.FairCommand;
 import willowdoor.daemon.fleet.FleetCommand;
 import willowdoor.daemon.fleet.LabCommand;
 import willowdoor.daemon.life.Daemon;
@@ -24,7 +25,8 @@
 @Command(name = "willowdoor", mixinStandardHelpOptions = true, versionProvider = Cli.Version.class,
     description = "A front door that keeps each customer's quota over all front doors together.",
     subcommands = {Cli.Run.class, Cli.Check.class, DemoCommand.class, FleetCommand.class,
-        AuthorisedCommand.class, CounterCommand.class, LabCommand.class, Cli.Serve.class,
+        AuthorisedCommand.class, CounterCommand.class, FairCommand.class, LabCommand.class,
+        Cli.Serve.class,
         Cli.BenchLinkCommand.class},
     footer = {"",
         "Exit codes: 0 ended in order or nothing wrong; 1 cannot start or go on, or a rule "
--- /dev/null
+++ b/daemon/src/main/java/willowdoor/daemon/fleet/FairCommand.java
@@ -0,0 +1,134 @@
+package willowdoor.daemon.fleet;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.Callable;
+import org.HdrHistogram.Histogram;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Spec;
+import willowdoor.testkit.BackendPark;
+import willowdoor.testkit.ClientFleet;
+import willowdoor.testkit.Judge.Verdict;
+import willowdoor.testkit.Ledger.Asked;
+import willowdoor.testkit.Tally;
+import willowdoor.testkit.Terms;
+import willowdoor.testkit.Terms.PlanTerms;
+
+/** Real doors beside one firm that floods: without the flood, with it, and with it and the fair queue. */
+@Command(name = "fair", mixinStandardHelpOptions = true, description = {
+    "One firm floods real doors on loopback; others ask within their quotas.",
+    "Three runs: without the flood, with it, with it and the fair queue."})
+public final class FairCommand implements Callable<Integer> {
+
+  private static final double WARM_MS = 10_000;
+  private static final String QUEUE = "[fair]%nenabled = true%nclient_by = \"header\"%n"
+      + "client_header = \"X-Client\"%n";
+
+  /** What the flooding firm's plan bounds. */
+  enum Kind { metered, open }
+
+  @Option(names = "--kind", defaultValue = "metered", description =
+      "The flooding firm's plan: ${COMPLETION-CANDIDATES}. Default: ${DEFAULT-VALUE}.")
+  private Kind kind;
+
+  @Option(names = "--times", defaultValue = "20", description =
+      "Size of the flood, in quotas. Default: ${DEFAULT-VALUE}.")
+  private double times;
+
+  @Option(names = "--clients", defaultValue = "10000", description =
+      "The flooding firm's clients. Default: ${DEFAULT-VALUE}.")
+  private int clients;
+
+  @Option(names = "--doors", defaultValue = "3", description = "Default: ${DEFAULT-VALUE}.")
+  private int doors;
+
+  @Option(names = "--rate", defaultValue = "200", description =
+      "Requests/s of the other firms together. Default: ${DEFAULT-VALUE}.")
+  private double rate;
+
+  @Option(names = "--seconds", defaultValue = "30", description = "Measured. Default: ${DEFAULT-VALUE}.")
+  private int seconds;
+
+  @Option(names = "--seed", defaultValue = "1", description = "Default: ${DEFAULT-VALUE}.")
+  private long seed;
+
+  @Option(names = "--only-queue", description = "Just the run with the queue.")
+  private boolean only;
+
+  @Spec
+  private CommandSpec spec;
+
+  @Override
+  public Integer call() throws IOException {
+    PrintWriter out = spec.commandLine().getOut();
+    double quota = 40;
+    double flood = times * quota / 1.7;
+    out.printf(Locale.ROOT, "%d doors, 40 firms with %.0f requests/s, the first floods with %.0f requests/s of "
+        + "%d clients (%s, %.0f times its quota); %d s; seed %d%n", doors, rate, flood, clients, kind, times,
+        seconds, seed);
+    boolean kept = only || one(out, "no flood", 0, false);
+    kept = (only || one(out, "flood", flood, false)) && kept;
+    kept = one(out, "flood, queue", flood, true) && kept;
+    return kept ? 0 : 1;
+  }
+
+  private boolean one(PrintWriter out, String name, double flood, boolean queue) throws IOException {
+    double quota = 40;
+    PlanTerms first = new PlanTerms("first", kind == Kind.metered ? quota : 0, kind == Kind.metered ? 80 : 0, 0,
+        0, 0);
+    Terms terms = Terms.usual().with(List.of(first, new PlanTerms("full", quota, 2 * quota, 0, 0, 0)), 4_000);
+    try (FleetRun run = new FleetRun(terms, new BackendPark.Make(6, 2, 64, 10, 30), doors, seed)) {
+      if (queue) {
+        run.more(String.format(QUEUE));
+      }
+      run.start(new ClientFleet.Load(rate, 40, 0, 1, doors));
+      run.clients().begin();
+      if (flood > 0) {
+        run.clients().flood(flood, clients);
+      }
+      FleetRun.sleep((long) WARM_MS);
+      double from = run.rig().ledger().now();
+      FleetRun.sleep(seconds * 1_000L);
+      double to = run.rig().ledger().now();
+      double resident = 0;
+      for (int i = 0; i < doors; i++) {
+        resident = Math.max(resident, run.doors().get(i).residentMb());
+      }
+      Verdict verdict = run.finish();
+      String flooding = run.clients().firms().get(0);
+      Tally.Firm f = run.clients().tally().firms().get(flooding);
+      long asked = count(run, from, to, flooding, false);
+      Histogram served = AuthorisedCommand.times(run, from, to, a -> !a.firm().equals(flooding));
+      out.printf(Locale.ROOT, "%-13s others: %6d tries, served %.4f, p50 %.0f ms, p99 %.0f ms; the first: "
+          + "%.1f units/s served, %d refused, %d came back when told, %s honoured; most resident %.0f MB; rules "
+          + "broken %d%n", name, asked, (double) served.getTotalCount() / asked,
+          served.getValueAtPercentile(50) / 1e3, served.getValueAtPercentile(99) / 1e3,
+          f.servedUnits() * 1_000.0 / (to - from + WARM_MS), f.refused(), f.returned(), f.returned() == 0 ? "-"
+          : String.format(Locale.ROOT, "%.4f", (double) f.honoured() / f.returned()), resident,
+          verdict.breaches().size());
+      for (int i = 0; i < doors; i++) {
+        run.log(i).lines().filter(l -> l.contains("fair queue: ")).reduce((a, b) -> b)
+            .ifPresent(l -> out.println("  " + l.substring(l.indexOf("fair queue: "))));
+      }
+      if (!verdict.kept()) {
+        out.println(verdict);
+      }
+      out.flush();
+      return verdict.kept();
+    }
+  }
+
+  private static long count(FleetRun run, double from, double to, String firm, boolean of) {
+    long[] n = new long[1];
+    run.rig().ledger().histories().forEach((id, history) -> {
+      Asked asked = run.rig().ledger().asked(id);
+      n[0] += asked != null && asked.dueMs() >= from && asked.dueMs() < to && asked.firm().equals(firm) == of
+          ? 1 : 0;
+    });
+    return n[0];
+  }
+}
--- a/door/src/main/java/willowdoor/net/Gate.java
+++ b/door/src/main/java/willowdoor/net/Gate.java
@@ -52,6 +52,10 @@
     /** It has its final answer or its client left; called once, whether it had passed or not. */
     void ended(End end);
 
+    /** A backend's answer says what it truly cost, in units; told before its end. */
+    default void charged(double units) {
+    }
+
     /**
      * The module refuses it; told before its end.
      *
--- a/door/src/main/java/willowdoor/net/GateChain.java
+++ b/door/src/main/java/willowdoor/net/GateChain.java
@@ -105,6 +105,16 @@
       passage.refuse(comeBackMs);
     }
 
+    @Override
+    public void charged(double units) {
+      if (one != null) {
+        one.charged(units);
+      }
+      if (other != null) {
+        other.charged(units);
+      }
+    }
+
     @Override
     public double advised(boolean spent, double holdOffMs) {
       double told = one == null ? holdOffMs : one.advised(spent, holdOffMs);
--- a/door/src/main/java/willowdoor/net/ModuleDriver.java
+++ b/door/src/main/java/willowdoor/net/ModuleDriver.java
@@ -424,6 +424,9 @@
     double units = 0;
     if (answer != null) {
       units = units(answer.headers().get(Headers.UNITS_CHARGED));
+      if (r.entry != null && !r.finished) {
+        r.entry.charged(units);
+      }
       if (r.finish(Gate.End.SERVED)) {
         r.client.served(answer, r.forClient);
       }
--- a/emulator/src/main/java/willowdoor/emulator/fair/FairWorld.java
+++ b/emulator/src/main/java/willowdoor/emulator/fair/FairWorld.java
@@ -14,6 +14,7 @@
 import willowdoor.fairness.FairAction.Refuse;
 import willowdoor.fairness.FairAction.Release;
 import willowdoor.fairness.FairAction.WakeAt;
+import willowdoor.fairness.FairAction.Why;
 import willowdoor.fairness.FairCounts;
 import willowdoor.fairness.FairEvent;
 import willowdoor.fairness.FairEvent.Arrived;
@@ -102,6 +103,7 @@
     final Map<String, Try> tries = new HashMap<>();
     /** Units granted to each firm, halved now and then. */
     final Map<Long, Double> granted = new HashMap<>();
+    double throughToldMs = Double.NEGATIVE_INFINITY;
     double wakeAt = Double.POSITIVE_INFINITY;
 
     Door(FairSettings settings) {
@@ -122,11 +124,16 @@
         if (a instanceof Release r) {
           goOn(this, tries.get(r.id()), r.waitedMs());
         } else if (a instanceof Refuse r) {
-          refused(tries.remove(r.id()), r.comeBackMs(), r.promised());
+          Try t = tries.remove(r.id());
+          if (r.why() == Why.SPENT && clock.now() - throughToldMs >= 20) {
+            throughToldMs = clock.now();
+            tell(new Through(t.load.firm(), part(t.load.firm(), t.load.doors())));
+          }
+          refused(t, r.comeBackMs());
         } else if (a instanceof Advise d) {
           Try t = tries.remove(d.id());
           tell(new Ended(t.id, Result.SPENT, 0));
-          refused(t, d.comeBackMs(), d.promised());
+          refused(t, d.comeBackMs());
         } else if (a instanceof WakeAt w) {
           wakeAt = w.atMs();
           clock.after(w.atMs() - clock.now(), () -> {
@@ -276,7 +283,7 @@
     while (!times.isEmpty() && times.peek() < clock.now() - 1_000) {
       times.poll();
     }
-    boolean inTime = !times.isEmpty() && times.peek() <= clock.now() + 50;
+    boolean inTime = !times.isEmpty() && times.peek() <= clock.now() + 10;
     if (inTime) {
       times.poll();
       of(load.firm()).returned++;
@@ -303,7 +310,7 @@
         door.tell(new Through(t.load.firm(), door.part(t.load.firm(), t.load.doors())));
         door.tell(new Refusing(t.id, true, holdOff));
       } else {
-        refused(t, holdOff, true);
+        refused(t, holdOff);
       }
       return;
     }
@@ -331,9 +338,9 @@
     }
   }
 
-  private void refused(Try t, double comeBackMs, boolean promised) {
+  private void refused(Try t, double comeBackMs) {
     of(t.load.firm()).refused++;
-    if (promised) {
+    if (comeBackMs > 0) {
       told.computeIfAbsent(t.load.firm() + " " + t.client + " " + doors.indexOf(t.door), k -> new ArrayDeque<>())
           .add(clock.now() + comeBackMs);
     }
--- a/fair/src/main/java/willowdoor/fairgate/FairGate.java
+++ b/fair/src/main/java/willowdoor/fairgate/FairGate.java
@@ -12,11 +12,13 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.DoubleSupplier;
 import java.util.function.ToDoubleFunction;
+import java.util.logging.Logger;
 import willowdoor.fairness.FairAction;
 import willowdoor.fairness.FairAction.Advise;
 import willowdoor.fairness.FairAction.Refuse;
 import willowdoor.fairness.FairAction.Release;
 import willowdoor.fairness.FairAction.WakeAt;
+import willowdoor.fairness.FairAction.Why;
 import willowdoor.fairness.FairCounts;
 import willowdoor.fairness.FairEvent;
 import willowdoor.fairness.FairEvent.Arrived;
@@ -48,18 +50,23 @@
     private final Request request;
     private final Passage passage;
     private boolean spent;
+    private double charged;
 
     Place(Request request, Passage passage) {
       this.request = request;
       this.passage = passage;
     }
 
+    @Override
+    public void charged(double units) {
+      charged = units;
+    }
+
     @Override
     public double advised(boolean ofFirm, double holdOffMs) {
       spent = ofFirm;
       if (ofFirm) {
-        pending.addAll(queue.on(now.getAsDouble(), new Through(request.customer(),
-            through.applyAsDouble(request))));
+        tellThrough(request);
       }
       double told = holdOffMs;
       for (FairAction a : queue.on(now.getAsDouble(), new Refusing(request.id(), ofFirm, holdOffMs))) {
@@ -81,10 +88,17 @@
         case FAILED -> Result.FAILED;
         case LEFT -> Result.LEFT;
         case REFUSED, ANSWERED_HERE -> spent ? Result.SPENT : Result.REFUSED;
-      }, 0));
+      }, charged));
     }
   }
 
+  private static final Logger LOG = Logger.getLogger(FairGate.class.getName());
+  /** How often what was counted is logged, if it has changed. */
+  private static final long TELL_EVERY_S = 10;
+
+  /** Of firms refused here, one is asked about this often: the most refused are the most asked about. */
+  private static final double THROUGH_EVERY_MS = 20;
+
   private final EventLoop loop;
   private final DoubleSupplier now;
   private final FairQueue queue;
@@ -97,6 +111,8 @@
   private final ArrayDeque<FairAction> pending = new ArrayDeque<>();
   private boolean busy;
   private Future<?> wake;
+  private FairCounts toldCounts;
+  private double throughToldMs = Double.NEGATIVE_INFINITY;
 
   /**
    * A gate, for the door's loop and by its clock.
@@ -115,6 +131,15 @@
     queue = new FairQueue(fair);
     advises = settings.allowed().holdOff();
     settings.classes().forEach(c -> classes.put(c.name(), c));
+    loop.scheduleAtFixedRate(this::tellCounts, TELL_EVERY_S, TELL_EVERY_S, TimeUnit.SECONDS);
+  }
+
+  private void tellCounts() {
+    FairCounts counts = queue.counts();
+    if (!counts.equals(toldCounts)) {
+      toldCounts = counts;
+      LOG.info(() -> "fair queue: " + counts.words());
+    }
   }
 
   /** What the queue has counted and holds; on the loop. */
@@ -136,6 +161,7 @@
   @Override
   public void draining() {
     tell(new Draining());
+    tellCounts();
   }
 
   @Override
@@ -161,6 +187,12 @@
     return key == null ? 1 : (key.hashCode() & 0xFFFF_FFFFL) + 1;
   }
 
+  /** Where a firm's use comes through moves on while it is paced here. */
+  private void tellThrough(Request request) {
+    throughToldMs = now.getAsDouble();
+    pending.addAll(queue.on(throughToldMs, new Through(request.customer(), through.applyAsDouble(request))));
+  }
+
   private void tell(FairEvent event) {
     pending.addAll(queue.on(now.getAsDouble(), event));
     carryOut();
@@ -189,6 +221,9 @@
     } else if (action instanceof Refuse a) {
       Place place = places.get(a.id());
       if (place != null) {
+        if (a.why() == Why.SPENT && now.getAsDouble() - throughToldMs >= THROUGH_EVERY_MS) {
+          tellThrough(place.request);
+        }
         place.passage.refuse(advises ? a.comeBackMs() : 0);
       }
     } else if (action instanceof WakeAt a) {
--- a/policy/src/main/java/willowdoor/fairness/FairAction.java
+++ b/policy/src/main/java/willowdoor/fairness/FairAction.java
@@ -21,13 +21,12 @@
   /**
    * It is answered now; nothing of it has run.
    *
-   * @param comeBackMs after which it may come back; 0 where nothing can be said
-   * @param promised whether that is remembered, and kept if capacity stays
+   * @param comeBackMs after which it may come back, which is remembered; 0 where nothing can be promised
    */
-  record Refuse(String id, Why why, double comeBackMs, boolean promised) implements FairAction { }
+  record Refuse(String id, Why why, double comeBackMs) implements FairAction { }
 
-  /** What the policy's refusal advises. */
-  record Advise(String id, double comeBackMs, boolean promised) implements FairAction { }
+  /** What the policy's refusal advises; 0 where nothing can be promised. */
+  record Advise(String id, double comeBackMs) implements FairAction { }
 
   /** To be woken at that time; only the latest such wish counts. */
   record WakeAt(double atMs) implements FairAction { }
--- a/policy/src/main/java/willowdoor/fairness/FairCounts.java
+++ b/policy/src/main/java/willowdoor/fairness/FairCounts.java
@@ -18,4 +18,15 @@
 public record FairCounts(long arrived, long atOnce, long released, long late, long spent, long full,
     long drained, long left, long promised, long kept, long missedLate, long missedSpent, long missedFull,
     long unclaimed, int waiting, long waitingBytes, int out, double limit, int firms, int flows,
-    int remembered) { }
+    int remembered) {
+
+  /** One line of a log: what became of requests, of promises, and what is held. */
+  public String words() {
+    return "arrived " + arrived + ", at once " + atOnce + ", after waiting " + (released - atOnce)
+        + "; refused: late " + late + ", spent " + spent + ", full " + full + ", drained " + drained
+        + "; left " + left + "; promised " + promised + ": kept " + kept + ", missed late " + missedLate
+        + ", missed spent " + missedSpent + ", missed full " + missedFull + ", unclaimed " + unclaimed
+        + "; waiting " + waiting + " of " + waitingBytes + " bytes, out " + out + " of "
+        + Math.round(limit) + ", firms " + firms + ", flows " + flows + ", remembered " + remembered;
+  }
+}
--- a/policy/src/main/java/willowdoor/fairness/FairQueue.java
+++ b/policy/src/main/java/willowdoor/fairness/FairQueue.java
@@ -34,7 +34,7 @@
  *     nobody's way.
  * <li>What cannot be let through early enough for an answer that is of use is refused as soon as that is
  *     seen, on arrival at best. It is never held back.
- * <li>A refusal tells when to come back, and that is remembered ({@link Promises}): a client that does comes
+ * <li>A refusal tells when to come back if a time can be promised, and that is remembered ({@link Promises}): a client that does comes
  *     ahead of all turns, charged to its firm. What was promised is less than what drains, so that room is
  *     there; when it is not, since nodes have died or a limit fell, the promise is counted as missed and the
  *     client taken at its next coming, whenever that is.
@@ -42,7 +42,7 @@
  */
 public final class FairQueue {
 
-  /** Without anything better to tell, clients are asked to wait so long. */
+  /** No earlier than this is promised: the answer has its way, and the client a moment to think. */
   private static final double USUAL_MS = 100;
   /** What the pool serves is measured over so long: longer than a pause. */
   private static final double WINDOW_MS = 1_000;
@@ -263,6 +263,7 @@
     if (ran) {
       limit.ended(now, w.releasedMs, w.request.aimMs(), e.result() == Result.FAILED);
       settle(w, e.units());
+      firm.settle(now, e.units() > 0 ? e.units() - w.request.units() : 0);
     } else {
       limit.left();
       tree.charge(w.leaf, e.result() == Result.LEFT ? 0 : -w.cost);
@@ -358,21 +359,20 @@
       missedFull += why == Why.LATE ? 0 : 1;
     }
     if (why == Why.DRAINING) {
-      out.add(new Refuse(w.request.id(), why, 0, false));
+      out.add(new Refuse(w.request.id(), why, 0));
       return;
     }
     double told = promise(w, 0);
-    double at = Double.isNaN(told) ? unpromised(w) : told - now;
     if (w.promised) {
       promises.owe(w.firm(), w.request.client(), now);
     }
-    out.add(new Refuse(w.request.id(), why, at, !Double.isNaN(told)));
+    out.add(new Refuse(w.request.id(), why, Double.isNaN(told) ? 0 : told - now));
   }
 
   private void onRefusing(Refusing e) {
     Waiting w = known.get(e.id());
     if (w == null) {
-      out.add(new Advise(e.id(), e.holdOffMs(), false));
+      out.add(new Advise(e.id(), 0));
       return;
     }
     if (e.spent()) {
@@ -380,8 +380,7 @@
       hold(w.leaf.parent);
     }
     double told = promise(w, e.holdOffMs());
-    out.add(new Advise(e.id(), Double.isNaN(told) ? Math.max(e.holdOffMs(), unpromised(w)) : told - now,
-        !Double.isNaN(told)));
+    out.add(new Advise(e.id(), Double.isNaN(told) ? 0 : told - now));
   }
 
   /** The time from which on the client is let through, or NaN where none can be promised. */
@@ -400,10 +399,6 @@
     return promises.promise(firm, w.request.client(), now, earliest, takes, w.cost / rate);
   }
 
-  private double unpromised(Waiting w) {
-    return Math.min(settings.comeBack().mostMs(), Math.max(USUAL_MS, w.firm().promisedUntilMs - now));
-  }
-
   // ---- Beside ----
 
   private void onThrough(Through e) {
--- a/policy/src/main/java/willowdoor/fairness/Firm.java
+++ b/policy/src/main/java/willowdoor/fairness/Firm.java
@@ -13,8 +13,11 @@
  */
 final class Firm {
 
-  /** For so long after it was last seen spent a firm's requests are paced by its quota. */
-  static final double SPENT_MS = 5_000;
+  /**
+   * A firm seen to be spent is paced by its quota for so long, and then until its bucket is full: it asks for
+   * less than its quota. Ended earlier, whatever came next would take what others were told to come back for.
+   */
+  private static final double SPENT_MS = 5_000;
   private static final double CUT = 0.9;
   private static final double LEAST_CARE = 0.5;
   private static final double RAISE_PER_S = 0.02;
@@ -52,6 +55,7 @@
   private double level;
   private double levelAtMs;
   private double spentUntilMs = Double.NEGATIVE_INFINITY;
+  private boolean paced;
   private double cutAtMs = Double.NEGATIVE_INFINITY;
   private boolean held;
 
@@ -92,7 +96,7 @@
 
   /** Units a millisecond of its quota that are this door's; 0 while it is not known to be spent. */
   double paceRate(double now) {
-    return now < spentUntilMs ? part.rate() * through * care / 1000 : NO_RATE;
+    return paced ? part.rate() * through * care / 1000 : NO_RATE;
   }
 
   /** Requests a millisecond that its bound of requests out lets through, each taking so long; 0 is any. */
@@ -146,18 +150,25 @@
     }
   }
 
+  /** A request cost so much more of its quota than it was taken to, or less. */
+  void settle(double now, double units) {
+    advance(now);
+    level = Math.min(most(), level - units);
+  }
+
   /** The policy found its quota spent: from now on it is paced. */
   void spent(double now) {
     advance(now);
     if (part.rate() <= 0) {
       return;
     }
-    if (now < spentUntilMs && now - cutAtMs >= CUT_EVERY_MS) {
+    if (paced && now - cutAtMs >= CUT_EVERY_MS) {
       care = Math.max(LEAST_CARE, care * CUT);
       cutAtMs = now;
     }
     level = Math.min(level, 0);
     spentUntilMs = now + SPENT_MS;
+    paced = true;
   }
 
   private void advance(double now) {
@@ -165,6 +176,7 @@
     care = Math.min(1, care + RAISE_PER_S * seconds);
     level = Math.min(most(), level + part.rate() * through * care * seconds);
     levelAtMs = now;
+    paced &= now < spentUntilMs || level < most() - ROUNDING_MS;
   }
 
   /** One of its requests took that much of what its units say. */
--- a/policy/src/main/java/willowdoor/fairness/Promises.java
+++ b/policy/src/main/java/willowdoor/fairness/Promises.java
@@ -14,7 +14,7 @@
 final class Promises {
 
   /** A client is in time from this much before its time until {@link #WINDOW_MS} after. */
-  static final double EARLY_MS = 50;
+  static final double EARLY_MS = 10;
   static final double WINDOW_MS = 1_000;
   /** A client whose promise was missed is taken at its next coming, for so long. */
   static final double OWED_MS = 10_000;
--- a/testkit/src/main/java/willowdoor/testkit/ClientFleet.java
+++ b/testkit/src/main/java/willowdoor/testkit/ClientFleet.java
@@ -151,6 +151,36 @@
     });
   }
 
+  /**
+   * Has the first firm ask as often beside its share of the load, by so many clients, each of which names
+   * itself; one that is told when to come back asks the same door then.
+   */
+  public void flood(double perSecond, int clients) {
+    loop.execute(() -> flood(perSecond, clients, ledger.now()));
+  }
+
+  private void flood(double perSecond, int clients, double from) {
+    double due = from;
+    while (running && due <= ledger.now()) {
+      if (out.get() >= MOST_OUT) {
+        skipped.incrementAndGet();
+      } else {
+        Try t = new Try(firms.get(0), RequestKind.QUOTE, units(), terms.deadlineMs(), null, 0, ledger.now());
+        t.client = 1 + random.nextInt(clients);
+        t.start();
+      }
+      due += -Math.log(1 - random.nextDouble()) * 1000 / perSecond;
+    }
+    if (running) {
+      double next = due;
+      loop.schedule(() -> flood(perSecond, clients, next), 1, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private int units() {
+    return Math.min(Terms.MOST_UNITS, 1 + (int) (-Math.log(1 - random.nextDouble()) * 1.2));
+  }
+
   /** Asks nothing new; what is out runs to its end. */
   public void end() {
     running = false;
@@ -208,7 +238,7 @@
       } else {
         Firm firm = drawFirm();
         RequestKind kind = drawKind();
-        int units = Math.min(Terms.MOST_UNITS, 1 + (int) (-Math.log(1 - random.nextDouble()) * 1.2));
+        int units = units();
         double timeout = terms.deadlineMs()
             * (LEAST_SHARE_OF_DEADLINE + random.nextDouble() * (1 - LEAST_SHARE_OF_DEADLINE));
         String key = kind.keyed() ? String.format("%016x%016x", random.nextLong(), random.nextLong()) : null;
@@ -273,6 +303,10 @@
     private final double firstDueMs;
     private Door door;
     private Link link;
+    /** Which of a flooding firm's clients this is; 0 is any. */
+    private int client;
+    /** Where it was told to come back now; null where it was not. */
+    private Door told;
     private boolean again;
     private boolean ended;
     private Future<?> timer;
@@ -292,7 +326,7 @@
     void start() {
       out.incrementAndGet();
       sent.incrementAndGet();
-      door = front.choose(firm.first(), firm.spread(), offset(firm));
+      door = told != null ? told : front.choose(firm.first(), firm.spread(), offset(firm));
       if (door == null) {
         end(End.NO_DOOR, 0);
         return;
@@ -357,6 +391,9 @@
           .set("Request-Class", kind.className()).set("X-Plan", firm.plan()).set("X-Customer", firm.id())
           .set("Request-Timeout-Ms", (long) Math.ceil(left))
           .set("X-Quota", "units=" + units + ",spread=" + firm.spread() + ",first=" + firm.first());
+      if (client > 0) {
+        m.headers().set("X-Client", client);
+      }
       if (post) {
         m.headers().set("Content-Length", BODY_BYTES);
       }
@@ -416,11 +453,17 @@
         timer.cancel(false);
       }
       tally.tried(dueMs, how, ledger.now() - dueMs, firm.id(), firm.plan(), units);
+      if (told != null) {
+        tally.returned(firm.id(), firm.plan(), how);
+      }
       if (how != End.SERVED && number < RETRIES && running) {
         double wait = Math.max(adviceMs, BACKOFF_MS * (1 << number) * (0.5 + random.nextDouble()));
         loop.schedule(() -> {
           if (running) {
-            new Try(firm, kind, units, timeoutMs, key, number + 1, firstDueMs).start();
+            Try next = new Try(firm, kind, units, timeoutMs, key, number + 1, firstDueMs);
+            next.client = client;
+            next.told = client > 0 && adviceMs > 0 && wait == adviceMs ? door : null;
+            next.start();
           } else {
             lastEnded(how);
           }
--- a/testkit/src/main/java/willowdoor/testkit/Tally.java
+++ b/testkit/src/main/java/willowdoor/testkit/Tally.java
@@ -31,6 +31,8 @@
     private long servedUnits;
     private int served;
     private int refused;
+    private int returned;
+    private int honoured;
 
     Firm(String plan) {
       this.plan = plan;
@@ -55,6 +57,16 @@
     public int refused() {
       return refused;
     }
+
+    /** Tries of clients that came back when they were told to. */
+    public int returned() {
+      return returned;
+    }
+
+    /** Those of them that were not refused. */
+    public int honoured() {
+      return honoured;
+    }
   }
 
   /** Figures of a stretch of the run. */
@@ -99,6 +111,13 @@
     }
   }
 
+  /** A try that came when its client was told to ended so. */
+  synchronized void returned(String firm, String plan, End end) {
+    Firm f = firm(firm, plan);
+    f.returned++;
+    f.honoured += end == End.REFUSED ? 0 : 1;
+  }
+
   /**
    * Figures of the requests that were first due between two moments of the ledger's clock, in whole seconds.
    */
