--- a/daemon/src/main/java/willowdoor/daemon/fleet/LabCommand.java
+++ b/daemon/src/main/java/willowdoor/daemon/fleet/LabCommand.java
@@ -7,13 +7,28 @@
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Spec;
+import willowdoor.emulator.fair.FairSize;
 import willowdoor.emulator.fair.FairSweep;
 
 /** Experiments in simulated time round the real decisions. */
-@Command(name = "lab", mixinStandardHelpOptions = true, subcommands = LabCommand.Fair.class,
+@Command(name = "lab", mixinStandardHelpOptions = true, subcommands = {LabCommand.Fair.class,
+    LabCommand.FairHeap.class},
     description = "Experiments in simulated time round the real decisions.")
 public final class LabCommand {
 
+  @Command(name = "fair-heap", mixinStandardHelpOptions = true, description =
+      "The heap that a fair queue takes at its bounds, and beyond.")
+  static final class FairHeap implements Runnable {
+
+    @Spec
+    private CommandSpec spec;
+
+    @Override
+    public void run() {
+      FairSize.run(spec.commandLine().getOut());
+    }
+  }
+
   @Command(name = "fair", mixinStandardHelpOptions = true, description = {
       "Floods beside well-behaved firms, with the fair queue and without.",
       "Sweeps the flood's size and clients, the doors and how work differs; writes a table and a chart."})
@@ -36,7 +51,9 @@
     public void run() {
       PrintWriter out = spec.commandLine().getOut();
       try {
-        new FairSweep(seed, seconds * 1_000).all(out, chart);
+        FairSweep sweep = new FairSweep(seed, seconds * 1_000);
+        sweep.apart(out);
+        sweep.all(out, chart);
       } catch (IOException e) {
         throw new java.io.UncheckedIOException("cannot write " + chart, e);
       }
--- /dev/null
+++ b/daemon/src/test/java/willowdoor/daemon/life/FairGateTest.java
@@ -0,0 +1,119 @@
+package willowdoor.daemon.life;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import willowdoor.fairness.FairCounts;
+import willowdoor.testkit.Ledger.Kind;
+import willowdoor.testkit.RequestKind;
+import willowdoor.testkit.StandInBackend.Mood;
+
+/** A real door whose requests wait their turn. */
+@Timeout(60)
+class FairGateTest {
+
+  private static final String QUEUE = """
+      [fair]
+      enabled = true
+      client_by = "connection"
+      first_out = 1
+      least_out = 1
+      most_out = 1
+      """;
+
+  private World world;
+  private final ExecutorService clients = Executors.newCachedThreadPool();
+
+  @BeforeEach
+  void open() throws Exception {
+    world = new World(2, 5);
+    world.rig.park().exact();
+  }
+
+  @AfterEach
+  void close() throws Exception {
+    clients.shutdownNow();
+    world.close();
+  }
+
+  private Daemon daemon(String tables) throws Exception {
+    Daemon daemon = world.daemon(new InetSocketAddress("127.0.0.1", 0), "[end]\naccept_ms = 150\n",
+        text -> text + tables).start(false);
+    World.awaitUp(daemon.address());
+    return daemon;
+  }
+
+  private CompletableFuture<Integer> ask(Daemon daemon, String id) throws Exception {
+    World.Caller caller = world.new Caller(daemon.address(), "d0");
+    caller.raw(caller.message(id, RequestKind.QUOTE, 3_000));
+    world.rig.ledger().request(Kind.ASKED, id, "d0", 0, "");
+    return CompletableFuture.supplyAsync(() -> {
+      try {
+        return caller.receive(id);
+      } catch (Exception e) {
+        throw new java.util.concurrent.CompletionException(e);
+      }
+    }, clients);
+  }
+
+  @Test
+  void requestsWaitForEachOtherAndAllAreServed() throws Exception {
+    Daemon daemon = daemon(QUEUE);
+    List<CompletableFuture<Integer>> answers = new ArrayList<>();
+    for (int i = 0; i < 20; i++) {
+      answers.add(ask(daemon, "r" + i));
+    }
+    for (CompletableFuture<Integer> a : answers) {
+      assertEquals(200, a.get());
+    }
+    FairCounts c = daemon.fairness();
+    assertEquals(20, c.released(), c.words());
+    assertTrue(c.released() > c.atOnce(), "none waited: " + c.words());
+    assertEquals(0, c.waiting() + c.out() + c.waitingBytes(), c.words());
+    assertTrue(world.verdict().kept(), () -> world.verdict().toString());
+  }
+
+  @Test
+  void aDrainEmptiesTheQueueTruthfully() throws Exception {
+    Daemon daemon = daemon(QUEUE);
+    world.rig.park().all().forEach(b -> b.mood(Mood.STALLS));
+    CompletableFuture<Integer> out = ask(daemon, "out");
+    World.await("one out", () -> counts(daemon).out() == 1);
+    List<CompletableFuture<Integer>> waiting = new ArrayList<>();
+    for (int i = 0; i < 5; i++) {
+      waiting.add(ask(daemon, "w" + i));
+    }
+    World.await("five wait", () -> counts(daemon).waiting() == 5);
+    daemon.end();
+    for (CompletableFuture<Integer> w : waiting) {
+      assertEquals(503, w.get(), "nothing of it has run, and nothing can be said of when to come back");
+    }
+    out.get();
+    assertTrue(world.verdict().kept(), () -> world.verdict().toString());
+  }
+
+  private static FairCounts counts(Daemon daemon) {
+    try {
+      return daemon.fairness();
+    } catch (InterruptedException e) {
+      throw new AssertionError(e);
+    }
+  }
+
+  @Test
+  void withoutTheTableNothingWaits() throws Exception {
+    Daemon daemon = daemon("");
+    assertEquals(200, ask(daemon, "r").get());
+    assertEquals(null, daemon.fairness());
+  }
+}
--- a/door/src/main/java/willowdoor/net/FrontDoor.java
+++ b/door/src/main/java/willowdoor/net/FrontDoor.java
@@ -233,13 +233,14 @@
 
   /** Answers {@code GET /up} with 503, and ends each connection with its next answer. */
   public void beginDrain() {
-    driver.draining();
+    driver.draining(true);
     clients.drain(true);
     clients.leave(true);
   }
 
   /** Serves on as before {@link #beginDrain}. */
   public void resume() {
+    driver.draining(false);
     clients.drain(false);
     clients.leave(false);
   }
--- a/door/src/main/java/willowdoor/net/Gate.java
+++ b/door/src/main/java/willowdoor/net/Gate.java
@@ -76,8 +76,8 @@
     return true;
   }
 
-  /** Nothing may wait here from now on: the door drains, or another instance takes over. */
-  default void draining() {
+  /** Nothing may wait here from now on, as the door drains; or, with false, it serves on after all. */
+  default void draining(boolean on) {
   }
 
   /** Takes a request that concerns it. The message is only lent, until the request passes or ends. */
--- a/door/src/main/java/willowdoor/net/GateChain.java
+++ b/door/src/main/java/willowdoor/net/GateChain.java
@@ -27,9 +27,9 @@
   }
 
   @Override
-  public void draining() {
-    first.draining();
-    second.draining();
+  public void draining(boolean on) {
+    first.draining(on);
+    second.draining(on);
   }
 
   @Override
--- a/door/src/main/java/willowdoor/net/ModuleDriver.java
+++ b/door/src/main/java/willowdoor/net/ModuleDriver.java
@@ -161,10 +161,10 @@
     return policy.through(request.customer(), request.entryPoints());
   }
 
-  /** Has nothing wait at the gate any more. */
-  void draining() {
+  /** Has nothing wait at the gate any more, or lets it wait again. */
+  void draining(boolean on) {
     if (gate != null) {
-      gate.draining();
+      gate.draining(on);
     }
   }
 
--- a/emulator/src/main/java/willowdoor/emulator/fair/FairSweep.java
+++ b/emulator/src/main/java/willowdoor/emulator/fair/FairSweep.java
@@ -106,6 +106,50 @@
         world.counts(0).promised(), flood.returned, flood.honoured, world.counts(0));
   }
 
+  /**
+   * Ten firms that all flood, of weights 1 and 2: how far the units let through for their weights come apart
+   * between any two at the most, in any stretch of time, beside the bound.
+   */
+  public void apart(PrintWriter to) {
+    Map<String, PlanPart> plans = Map.of("open", new PlanPart(0, 1, 0, 0, 0), "twice",
+        new PlanPart(0, 2, 0, 0, 0));
+    FairSettings settings = new FairSettings(plans, plans.get("open"), 1, Cost.UNITS, Bounds.usual(),
+        new Limit(24, 4, 1_000), new ComeBack(0.8, 1));
+    FairWorld world = new FairWorld(seed, settings, Order.FAIR, 1, NODES, 1, MS_PER_UNIT, AIM_MS);
+    world.unitsVary();
+    List<Load> loads = new ArrayList<>();
+    for (int f = 0; f < 10; f++) {
+      loads.add(new Load(f, f % 2 == 0 ? "open" : "twice", 400, 3, 1, 1, 1, Manners.NEVER));
+    }
+    world.run(loads, 5_000);
+    double[] units = new double[10];
+    double[][] least = new double[10][10];
+    double[][] most = new double[10][10];
+    world.onReleased((firm, cost) -> {
+      units[firm.intValue()] += cost / (firm % 2 == 0 ? 1 : 2);
+      for (int f = 0; f < 10; f++) {
+        for (int m = 0; m < 10; m++) {
+          least[f][m] = Math.min(least[f][m], units[f] - units[m]);
+          most[f][m] = Math.max(most[f][m], units[f] - units[m]);
+        }
+      }
+    });
+    world.run(loads, forMs);
+    for (int[] pair : new int[][] {{0, 2}, {0, 1}, {1, 3}}) {
+      double worst = 0;
+      for (int f = pair[0] % 2; f < 10; f += 2) {
+        for (int m = pair[1] % 2; m < 10; m += 2) {
+          worst = Math.max(worst, most[f][m] - least[f][m]);
+        }
+      }
+      // Within a plan l/w + l/w; between two plans that of each, and that of the plans, which weigh 5 and 10.
+      double bound = pair[0] % 2 == pair[1] % 2 ? 8.0 / (1 + pair[0] % 2) : 8 + 4 + 4.0 / 5 + 4.0 / 10;
+      to.printf(Locale.ROOT, "weights %d and %d, requests of up to 4 units: apart by %.2f units for a weight at the "
+          + "most, bound %.2f, of %.0f let through%n", 1 + pair[0] % 2, 1 + pair[1] % 2, worst, bound, units[pair[0]]);
+    }
+    to.flush();
+  }
+
   /** All of them, told as they come; then the chart, if there is a file for it. */
   public List<Row> all(PrintWriter to, File chart) throws IOException {
     List<Row> rows = new ArrayList<>();
--- a/emulator/src/main/java/willowdoor/emulator/fair/FairWorld.java
+++ b/emulator/src/main/java/willowdoor/emulator/fair/FairWorld.java
@@ -175,7 +175,7 @@
   private final NodePool nodes;
   private final Map<Long, Bucket> buckets = new HashMap<>();
   private final Map<Long, Tally> tallies = new HashMap<>();
-  private BiConsumer<Long, Double> onServed = (firm, units) -> { };
+  private BiConsumer<Long, Double> onReleased = (firm, units) -> { };
   private long number;
   private double until;
   private int run;
@@ -217,9 +217,9 @@
     return doors.get(door).queue.counts();
   }
 
-  /** Told of each answer that a firm got, in units. */
-  public void onServed(BiConsumer<Long, Double> to) {
-    onServed = to;
+  /** Told of each request that goes to the nodes: its firm and units. */
+  public void onReleased(BiConsumer<Long, Double> to) {
+    onReleased = to;
   }
 
   /** From here on each door goes by an even part of each quota, as the policy does without the counter. */
@@ -314,6 +314,7 @@
       }
       return;
     }
+    onReleased.accept(t.load.firm(), t.units);
     door.granted.merge(t.load.firm(), t.units, Double::sum);
     Tally tally = of(t.load.firm());
     tally.waits.recordValue(Math.min(60_000_000L, (long) (waited * 1000)));
@@ -331,7 +332,6 @@
     tally.unitsServed += ok ? t.units : 0;
     if (ok) {
       tally.answered.recordValue(Math.min(60_000_000L, (long) ((clock.now() - t.came) * 1_000)));
-      onServed.accept(t.load.firm(), t.units);
     }
     if (order == Order.FAIR && door.tries.remove(t.id) != null) {
       door.tell(new Ended(t.id, ok ? Result.SERVED : Result.FAILED, 0));
--- a/emulator/src/test/java/willowdoor/emulator/fair/FairQueueTest.java
+++ b/emulator/src/test/java/willowdoor/emulator/fair/FairQueueTest.java
@@ -273,10 +273,13 @@
     FairWorld world = world(Order.FAIR, Cost.UNITS, 1);
     world.run(flood("open", 5), 3_000);
     assertTrue(world.counts(0).waiting() > 0);
-    world.tell(0, new Draining());
+    world.tell(0, new Draining(true));
     assertEquals(0, world.counts(0).waiting());
     assertEquals(0, world.counts(0).waitingBytes());
     world.run(flood("open", 5), 1_000);
     assertEquals(0, world.counts(0).waiting());
+    world.tell(0, new Draining(false));
+    world.run(flood("open", 5), 1_000);
+    assertTrue(world.counts(0).waiting() > 0, "it serves on after all");
   }
 }
--- a/fair/src/main/java/willowdoor/fairgate/FairGate.java
+++ b/fair/src/main/java/willowdoor/fairgate/FairGate.java
@@ -159,8 +159,8 @@
   }
 
   @Override
-  public void draining() {
-    tell(new Draining());
+  public void draining(boolean on) {
+    tell(new Draining(on));
     tellCounts();
   }
 
--- a/policy/src/main/java/willowdoor/fairness/FairEvent.java
+++ b/policy/src/main/java/willowdoor/fairness/FairEvent.java
@@ -52,8 +52,12 @@
   /** Plans have other parts from here on. */
   record PlansChanged(Map<String, FairSettings.PlanPart> plans) implements FairEvent { }
 
-  /** Nothing may wait here any more: this door ends, or gives its listening socket to another. */
-  record Draining() implements FairEvent { }
+  /**
+   * Nothing may wait here any more: this door ends, or another instance takes over.
+   *
+   * @param on false when it serves on after all
+   */
+  record Draining(boolean on) implements FairEvent { }
 
   /** The time of a WakeAt has come. */
   record Woken() implements FairEvent { }
--- a/policy/src/main/java/willowdoor/fairness/FairQueue.java
+++ b/policy/src/main/java/willowdoor/fairness/FairQueue.java
@@ -110,9 +110,9 @@
     } else if (event instanceof PlansChanged e) {
       plans = Map.copyOf(e.plans());
       plans.forEach(tree::change);
-    } else if (event instanceof Draining) {
-      draining = true;
-      List.copyOf(byLatest).forEach(w -> putOut(w, Why.DRAINING));
+    } else if (event instanceof Draining e) {
+      draining = e.on();
+      List.copyOf(draining ? byLatest : List.<Waiting>of()).forEach(w -> putOut(w, Why.DRAINING));
     } else {
       wakeAtMs = Double.POSITIVE_INFINITY;
       promises.expire(now);
--- a/policy/src/main/java/willowdoor/fairness/OutLimit.java
+++ b/policy/src/main/java/willowdoor/fairness/OutLimit.java
@@ -24,6 +24,11 @@
   private static final double DOWN = 0.85;
   /** Answers that take less of the time they want are no reason to try with fewer. */
   private static final double DOWN_OVER = 0.1;
+  /**
+   * Answers that take more of it are a reason not to try with more: beside other doors a door with more out
+   * has more answers, but they are taken from these.
+   */
+  private static final double UP_UNDER = 0.25;
   /** A trial of more is kept if the answers grow by this part of it; one of less, if they fall by less. */
   private static final double KEPT = 0.35;
   private static final int LEAST_ANSWERS = 10;
@@ -134,7 +139,7 @@
       triedFrom = Double.NaN;
     } else if (met && took > DOWN_OVER && hold[1] == 0 && limit > bounds.least()) {
       change(Math.max(bounds.least(), limit * DOWN), rate);
-    } else if (met && hold[0] == 0 && failures * 2 < answers && limit < bounds.most()) {
+    } else if (met && took < UP_UNDER && hold[0] == 0 && failures * 2 < answers && limit < bounds.most()) {
       change(Math.min(bounds.most(), limit + Math.max(1, limit * UP)), rate);
     }
   }
