--- a/bench/jmh/src/main/java/willowdoor/fairness/FairQueueCost.java
+++ b/bench/jmh/src/main/java/willowdoor/fairness/FairQueueCost.java
@@ -23,7 +23,10 @@
 import willowdoor.fairness.FairSettings.Limit;
 import willowdoor.fairness.FairSettings.PlanPart;
 
-/** One request coming and one ending, with so many waiting: the fair queue beside a queue in order of coming. */
+/**
+ * One request coming and one ending, with so many waiting: the fair queue beside a queue in order of
+ * coming.
+ */
 @State(Scope.Thread)
 @BenchmarkMode(Mode.AverageTime)
 @OutputTimeUnit(TimeUnit.NANOSECONDS)
--- a/daemon/src/main/java/willowdoor/daemon/config/FairReader.java
+++ b/daemon/src/main/java/willowdoor/daemon/config/FairReader.java
@@ -64,7 +64,8 @@
     }
     Limit limit = most < least || first < least || first > most ? new Limit(1, 1, 1)
         : new Limit(first, least, most);
-    double reach = settings.allowed().holdOff() ? Math.min(mostMs, settings.allowed().maxHoldOffMs()) : mostMs;
+    double reach = settings.allowed().holdOff() ? Math.min(mostMs, settings.allowed().maxHoldOffMs())
+        : mostMs;
     return new DaemonConfig.Fair(new FairSettings(plans, new PlanPart(0, 1, 0, 0, 0),
         settings.gateways(), cost, bounds, limit, new ComeBack(share, Math.max(1, reach))), clientBy, header);
   }
--- a/daemon/src/main/java/willowdoor/daemon/fleet/FairCommand.java
+++ b/daemon/src/main/java/willowdoor/daemon/fleet/FairCommand.java
@@ -67,7 +67,8 @@
     PrintWriter out = spec.commandLine().getOut();
     double quota = 40;
     double flood = times * quota / 1.7;
-    out.printf(Locale.ROOT, "%d doors, 40 firms with %.0f requests/s, the first floods with %.0f requests/s of "
+    out.printf(Locale.ROOT,
+        "%d doors, 40 firms with %.0f requests/s, the first floods with %.0f requests/s of "
         + "%d clients (%s, %.0f times its quota); %d s; seed %d%n", doors, rate, flood, clients, kind, times,
         seconds, seed);
     boolean kept = only || one(out, "no flood", 0, false);
@@ -78,8 +79,8 @@
 
   private boolean one(PrintWriter out, String name, double flood, boolean queue) throws IOException {
     double quota = 40;
-    PlanTerms first = new PlanTerms("first", kind == Kind.metered ? quota : 0, kind == Kind.metered ? 80 : 0, 0,
-        0, 0);
+    double ofFirst = kind == Kind.metered ? quota : 0;
+    PlanTerms first = new PlanTerms("first", ofFirst, 2 * ofFirst, 0, 0, 0);
     Terms terms = Terms.usual().with(List.of(first, new PlanTerms("full", quota, 2 * quota, 0, 0, 0)), 4_000);
     try (FleetRun run = new FleetRun(terms, new BackendPark.Make(6, 2, 64, 10, 30), doors, seed)) {
       if (queue) {
@@ -104,11 +105,12 @@
       long asked = count(run, from, to, flooding, false);
       Histogram served = AuthorisedCommand.times(run, from, to, a -> !a.firm().equals(flooding));
       out.printf(Locale.ROOT, "%-13s others: %6d tries, served %.4f, p50 %.0f ms, p99 %.0f ms; the first: "
-          + "%.1f units/s served, %d refused, %d came back when told, %s honoured; most resident %.0f MB; rules "
-          + "broken %d%n", name, asked, (double) served.getTotalCount() / asked,
+          + "%.1f units/s served, %d refused, %d came back when told, %s honoured; most resident %.0f MB; "
+          + "rules broken %d%n", name, asked, (double) served.getTotalCount() / asked,
           served.getValueAtPercentile(50) / 1e3, served.getValueAtPercentile(99) / 1e3,
-          f.servedUnits() * 1_000.0 / (to - from + WARM_MS), f.refused(), f.returned(), f.returned() == 0 ? "-"
-          : String.format(Locale.ROOT, "%.4f", (double) f.honoured() / f.returned()), resident,
+          f.servedUnits() * 1_000.0 / (to - from + WARM_MS), f.refused(), f.returned(),
+          f.returned() == 0 ? "-" : String.format(Locale.ROOT, "%.4f",
+              (double) f.honoured() / f.returned()), resident,
           verdict.breaches().size());
       for (int i = 0; i < doors; i++) {
         run.log(i).lines().filter(l -> l.contains("fair queue: ")).reduce((a, b) -> b)
--- a/daemon/src/test/java/willowdoor/daemon/ArchitectureTest.java
+++ b/daemon/src/test/java/willowdoor/daemon/ArchitectureTest.java
@@ -39,7 +39,8 @@
     noClasses().that().resideInAnyPackage("willowdoor", "willowdoor.net..", "willowdoor.wire..",
         "willowdoor.benchlink..").should().dependOnClassesThat().resideInAnyPackage("willowdoor.daemon..",
         "willowdoor.testkit..", "willowdoor.life..", "willowdoor.authz..", "willowdoor.extauthz..",
-        "willowdoor.fairness..", "willowdoor.fairgate..", "willowdoor.emulator..", "willowdoor.valkey..", "io.lettuce..", "io.grpc..",
+        "willowdoor.fairness..", "willowdoor.fairgate..", "willowdoor.emulator..", "willowdoor.valkey..",
+            "io.lettuce..", "io.grpc..",
         "com.google..", "io.envoyproxy..", "picocli..", "org.tomlj..").check(ALL);
   }
 
--- a/emulator/src/main/java/willowdoor/emulator/fair/FairSize.java
+++ b/emulator/src/main/java/willowdoor/emulator/fair/FairSize.java
@@ -28,7 +28,8 @@
   /** Fills a queue with the usual bounds, and far beyond them, and tells its size after each round. */
   public static void run(PrintWriter to) {
     Bounds bounds = Bounds.usual();
-    FairQueue queue = new FairQueue(new FairSettings(Map.of(), new PlanPart(0, 1, 0, 0, 0), 1, Cost.UNITS, bounds,
+    FairQueue queue = new FairQueue(new FairSettings(Map.of(), new PlanPart(0, 1, 0, 0, 0), 1, Cost.UNITS,
+        bounds,
         new Limit(100, 100, 100), new ComeBack(0.8, 60_000)));
     long empty = used();
     double now = 0;
@@ -38,7 +39,8 @@
         now += 0.1;
         number++;
         long firm = number % (round == 0 ? 3_000 : 20_000);
-        for (FairAction a : queue.on(now, new Arrived("request-" + number, "c", "p", firm, number % 31, 1, 1, 100,
+        for (FairAction a : queue.on(now, new Arrived("request-" + number, "c", "p", firm, number % 31, 1,
+            1, 100,
             now + 1e9, 1e9))) {
           if (a instanceof FairAction.Release r && number % 100 != 0) {
             queue.on(now, new Ended(r.id(), Result.SERVED, 0));
@@ -47,7 +49,8 @@
       }
       long size = used() - empty;
       FairCounts c = queue.counts();
-      to.printf(Locale.ROOT, "after %7d requests: %5.2f MB; waiting %d, firms %d, flows %d, promises %d%n", number,
+      to.printf(Locale.ROOT, "after %7d requests: %5.2f MB; waiting %d, firms %d, flows %d, promises %d%n",
+          number,
           size / 1e6, c.waiting(), c.firms(), c.flows(), c.remembered());
       to.flush();
     }
--- a/emulator/src/main/java/willowdoor/emulator/fair/FairSweep.java
+++ b/emulator/src/main/java/willowdoor/emulator/fair/FairSweep.java
@@ -144,8 +144,10 @@
       }
       // Within a plan l/w + l/w; between two plans that of each, and that of the plans, which weigh 5 and 10.
       double bound = pair[0] % 2 == pair[1] % 2 ? 8.0 / (1 + pair[0] % 2) : 8 + 4 + 4.0 / 5 + 4.0 / 10;
-      to.printf(Locale.ROOT, "weights %d and %d, requests of up to 4 units: apart by %.2f units for a weight at the "
-          + "most, bound %.2f, of %.0f let through%n", 1 + pair[0] % 2, 1 + pair[1] % 2, worst, bound, units[pair[0]]);
+      to.printf(Locale.ROOT,
+          "weights %d and %d, requests of up to 4 units: apart by %.2f units for a weight at the "
+          + "most, bound %.2f, of %.0f let through%n", 1 + pair[0] % 2, 1 + pair[1] % 2, worst, bound,
+              units[pair[0]]);
     }
     to.flush();
   }
@@ -153,8 +155,9 @@
   /** All of them, told as they come; then the chart, if there is a file for it. */
   public List<Row> all(PrintWriter to, File chart) throws IOException {
     List<Row> rows = new ArrayList<>();
-    to.println("| flood's plan | times quota | clients | doors | work | order | others served in time | without"
-        + " flood | their p99 | flood's units/s | came back when told | honoured | limit | waiting |");
+    to.println("| flood's plan | times quota | clients | doors | work | order | others served in time |"
+        + " without flood | their p99 | flood's units/s | came back when told | honoured | limit |"
+        + " waiting |");
     to.println("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
     for (Work work : Work.values()) {
       for (int doors : new int[] {1, 4}) {
@@ -165,7 +168,8 @@
               for (int clients : times == 20 ? new int[] {30, 10_000} : new int[] {1_000}) {
                 Row row = run(plan, times, clients, doors, work, order);
                 rows.add(row);
-                to.printf(Locale.ROOT, "| %s | %.0f | %d | %d | %s | %s | %.4f | %.4f | %.0f ms | %.0f | %d | "
+                to.printf(Locale.ROOT,
+                    "| %s | %.0f | %d | %d | %s | %s | %.4f | %.4f | %.0f ms | %.0f | %d | "
                     + "%s | %.0f | %d |%n", plan, times, clients, doors, work.name().toLowerCase(Locale.ROOT),
                     order.name().toLowerCase(Locale.ROOT), row.service(), calm.service(), row.p99Ms(),
                     row.floodUnits(), row.returned(), row.returned() == 0 ? "-"
--- a/emulator/src/main/java/willowdoor/emulator/fair/FairWorld.java
+++ b/emulator/src/main/java/willowdoor/emulator/fair/FairWorld.java
@@ -341,7 +341,8 @@
   private void refused(Try t, double comeBackMs) {
     of(t.load.firm()).refused++;
     if (comeBackMs > 0) {
-      told.computeIfAbsent(t.load.firm() + " " + t.client + " " + doors.indexOf(t.door), k -> new ArrayDeque<>())
+      told.computeIfAbsent(t.load.firm() + " " + t.client + " " + doors.indexOf(t.door), k ->
+          new ArrayDeque<>())
           .add(clock.now() + comeBackMs);
     }
     if (comeBackMs <= 0 || t.comings >= 5 || t.load.manners() == Manners.NEVER) {
--- a/emulator/src/test/java/willowdoor/emulator/fair/FairQueueTest.java
+++ b/emulator/src/test/java/willowdoor/emulator/fair/FairQueueTest.java
@@ -49,7 +49,8 @@
   }
 
   private static void within(double least, double value, double most, String what) {
-    assertTrue(value >= least && value <= most, what + ": " + value + " (expected: " + least + " to " + most + ")");
+    assertTrue(value >= least && value <= most, what + ": " + value + " (expected: " + least + " to "
+        + most + ")");
   }
 
   /** Nine firms at 50 units a second each, and one that comes with 3,000. */
--- a/policy/src/main/java/willowdoor/fairness/FairQueue.java
+++ b/policy/src/main/java/willowdoor/fairness/FairQueue.java
@@ -24,8 +24,9 @@
 import willowdoor.fairness.FairSettings.PlanPart;
 
 /**
- * Decides who comes next to a pool of nodes, and how long a request may wait for its turn. Which node, whether
- * to retry and what to refuse otherwise is the policy's, which a request meets when it is let through; until
+ * Decides who comes next to a pool of nodes, and how long a request may wait for its turn. Which node,
+ * whether to retry and what to refuse otherwise is the policy's, which a request meets when it is let
+ * through; until
  * then it takes no units and no place. No I/O, no clock, no thread.
  *
  * <ul>
@@ -34,7 +35,8 @@
  *     nobody's way.
  * <li>What cannot be let through early enough for an answer that is of use is refused as soon as that is
  *     seen, on arrival at best. It is never held back.
- * <li>A refusal tells when to come back if a time can be promised, and that is remembered ({@link Promises}): a client that does comes
+ * <li>A refusal tells when to come back if a time can be promised, and that is remembered ({@link
+ *     Promises}): a client that does comes
  *     ahead of all turns, charged to its firm. What was promised is less than what drains, so that room is
  *     there; when it is not, since nodes have died or a limit fell, the promise is counted as missed and the
  *     client taken at its next coming, whenever that is.
@@ -124,7 +126,8 @@
   }
 
   public FairCounts counts() {
-    return new FairCounts(arrived, atOnce, released, refused[Why.LATE.ordinal()], refused[Why.SPENT.ordinal()],
+    return new FairCounts(arrived, atOnce, released, refused[Why.LATE.ordinal()],
+        refused[Why.SPENT.ordinal()],
         refused[Why.FULL.ordinal()], refused[Why.DRAINING.ordinal()], left, promises.promised(), kept,
         missedLate, missedSpent, missedFull, promises.unclaimed(), byLatest.size(), bytes, limit.out(),
         limit.limit(), tree.firms(), tree.leaves(), promises.remembered());
@@ -182,10 +185,13 @@
       own = (leaf.parent.waiting + 1) / drains;
     }
     boolean free = limit.hasRoom() && express.isEmpty() && !tree.someoneMayBeServed();
-    return free || Double.isNaN(rate) ? own : Math.max(own, (leaf.waitingCost + cost) / (rate * tree.part(leaf)));
+    double turn = free || Double.isNaN(rate) ? 0 : (leaf.waitingCost + cost) / (rate * tree.part(leaf));
+    return Math.max(own, turn);
   }
 
-  /** Puts out the latest of the fullest firm until there is room; false when the newcomer itself had to go. */
+  /**
+   * Puts out the latest of the fullest firm until there is room; false when the newcomer itself had to go.
+   */
   private boolean makeRoom(Waiting w) {
     while (byLatest.size() >= settings.bounds().waiting() || bytes > 0
         && bytes + w.request.bytes() > settings.bounds().bytes()) {
--- a/policy/src/main/java/willowdoor/fairness/OutLimit.java
+++ b/policy/src/main/java/willowdoor/fairness/OutLimit.java
@@ -3,23 +3,25 @@
 import willowdoor.fairness.FairSettings.Limit;
 
 /**
- * How many requests may be out at a pool of nodes from this door. The knee is where more of them bring no more
- * answers, only longer ones (L. Kleinrock, "Power and Deterministic Rules of Thumb for Probabilistic Problems
- * in Computer Communications", 1979). It is found by trials in rounds of answers: a tenth more, while requests
- * wait here, is kept where it brings more answers; else it is taken back, and the next trial waits for twice as
- * many rounds.
+ * How many requests may be out at a pool of nodes from this door. The knee is where more of them bring no
+ * more answers, only longer ones (L. Kleinrock, "Power and Deterministic Rules of Thumb for Probabilistic
+ * Problems in Computer Communications", 1979). It is found by trials in rounds of answers: a tenth more,
+ * while requests wait here, is kept where it brings more answers; else it is taken back, and the next trial
+ * waits for twice as many rounds.
  *
  * <p>Beside other doors a door with more out has more answers, but takes them from these. So where answers
- * take a tenth of the time they want, each round takes a tenth, and near that one is added at a time: all doors
- * see the same answers, go down together and come to even parts (multiplicative decrease: D.-M. Chiu and R. Jain,
- * "Analysis of the Increase and Decrease Algorithms for Congestion Avoidance in Computer Networks", 1989).
+ * take a tenth of the time they want, each round takes a tenth, and near that one is added at a time: all
+ * doors see the same answers, go down together and come to even parts (multiplicative decrease: D.-M. Chiu
+ * and R. Jain, "Analysis of the Increase and Decrease Algorithms for Congestion Avoidance in Computer
+ * Networks", 1989).
  *
  * <p>Two things are not a crowd, and are told apart from one:
  *
  * <ul>
  * <li>A <b>pause</b>: no answer at all for much longer than usual while requests are out. What was out
  *     during it tells nothing, and the round begins anew.
- * <li><b>Slow nodes</b>: with fewer out, fewer answers come and none is quicker. What was taken is given back.
+ * <li><b>Slow nodes</b>: with fewer out, fewer answers come and none is quicker. What was taken is given
+ *     back.
  * </ul>
  *
  * <p>It never falls below the least, which keeps probes at nodes that recover.
@@ -59,7 +61,9 @@
   /** Before a trial: the limit and what its round had; NaN when none is on. */
   private double triedFrom = Double.NaN;
   private double triedRate;
-  /** Where a crowd is taken to be: the limit before, what answers took, and rounds since; NaN when none is. */
+  /**
+   * Where a crowd is taken to be: the limit before, what answers took, and rounds since; NaN when none is.
+   */
   private double crowdFrom = Double.NaN;
   private double crowdTook;
   private int crowdRounds;
--- a/policy/src/main/java/willowdoor/fairness/Takes.java
+++ b/policy/src/main/java/willowdoor/fairness/Takes.java
@@ -4,8 +4,8 @@
  * How long requests of a class take at the nodes by their units: a line, its slope fitted by least squares to
  * the last thousand answers or so, its level to the last fifty. The slope is the work of a unit; what is
  * there without units is the way and the queue. Where all have the same units there is no slope, and the work
- * is what is taken beyond the time that nearly all take (a low quantile by stochastic approximation: H. Robbins
- * and S. Monro, 1951), which tells less, as it holds the queue's ups and downs.
+ * is what is taken beyond the time that nearly all take (a low quantile by stochastic approximation: H.
+ * Robbins and S. Monro, 1951), which tells less, as it holds the queue's ups and downs.
  */
 final class Takes {
 
--- a/policy/src/test/java/willowdoor/fairness/FairTreeTest.java
+++ b/policy/src/test/java/willowdoor/fairness/FairTreeTest.java
@@ -160,14 +160,16 @@
       double bound = DEAREST / p.f.weighs() + DEAREST / p.m.weighs();
       assertTrue(p.spread <= bound, "seed " + seed + ": " + p.spread + " apart, bound " + bound);
     }
-    assertTrue(pairs.stream().anyMatch(p -> p.spread > DEAREST / 4), "seed " + seed + ": nothing was compared");
+    assertTrue(pairs.stream().anyMatch(p -> p.spread > DEAREST / 4), "seed " + seed
+        + ": nothing was compared");
     // Each level may put the dearest request of each sibling first, and the flow's own.
     double behind = DEAREST * (3 + 3 + 2);
     assertTrue(lag <= behind, "seed " + seed + ": " + lag + " behind the fluid, bound " + behind);
   }
 
   private static Waiting waiting(Flow leaf, long number, double cost) {
-    return new Waiting(new Arrived("r" + number, "", "", 0, 0, 1, cost, 0, 0, 0), leaf, number, 0, 0, cost, false);
+    return new Waiting(new Arrived("r" + number, "", "", 0, 0, 1, cost, 0, 0, 0), leaf, number, 0, 0, cost,
+        false);
   }
 
   @Test
