--- a/policy/src/main/java/willowdoor/policy/GatewayState.java
+++ b/policy/src/main/java/willowdoor/policy/GatewayState.java
@@ -126,6 +126,10 @@
     /** The total seen at a counter that another one, begun with a copy, has replaced; 0 once that answered.
         */
     double before;
+    /** The total of the window before the present one, as read once: which one was asked for, and told. */
+    long pastAsked = Long.MIN_VALUE;
+    long pastWindow = Long.MIN_VALUE;
+    double past;
     /** What this gateway itself has added to that window's count, as answered for. */
     double given;
     /** The window in which the counter was replaced: until its end no answer raises the level. */
@@ -181,6 +185,17 @@
     }
   }
 
+  /** One call to the counter: what it adds, the request that waits for it, and whether it is for a place. */
+  record Call<A extends AccountState, J>(A account, long window, double amount, J job, boolean place) {
+    Call(A account, long window, double amount, J job) {
+      this(account, window, amount, job, false);
+    }
+
+    String name() {
+      return account.name(window) + (place ? "o" : "");
+    }
+  }
+
   /** One attempt of a request; itself alone is equal to it, as each is sent once. */
   static final class Attempt<J, B> {
     final J job;
--- a/policy/src/main/java/willowdoor/policy/QuotaPolicy.java
+++ b/policy/src/main/java/willowdoor/policy/QuotaPolicy.java
@@ -46,6 +46,8 @@
   private static final double PACE_BACK = 0.3;
   /** Calls a second by which all gateways together put back what a replaced counter has lost. */
   private static final double REBUILD_FLEET_PER_S = 2_000;
+  /** Share of a ceiling for many gateways by themselves: a largest request each would be all of it. */
+  private static final double OWN_OF_MANY = 0.25;
   /** A customer known to be spent is still asked about this often, as refunds of others may have come. */
   private static final double SPENT_RECHECK_MS = 400;
   /** A customer whose places were all taken is not asked about for this long: a fraction of an attempt. */
@@ -54,18 +56,13 @@
   private static final double RATE_MEMORY_MS = 5_000;
   /** How long a rarely met customer is taken to go on as last seen: heavy use comes in long spells. */
   private static final double SPELL_MS = 15_000;
-  /**
-   * Weight of the newest answer in a backend's failures; in its slowness, which differs far more, and the
-   * fleet's.
-   */
+  /** Weight of the newest answer in a backend's failures; its slowness, which differs more; the fleet's. */
   private static final double NEWEST = 0.2;
   private static final double SLOWNESS_NEWEST = 0.05;
   private static final double FLEET_NEWEST = 0.02;
   /** One answer shows no more slowness than this: beyond it, that an attempt fails is what matters. */
   private static final double SLOWEST = 20;
-  /**
-   * An attempt out for so many times what its size explains shows a slow backend; for so many, a silent one.
-   */
+  /** An attempt out for so many times what its size explains shows a slow backend; a silent one. */
   private static final double OVERDUE = 1.5;
   private static final double SILENT = 2.5;
   /** A backend failing more of its answers than this, as after three in a row, rests for a growing while. */
@@ -84,9 +81,7 @@
   private static final double QUEUED = 0.25;
   /** Answer this long before the client gives up, so that the answer itself is in time. */
   private static final double GUARD_MS = 15;
-  /**
-   * Attempts out at a backend, of all gateways, from which on further ones mostly wait: few for any machine.
-   */
+  /** Attempts out at a backend, of all gateways, from which on further ones mostly wait: few for any. */
   private static final double LEAST_KNEE = 3;
   /** No crowd is seen before so many answers: they tell whether there is one. */
   private static final int FIRST_ANSWERS = 20;
@@ -99,9 +94,7 @@
   /** And lower again, to the least, where they take more than this. */
   private static final double KNEE_DOWN_OVER = 0.25;
   private static final double KNEE_DOWN = 0.02;
-  /**
-   * Crowding, in knees, from which on the least worthy requests are shed, and how steeply more of them are.
-   */
+  /** Crowding, in knees, from which on the least worthy requests are shed, and how steeply more are. */
   private static final double SHED_FROM = 0.5;
   private static final double SHED_SLOPE = 1.2;
   /** What has less of a chance to be in time is refused unless the fleet has room for anything. */
@@ -212,19 +205,34 @@
     }
 
     /**
-     * The share of a ceiling for gateways by themselves: all for two, for more a largest request each. Where
-     * shares are told, all of it, as one count can't be relied on.
+     * The share of a ceiling for gateways by themselves: all for two, for more a largest request each; of
+     * many, too little each, a part. Where shares are told, all, as one count can't be relied on.
      */
     double ownShare() {
-      return share != null ? 1
-          : Math.min(1, Math.max(2.0 / gateways, gateways * settings.maxUnits() / plan.ceilingBurst()));
+      double each = Math.max(2.0 / gateways, gateways * settings.maxUnits() / plan.ceilingBurst());
+      return share != null ? 1 : gateways > FOLLOWING ? OWN_OF_MANY : Math.min(1, each);
+    }
+
+    double countedMost() {
+      return (plan.ceilingBurst() + plan.ceilingSlack() / 2) * (1 - ownShare());
+    }
+
+    /**
+     * Where one burst a window is counted: what is left of the ceiling, with such a total, if all of the last
+     * window was spent at its end; two bursts, where the counter may have come back empty.
+     */
+    double countedAtLeast(double total) {
+      double told = pastWindow == windowNow(now) - 1 ? Math.min(past, plan.burst()) : plan.burst();
+      double unseen = now - counterBackAt < 2 * windowMs ? 2 * plan.burst() : told;
+      double begun = plan.ceilingRate() * (1 - ownShare()) * (now - windowStart(now)) / 1000;
+      return Math.min(countedMost(), countedMost() - unseen + begun) - total;
     }
 
     void fillCeiling(double dt) {
       double burst = plan.ceilingBurst() + plan.ceilingSlack() / 2;
       double part = share == null ? ownShare() / gateways
           : now < share.untilMs() ? share.share() : share.then();
-      counted = Math.min(burst * (1 - ownShare()), counted + plan.ceilingRate() * (1 - ownShare()) * dt);
+      counted = Math.min(countedMost(), counted + plan.ceilingRate() * (1 - ownShare()) * dt);
       own = Math.min(burst * part, own + plan.ceilingRate() * part * dt);
     }
 
@@ -293,17 +301,6 @@
     }
   }
 
-  /** One call to the counter: what it adds, the request that waits for it, and whether it is for a place. */
-  private record Call(Account account, long window, double amount, Job job, boolean place) {
-    Call(Account account, long window, double amount, Job job) {
-      this(account, window, amount, job, false);
-    }
-
-    String name() {
-      return account.name(window) + (place ? "o" : "");
-    }
-  }
-
   /** In order of use, so that the longest idle is dropped when another is met: nothing grows for ever. */
   private final Map<Long, Account> accounts = new LinkedHashMap<>(16, 0.75f, true) {
     @Override
@@ -311,11 +308,12 @@
       return now - e.getValue().levelAt > COUNT_TTL_MS && e.getValue().out == 0;
     }
   };
-  private final Map<String, ArrayDeque<Call>> calls = new HashMap<>();
+  private final Map<String, ArrayDeque<Call<Account, Job>>> calls = new HashMap<>();
   /** Accounts whose units are to be put back at a counter that replaced another, at most all there are. */
   private final ArrayDeque<Account> rebuilding = new ArrayDeque<>();
   private double pace = 1;
   private double pacedAt = Double.NEGATIVE_INFINITY, trialAt = Double.NEGATIVE_INFINITY, answeredAt;
+  private double counterBackAt = Double.NEGATIVE_INFINITY;
   private int callsFailed;
 
   private Account account(Request r) {
@@ -346,10 +344,9 @@
   // ---- Places: attempts out at once, counted over all gateways ----
 
   /**
-   * Asks for one of the places of a plan that bounds attempts out at once; asks for places yield to those for
-   * units where the counter is crowded. A count's name lasts a window, so
-   * that a place whose gateway died is lost until the window's end at most; what this gateway has out then is
-   * carried over with its first ask in the new one.
+   * Asks for one of the places of a plan that bounds attempts out at once; asks for units go first. A count's
+   * name lasts a window, so that a place whose gateway died is lost until its end at most; what this gateway
+   * has out then is carried over with its first ask in the new one.
    */
   private void askPlace(Account a, Job job) {
     long window = a.windowNow(now);
@@ -358,7 +355,7 @@
     a.placeWindow = window;
     job.waiting = true;
     a.asking++;
-    calls(new Call(a, window, 1 + carried + a.placesOwed, job, true));
+    calls(new Call<>(a, window, 1 + carried + a.placesOwed, job, true));
     a.placesOwed = 0;
   }
 
@@ -372,15 +369,12 @@
     }
   }
 
-  /**
-   * A total below what this gateway itself holds shows that the counter has lost some: the gap is put back.
-   * An ask without an answer is taken to have been added.
-   */
-  private void onPlaceCounted(Call call, Counted e) {
-    Account a = call.account;
-    Job job = call.job;
-    if (e.status().provesNotRun() && call.window == a.placeWindow) {
-      a.placesOwed += call.amount - (job == null ? 0 : 1);
+  /** A total below what this gateway itself holds shows a loss, which is put back; no answer means added. */
+  private void onPlaceCounted(Call<Account, Job> call, Counted e) {
+    Account a = call.account();
+    Job job = call.job();
+    if (e.status().provesNotRun() && call.window() == a.placeWindow) {
+      a.placesOwed += call.amount() - (job == null ? 0 : 1);
     }
     if (job == null) {
       return;
@@ -392,8 +386,8 @@
       job.placed = true;
       a.places++;
     }
-    if (e.status() == Status.OK && call.window == a.placeWindow && e.total() < a.places) {
-      calls(new Call(a, call.window, a.places - e.total(), null, true));
+    if (e.status() == Status.OK && call.window() == a.placeWindow && e.total() < a.places) {
+      calls(new Call<>(a, call.window(), a.places - e.total(), null, true));
     }
     if (over) {
       freePlace(job);
@@ -416,7 +410,7 @@
       job.placed = false;
       Account a = job.account;
       a.places--;
-      calls(new Call(a, a.placeWindow, -1, null, true));
+      calls(new Call<>(a, a.placeWindow, -1, null, true));
     }
   }
 
@@ -439,9 +433,8 @@
 
   /**
    * Whether to call the counter, with such a chance where it answers. Guards against a slow, full, silent or
-   * refusing counter, and any other cause of unanswered calls: fewer call, and spaced trials remain. Harm:
-   * where calls fail for a cause that calling less does not help, customers are held to the replica for
-   * longer than needed.
+   * refusing counter: fewer call, and spaced trials remain. Harm: where calling less does not help, customers
+   * are held to the replica for longer than needed.
    */
   private boolean mayCall(double chance) {
     if (callsFailed >= COUNTER_AWAY_AFTER) {
@@ -459,29 +452,33 @@
     job.waiting = true;
     job.called = true;
     job.asked = a.plain || a.level >= units ? units : 0;
-    calls(new Call(a, a.windowNow(now), job.asked + a.owed, job));
+    if (a.plain && a.plan.ceilingRate() > 0 && a.pastAsked < a.windowNow(now) - 1) {
+      a.pastAsked = a.windowNow(now) - 1;
+      calls(new Call<>(a, a.pastAsked, 0, null));
+    }
+    calls(new Call<>(a, a.windowNow(now), job.asked + a.owed, job));
     a.flying += job.asked;
     a.owed = 0;
   }
 
   private void onCounted(Counted told) {
-    ArrayDeque<Call> queue = calls.get(told.name());
+    ArrayDeque<Call<Account, Job>> queue = calls.get(told.name());
     if (queue == null) {
       return;
     }
-    Call call = queue.poll();
+    Call<Account, Job> call = queue.poll();
     if (queue.isEmpty()) {
       calls.remove(told.name());
     }
-    Account a = call.account;
-    if (call.place) {
+    Account a = call.account();
+    if (call.place()) {
       judgeCounter(told);
       onPlaceCounted(call, told);
       return;
     }
     Counted e = told.status() != Status.OK || told.total() < a.implausible(settings) ? told
         : new Counted(told.name(), Status.SPOILT, 0, told.latencyMs());
-    Job job = call.job;
+    Job job = call.job();
     a.advance();
     if (job == null) {
       judgeCounter(e);
@@ -500,9 +497,9 @@
     if (e.status() == Status.OK) {
       observe(a, call, e.total());
     } else if (added) {
-      a.maybe += call.amount;
+      a.maybe += call.amount();
     } else {
-      a.owed += call.amount - job.asked;
+      a.owed += call.amount() - job.asked;
     }
     job.called = false;
     if (!job.waiting) {
@@ -514,12 +511,9 @@
     decide(job, e.status() == Status.OK);
   }
 
-  /**
-   * An answer that cannot be read tells that the amount was added, and nothing of a slow or absent counter:
-   * the total is read once more, as if the answer came late. Harm: one more call for each spoilt answer.
-   */
-  private void readAgain(String name, Call call) {
-    call.job.reread = true;
+  /** An answer that cannot be read tells that the amount was added: the total is read once more. */
+  private void readAgain(String name, Call<Account, Job> call) {
+    call.job().reread = true;
     calls.computeIfAbsent(name, n -> new ArrayDeque<>()).add(call);
     out.add(new Add(name, 0, COUNT_TTL_MS));
   }
@@ -532,6 +526,7 @@
       trialAt = callsFailed == COUNTER_AWAY_AFTER ? nextTrial() : trialAt;
     } else if (away) {
       pace = PACE_BACK;
+      counterBackAt = now;
     } else {
       pace += PACE_STEP + PACE_STEP_PER_S * Math.min(1, (now - answeredAt) / 1000);
     }
@@ -550,27 +545,28 @@
    * Replays the growth of the shared total into the replica. Growth beyond what was added here is others'.
    * A total that halves is an emptied counter, not fresh quota: the replica keeps its level.
    */
-  private void observe(Account a, Call call, double total) {
-    boolean fresh = a.window != call.window;
+  private void observe(Account a, Call<Account, Job> call, double total) {
+    boolean fresh = a.window != call.window();
     double growth = fresh ? total : total - a.seen;
     if (!fresh && a.before > 0) {
-      growth = Math.max(call.amount, total - a.before);
+      growth = Math.max(call.amount(), total - a.before);
     }
     a.before = 0;
     boolean carried = !Double.isNaN(a.syncedAt);
-    double started = call.window * a.windowMs - a.phase;
+    double started = call.window() * a.windowMs - a.phase;
     double since = now - (fresh || !carried ? started : a.syncedAt);
-    double others = growth - call.amount;
+    double others = growth - call.amount();
     if (!fresh && others < 0 && total < a.seen / 2) {
-      others = Math.max(0, total - call.amount);
+      others = Math.max(0, total - call.amount());
     }
-    a.given = fresh ? call.amount : a.given + call.amount;
-    a.window = call.window;
+    a.given = fresh ? call.amount() : a.given + call.amount();
+    a.window = call.window();
     a.seen = total;
     if (a.plain) {
-      double told = a.plan.burst() - (total - call.job.asked);
-      double level = call.window == a.rebuilt ? Math.min(a.level, told) : told;
-      a.level = call.window == a.windowNow(now) ? level : a.level;
+      a.counted = a.countedAtLeast(total - call.job().asked);
+      double told = a.plan.burst() - (total - call.job().asked);
+      double level = call.window() == a.rebuilt ? Math.min(a.level, told) : told;
+      a.level = call.window() == a.windowNow(now) ? level : a.level;
       learnRates(a, Math.max(0, others), since);
       return;
     }
@@ -608,7 +604,7 @@
       }
       a.given = 0;
       if (a.places > 0 && !partly && a.placeWindow == a.windowNow(now)) {
-        calls(new Call(a, a.placeWindow, a.places, null, true));
+        calls(new Call<>(a, a.placeWindow, a.places, null, true));
       }
       a.before = partly ? Math.max(a.before, a.seen) : 0;
       a.seen = 0;
@@ -626,28 +622,31 @@
       Account a = rebuilding.poll();
       if (a.owed > 0 && a.rebuilt == a.windowNow(now)) {
         calls--;
-        Call call = new Call(a, a.rebuilt, a.owed, null);
+        Call<Account, Job> call = new Call<>(a, a.rebuilt, a.owed, null);
         calls(call);
         a.owed = 0;
       }
     }
   }
 
-  private void calls(Call call) {
+  private void calls(Call<Account, Job> call) {
     String name = call.name();
     calls.computeIfAbsent(name, n -> new ArrayDeque<>()).add(call);
-    out.add(new Add(name, call.amount, COUNT_TTL_MS));
+    out.add(new Add(name, call.amount(), COUNT_TTL_MS));
   }
 
   /** The end of a call that put back what is known, and that no request waits for. */
-  private void wasPutBack(Call call, Counted e) {
-    Account a = call.account;
-    if (e.status() == Status.OK && call.window == a.window) {
-      a.given += call.amount;
+  private void wasPutBack(Call<Account, Job> call, Counted e) {
+    Account a = call.account();
+    if (e.status() == Status.OK && call.window() == a.pastAsked) {
+      a.past = e.total();
+      a.pastWindow = call.window();
+    } else if (e.status() == Status.OK && call.window() == a.window) {
+      a.given += call.amount();
       a.seen = e.total();
       a.level = Math.min(a.level, a.plan.burst() - e.total());
-    } else if (e.status().provesNotRun() && call.window == a.window) {
-      a.owed += call.amount;
+    } else if (e.status().provesNotRun() && call.window() == a.window) {
+      a.owed += call.amount();
     }
   }
 
@@ -672,7 +671,7 @@
     boolean barred = a.plan.rate() > 0 && !within
         || unasked && !a.comfortable() && pressed(job, UNCONFIRMED);
     if (barred || !holdsCeiling(a, units, answered)) {
-      a.owed -= job.added && !a.plain ? units : 0;
+      a.owed -= job.added && (!a.plain || within) ? units : 0;
       job.added = false;
       beyondQuota(job);
       return;
@@ -973,9 +972,8 @@
   }
 
   /**
-   * A backend that looked restarted and then answers what was sent before that has not restarted: nothing
-   * outlives its process. Guards against connections that fail for any other cause, of which a few would
-   * leave the whole fleet taken for cold. Harm: none known, as the list's word on a start stays.
+   * A backend that looked restarted and then answers what was sent before that has not restarted. Guards
+   * against connections that fail for another cause, a few of which would make the whole fleet look cold.
    */
   private void trust(Backend b, Attempt<Job, Backend> attempt) {
     if (attempt.sentAt < b.doubtedAt) {
--- a/policy/src/test/java/willowdoor/policy/CeilingTest.java
+++ b/policy/src/test/java/willowdoor/policy/CeilingTest.java
@@ -13,6 +13,7 @@
 import willowdoor.policy.GatewayApi.CeilingShare;
 import willowdoor.policy.GatewayApi.Counted;
 import willowdoor.policy.GatewayApi.Outcome;
+import willowdoor.policy.GatewayApi.Refuse;
 import willowdoor.policy.GatewayApi.Request;
 import willowdoor.policy.GatewayApi.Send;
 import willowdoor.policy.GatewayApi.Status;
@@ -25,61 +26,124 @@
   private double storeAt;
   private double lowest;
   private int sent;
+  private double awayUntil;
   private int units;
 
   @Test
   void holdsWithFailingCallsRestartsAndEmptiedCounts() {
     for (int seed = 0; seed < 40; seed++) {
-      play(seed);
+      play(seed, 2, Fixtures.CEILED);
       assertTrue(lowest >= -Fixtures.CEILED.ceilingSlack(), "seed " + seed + ": store at " + lowest);
       assertTrue(sent > 50, "seed " + seed + ": only " + sent + " sent");
     }
   }
 
-  private void play(int seed) {
+  /** A slow plan whose requests come through fourteen gateways, each of which meets it but rarely. */
+  @Test
+  void holdsThroughManyGatewaysToo() {
+    for (int seed = 0; seed < 40; seed++) {
+      play(seed, 14, Fixtures.SLOW);
+      assertTrue(lowest >= -Fixtures.SLOW.ceilingSlack(), "seed " + seed + ": store at " + lowest);
+      assertTrue(sent > 25, "seed " + seed + ": only " + sent + " sent");
+    }
+  }
+
+  /**
+   * Each gateway's even part of the ceiling is less than a request. What the shared count answers for goes on
+   * as long as there is quota, and what a ceiling refused does not use up the quota.
+   */
+  @Test
+  void aFirmOfManyGatewaysGetsItsQuotaThroughThemAll() {
+    Fixtures[] doors = new Fixtures[14];
+    double total = 0;
+    int sends = 0;
+    for (int i = 0; i < 28; i++) {
+      int d = i % 14;
+      doors[d] = doors[d] == null ? new Fixtures(Fixtures.settings(true, 14, false)).backends(4) : doors[d];
+      doors[d].pass(50 * (i + 1) - (doors[d].now - 1_000_000));
+      doors[d].on(new Request("q" + i, "safe", "slow", 42, 14, 1, doors[d].now + 4000));
+      if (doors[d].did(Add.class)) {
+        total += doors[d].lastAdd().amount();
+        doors[d].total(total);
+      }
+      sends += doors[d].did(Send.class) ? 1 : 0;
+    }
+    assertEquals(28, sends, "of a burst of " + Fixtures.SLOW.burst());
+  }
+
+  @Test
+  void theWindowBeforeIsReadAndWhatTheCeilingRefusesIsTakenOffTheCount() {
+    Fixtures f = new Fixtures(Fixtures.settings(true, 14, false)).backends(4);
+    String before = "";
+    String window = "";
+    for (int k = 0; k < 40 && (before.isEmpty() || window.equals(before)); k++) {
+      before = window;
+      f.pass(1_000).on(new Request("a" + k, "safe", "slow", 42, 14, 1, f.now + 4000));
+      window = f.lastAdd().name();
+      if (window.equals(before) || before.isEmpty()) {
+        f.on(new Counted(window, Status.OK, 1, 2));
+      }
+    }
+    // A window has just begun, and the one before tells a burst: little of the ceiling is left at once.
+    assertEquals(List.of(before, window), f.last.stream().filter(Add.class::isInstance)
+        .map(a -> ((Add) a).name()).toList(), "the window before is read beside the add");
+    f.on(new Counted(before, Status.OK, Fixtures.SLOW.burst(), 2));
+    f.on(new Counted(window, Status.OK, 1, 2));
+    assertTrue(f.did(Send.class));
+    f.on(new Request("b", "safe", "slow", 42, 14, 4, f.now + 4000));
+    f.total(32);
+    assertTrue(f.did(Refuse.class), "within its quota of 36, beyond the ceiling");
+    f.pass(100).on(new Request("c", "safe", "slow", 42, 14, 1, f.now + 4000));
+    assertEquals(1 - 4, f.only(Add.class).amount(), "the refused 4 go back with the next add");
+  }
+
+  private void play(int seed, int size, GatewayApi.Plan plan) {
     SplittableRandom random = new SplittableRandom(seed);
     counts.clear();
-    lowest = store = Fixtures.CEILED.ceilingBurst();
+    lowest = store = plan.ceilingBurst();
     storeAt = 1_000_000;
     sent = 0;
-    Fixtures[] gateways = new Fixtures[2];
+    awayUntil = 0;
+    Fixtures[] gateways = new Fixtures[size];
     double trouble = random.nextDouble();
     for (int step = 0; step < 3000; step++) {
       double now = 1_000_000 + step * 25.0;
-      int i = random.nextInt(2);
+      int i = random.nextInt(size);
       if (gateways[i] == null || random.nextDouble() < 0.001) {
-        gateways[i] = new Fixtures(Fixtures.settings(true, 2, false), now);
+        gateways[i] = new Fixtures(Fixtures.settings(true, size, false), now);
         gateways[i].backends(4);
       }
       if (random.nextDouble() < 0.002) {
         counts.clear();
+        awayUntil = size == 2 ? now : now + 5_000;
       }
       gateways[i].now = now;
       units = 1 + random.nextInt(4);
-      gateways[i].on(new Request("s" + step, "safe", "ceiled", 42, 2, units, now + 4000));
-      answer(gateways[i], gateways[i].last, random, step % 400 < 200 ? trouble : 0);
+      gateways[i].on(new Request("s" + step, "safe", plan.name(), 42, size, units, now + 4000));
+      answer(plan, gateways[i], gateways[i].last, random, step % 400 < 200 ? trouble : 0);
     }
   }
 
-  private void answer(Fixtures gateway, List<Action> actions, SplittableRandom random, double trouble) {
+  private void answer(GatewayApi.Plan plan, Fixtures gateway, List<Action> actions, SplittableRandom random, double trouble) {
     for (Action action : actions) {
       if (action instanceof Add a) {
-        boolean fails = random.nextDouble() < trouble;
-        boolean adds = !fails || random.nextBoolean();
+        boolean away = gateway.now < awayUntil;
+        boolean fails = away || random.nextDouble() < trouble;
+        boolean adds = !away && (!fails || random.nextBoolean());
         double total = adds ? counts.merge(a.name(), a.amount(), Double::sum) : 0;
         Status status = fails ? Status.TIMED_OUT : Status.OK;
         gateway.on(new Counted(a.name(), status, total, 2));
-        answer(gateway, gateway.last, random, trouble);
+        answer(plan, gateway, gateway.last, random, trouble);
       } else if (action instanceof Send s) {
-        take(gateway.now, gateway, s);
+        take(plan, gateway, s);
       }
     }
   }
 
-  private void take(double now, Fixtures gateway, Send s) {
-    double filled = store + Fixtures.CEILED.ceilingRate() * (now - storeAt) / 1000;
-    store = Math.min(Fixtures.CEILED.ceilingBurst(), filled);
-    storeAt = now;
+  private void take(GatewayApi.Plan plan, Fixtures gateway, Send s) {
+    double filled = store + plan.ceilingRate() * (gateway.now - storeAt) / 1000;
+    store = Math.min(plan.ceilingBurst(), filled);
+    storeAt = gateway.now;
     store -= units;
     lowest = Math.min(lowest, store);
     sent++;
--- a/policy/src/test/java/willowdoor/policy/Fixtures.java
+++ b/policy/src/test/java/willowdoor/policy/Fixtures.java
@@ -32,6 +32,7 @@
   static final Plan CEILED = new Plan("ceiled", 2, 10, 0, 1, 0, 1, 4, 20, 2);
   static final Plan WIDE = new Plan("wide", 40, 100, 0, 1, 0, 1, 80, 200, 20);
   static final Plan BROAD = new Plan("broad", 40, 100, 0, 1, 0, 1, 0, 0, 0);
+  static final Plan SLOW = new Plan("slow", 2, 36, 0, 1, 0, 1, 4, 72, 7.2);
   static final Plan FREE = new Plan("free", 0, 0, 0, 1, 0, 1, 0, 0, 0);
   static final Plan NARROW = new Plan("narrow", 0, 0, 2, 1, 0, 1, 0, 0, 0);
 
@@ -63,7 +64,7 @@
         new RequestClass("zone", 1, 0, 1000, 4000, Repeat.KEYED, Group.ZONE, 3000, false),
         new RequestClass("stream", 1, 0, 1000, 4000, Repeat.SAFE, Group.ALL, 0, true));
     return new Settings(gateways, self, "a", 4, 0, false, classes,
-        List.of(RATED, CEILED, FREE, NARROW, WIDE, BROAD),
+        List.of(RATED, CEILED, SLOW, FREE, NARROW, WIDE, BROAD),
         new Allowed(counter, 30, true, false, 4, 1000, true, 2000, ask), new Rules(8, 0.2, 10_000, 3, 2000));
   }
 
