Ceiling: what a door saw early in the last window counts as refilled; one burst after an outage

Elsewhere heavy firms, which spend their burst early in a window and are refused until it ends, were taken to have spent it at the end.

Change (QuotaPolicy.countedAtLeast): of the last window's total, what this door had seen by its last answer is refilled by the ceiling's rate since then; where the counter may have lost the last window, one burst is taken.

--- a/policy/src/main/java/willowdoor/policy/QuotaPolicy.java
+++ b/policy/src/main/java/willowdoor/policy/QuotaPolicy.java
@@ -218,14 +218,17 @@
     }
 
     /**
-     * Where one burst a window is counted: what is left of the ceiling, with such a total, if all of the last
-     * window was spent at its end; two bursts, where the counter may have come back empty.
+     * Where one burst a window is counted: what is left of the ceiling, with such a total, if the last window's
+     * was spent at its end but for what was seen before, which has been refilled meanwhile. A burst, where it is
+     * not known.
      */
     double countedAtLeast(double total) {
-      double told = pastWindow == windowNow(now) - 1 ? Math.min(past, plan.burst()) : plan.burst();
-      double unseen = now - counterBackAt < 2 * windowMs ? 2 * plan.burst() : told;
-      double begun = plan.ceilingRate() * (1 - ownShare()) * (now - windowStart(now)) / 1000;
-      return Math.min(countedMost(), countedMost() - unseen + begun) - total;
+      double rate = plan.ceilingRate() * (1 - ownShare()) / 1000;
+      boolean known = pastWindow == windowNow(now) - 1 && counterBackAt < windowStart(now) - windowMs;
+      double told = known ? Math.min(past, plan.burst()) : plan.burst();
+      double refilled = pastSeen > 0 ? Math.min(pastSeen, rate * (windowStart(now) - pastSeenAt)) : 0;
+      return Math.min(countedMost(), countedMost() - Math.max(0, told - refilled)
+          + rate * (now - windowStart(now))) - total;
     }
 
     void fillCeiling(double dt) {
@@ -559,6 +562,10 @@
     if (!fresh && others < 0 && total < a.seen / 2) {
       others = Math.max(0, total - call.amount());
     }
+    if (fresh) {
+      a.pastSeen = a.window == call.window() - 1 ? Math.min(a.seen, a.plan.burst()) : 0;
+      a.pastSeenAt = a.syncedAt;
+    }
     a.given = fresh ? call.amount() : a.given + call.amount();
     a.window = call.window();
     a.seen = total;
