--- a/policy/src/main/java/willowdoor/policy/GatewayState.java
+++ b/policy/src/main/java/willowdoor/policy/GatewayState.java
@@ -130,9 +130,6 @@
     long pastAsked = Long.MIN_VALUE;
     long pastWindow = Long.MIN_VALUE;
     double past;
-    /** What had been seen of it, and when last. */
-    double pastSeen;
-    double pastSeenAt;
     /** What this gateway itself has added to that window's count, as answered for. */
     double given;
     /** The window in which the counter was replaced: until its end no answer raises the level. */
--- a/policy/src/main/java/willowdoor/policy/QuotaPolicy.java
+++ b/policy/src/main/java/willowdoor/policy/QuotaPolicy.java
@@ -85,10 +85,7 @@
   private static final double LEAST_KNEE = 3;
   /** No crowd is seen before so many answers: they tell whether there is one. */
   private static final int FIRST_ANSWERS = 20;
-  /**
-   * It is taken to lie higher where answers at a crowd take less than this share of their aims: with each one
-   * by this much at one knee, more at a larger crowd, twofold at most.
-   */
+  /** It lies higher where answers at a crowd take less of their aims than this: by so much with each. */
   private static final double KNEE_UP_UNDER = 0.12;
   private static final double KNEE_UP = 0.02;
   /** And lower again, to the least, where they take more than this. */
@@ -206,29 +203,37 @@
 
     /**
      * The share of a ceiling for gateways by themselves: all for two, for more a largest request each; of
-     * many, too little each, a part. Where shares are told, all, as one count can't be relied on.
+     * many, and where totals tell all, a part. Where shares are told, all, as no count can be relied on.
      */
     double ownShare() {
       double each = Math.max(2.0 / gateways, gateways * settings.maxUnits() / plan.ceilingBurst());
-      return share != null ? 1 : gateways > FOLLOWING ? OWN_OF_MANY : Math.min(1, each);
+      return share != null ? 1 : plain || gateways > FOLLOWING ? OWN_OF_MANY : Math.min(1, each);
     }
 
     double countedMost() {
       return (plan.ceilingBurst() + plan.ceilingSlack() / 2) * (1 - ownShare());
     }
 
-    /**
-     * Where one burst a window is counted: what is left of the ceiling, with such a total, if the last window's
-     * was spent at its end but for what was seen before, which has been refilled meanwhile. A burst, where it is
-     * not known.
-     */
+    /** Whether the window before that one is told, and by a counter that has lost nothing of it. */
+    boolean pastKnown(long counting) {
+      return pastWindow == counting - 1 && counterBackAt < windowStart(now) - windowMs;
+    }
+
+    /** What is left of the ceiling with such a total, if all of the last window was spent at its end. */
     double countedAtLeast(double total) {
-      double rate = plan.ceilingRate() * (1 - ownShare()) / 1000;
-      boolean known = pastWindow == windowNow(now) - 1 && counterBackAt < windowStart(now) - windowMs;
-      double told = known ? Math.min(past, plan.burst()) : plan.burst();
-      double refilled = pastSeen > 0 ? Math.min(pastSeen, rate * (windowStart(now) - pastSeenAt)) : 0;
-      return Math.min(countedMost(), countedMost() - Math.max(0, told - refilled)
-          + rate * (now - windowStart(now))) - total;
+      boolean known = pastKnown(windowNow(now));
+      double begun = known ? windowStart(now) : Math.max(windowStart(now), counterBackAt);
+      double then = Math.max(0, countedMost() - (known ? Math.min(past, plan.burst()) : plan.burst()));
+      return Math.min(countedMost(), then + plan.ceilingRate() * (1 - ownShare()) * (now - begun) / 1000)
+          - total;
+    }
+
+    /** The same, as followed from the answer before, with all that others used since then used just now. */
+    double countedOn(boolean fresh, long counting, double total, double added) {
+      double before = Math.min(seen, plan.burst());
+      double rest = !fresh ? -before : window == counting - 1 ? Math.min(past, plan.burst()) - before : past;
+      boolean on = syncedAt >= counterBackAt && (!fresh || pastKnown(counting));
+      return on ? counted - rest - Math.min(total, plan.burst() + added) + added : Double.NEGATIVE_INFINITY;
     }
 
     void fillCeiling(double dt) {
@@ -436,8 +441,7 @@
 
   /**
    * Whether to call the counter, with such a chance where it answers. Guards against a slow, full, silent or
-   * refusing counter: fewer call, and spaced trials remain. Harm: where calling less does not help, customers
-   * are held to the replica for longer than needed.
+   * refusing counter: fewer call, and spaced trials remain. Harm: longer held to the replica than needed.
    */
   private boolean mayCall(double chance) {
     if (callsFailed >= COUNTER_AWAY_AFTER) {
@@ -562,15 +566,14 @@
     if (!fresh && others < 0 && total < a.seen / 2) {
       others = Math.max(0, total - call.amount());
     }
-    if (fresh) {
-      a.pastSeen = a.window == call.window() - 1 ? Math.min(a.seen, a.plan.burst()) : 0;
-      a.pastSeenAt = a.syncedAt;
+    if (a.plain) {
+      a.counted = Math.max(a.countedAtLeast(total - (call.job() == null ? 0 : call.job().asked)),
+          a.countedOn(fresh, call.window(), total, call.amount()));
     }
     a.given = fresh ? call.amount() : a.given + call.amount();
     a.window = call.window();
     a.seen = total;
     if (a.plain) {
-      a.counted = a.countedAtLeast(total - call.job().asked);
       double told = a.plan.burst() - (total - call.job().asked);
       double level = call.window() == a.rebuilt ? Math.min(a.level, told) : told;
       a.level = call.window() == a.windowNow(now) ? level : a.level;
@@ -598,8 +601,7 @@
    * puts back what it had added itself and the new one lacks, with the customer's next add: all of them
    * together make the old total, and none of it comes twice. Until the window's end no answer raises the
    * level, as others may not have put theirs back yet. Where a bucket is followed, the replica keeps what is
-   * known. Totals are read from nought on, or, where a copy has a part of the window, from what was seen
-   * before.
+   * known. Totals are read from nought on, or from what was seen before, where a copy has a part.
    */
   private void onCounterReplaced(double lostSince) {
     for (Account a : accounts.values()) {
@@ -1242,8 +1244,8 @@
   }
 
   /**
-   * A wake-up that is long overdue shows that this gateway stood still. What came meanwhile is read first,
-   * and no wait seen over that time is booked to a backend or the counter. Harm: none but a later look.
+   * A wake-up long overdue shows that this gateway stood still. What came meanwhile is read first, and no
+   * wait seen over that time is booked to a backend or the counter.
    */
   private void noteStall() {
     if (now - wakeAt > STALL_MS) {
