--- a/daemon/src/main/java/willowdoor/daemon/config/DaemonConfig.java
+++ b/daemon/src/main/java/willowdoor/daemon/config/DaemonConfig.java
@@ -131,7 +131,7 @@
     return new Config(instance.listen(), discovery, counter.address(), seed, settings,
         Bounds.of(limits.descriptors() - authoriserSockets(), limits.memoryMb()), backends.connectLimitMs(),
             backends.idleLimitMs(),
-        backends.known(), true);
+        backends.known(), true, null);
   }
 
   /** A connection to each authoriser, and a second one while its TLS files have changed. */
--- /dev/null
+++ b/door/src/main/java/willowdoor/management/Operations.java
@@ -0,0 +1,18 @@
+package willowdoor.management;
+
+import java.util.function.Consumer;
+
+/** What of a front door operators reach. Called on the front door's loop. */
+public interface Operations {
+
+  /** Whether this process is ready to serve, whether or not operators have sent the clients away. */
+  boolean ready();
+
+  /**
+   * Has the order hold for whatever begins after it.
+   *
+   * @param forwarded it comes from the other process of this front door, which has it hold there by itself
+   * @param told called once, on the loop, when it holds or cannot
+   */
+  void carryOut(Order order, boolean forwarded, Consumer<Reply> told);
+}
--- /dev/null
+++ b/door/src/main/java/willowdoor/management/Order.java
@@ -0,0 +1,17 @@
+package willowdoor.management;
+
+/** What an operator can have a front door do. All orders may be repeated: each names a state, not a step. */
+public sealed interface Order {
+
+  /** Take a backend out until it is put back; whatever is told of it meanwhile. */
+  record Disable(String member) implements Order { }
+
+  /** Put a backend back that was taken out, however often it was. */
+  record Enable(String member) implements Order { }
+
+  /** Send clients away: say so at {@code /up}, and end their connections. */
+  record Drain() implements Order { }
+
+  /** Take clients again. */
+  record Undrain() implements Order { }
+}
--- /dev/null
+++ b/door/src/main/java/willowdoor/management/Reply.java
@@ -0,0 +1,19 @@
+package willowdoor.management;
+
+/**
+ * What an operator is told.
+ *
+ * @param status of HTTP: 2xx is yes, all else is no
+ * @param text one line in plain words
+ */
+public record Reply(int status, String text) {
+
+  /** Yes. */
+  public static Reply yes(String text) {
+    return new Reply(200, text);
+  }
+
+  public boolean isYes() {
+    return status / 100 == 2;
+  }
+}
--- a/door/src/main/java/willowdoor/net/ClientConnection.java
+++ b/door/src/main/java/willowdoor/net/ClientConnection.java
@@ -353,6 +353,13 @@
     }
   }
 
+  /** Ends the connection if nothing has been on it, nor come of a next request, for so long. */
+  void endIfQuiet(double now, double quietMs) {
+    if (Double.isNaN(receivingSince) && now - quietSince >= quietMs) {
+      closeIfIdle();
+    }
+  }
+
   private void dropWaiting() {
     waiting.forEach(w -> w.message.release());
     waiting.clear();
--- a/door/src/main/java/willowdoor/net/ClientServer.java
+++ b/door/src/main/java/willowdoor/net/ClientServer.java
@@ -33,6 +33,12 @@
   private static final int MOST_BODY = 64 * 1024;
   /** How often connections are looked at for overdue requests. */
   private static final long SWEEP_MS = 200;
+  /** A front looks at /up every 0.1 s and sends new connections for 0.2 s more: none ends before. */
+  private static final double EMPTY_AFTER_MS = 500;
+  /** One without a request for so long is ended then; few requests cross the end of such a one. */
+  private static final double EMPTY_QUIET_MS = 300;
+  /** After this one is ended as soon as no request is on it: 4 s after the call none may be held. */
+  private static final double EMPTY_ALL_MS = 1_600;
 
   private final Clock clock;
   private final ModuleDriver driver;
@@ -46,6 +52,8 @@
   private boolean ready;
   private boolean draining;
   private boolean leaving;
+  /** When clients began to be sent away, or NaN; their idle connections end from then on. */
+  private double emptyingSince = Double.NaN;
 
   ClientServer(EventLoop loop, Clock clock, ModuleDriver driver, BackendPool backends, RequestReader reader,
       Bounds bounds, Places places) {
@@ -209,6 +217,19 @@
   private void endOverdue() {
     double now = clock.now();
     List.copyOf(connections).forEach(c -> c.endIfOverdue(now));
+    if (now - emptyingSince > EMPTY_AFTER_MS) {
+      double quiet = now - emptyingSince > EMPTY_ALL_MS ? 0 : EMPTY_QUIET_MS;
+      List.copyOf(connections).forEach(c -> c.endIfQuiet(now, quiet));
+    }
+  }
+
+  /**
+   * Ends clients' connections from here on, each with its next answer or when it has been quiet, or keeps
+   * them again; new ones are still taken. Guards against requests that cross the end of their connection: it
+   * is the quiet ones that end, and all others by their answer, which tells the client.
+   */
+  void empty(boolean on) {
+    emptyingSince = on ? clock.now() : Double.NaN;
   }
 
   /** From here on it is not to be found, or is again; connections are taken and kept as before. */
--- a/door/src/main/java/willowdoor/net/Config.java
+++ b/door/src/main/java/willowdoor/net/Config.java
@@ -9,6 +9,7 @@
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.util.Map;
+import willowdoor.management.ManagementServer;
 import willowdoor.policy.GatewayApi.Settings;
 import willowdoor.wire.JsonFields;
 import willowdoor.wire.WireSettings;
@@ -19,18 +20,24 @@
  * @param watchCounter the counter is not relied on to be one and the same: it is asked who it is, some
  * calls a
  *     second, and ceilings are divided among the doors; the platform spares both
+ * @param management where operators call, or null where they do not
  */
 public record Config(InetSocketAddress listen, InetSocketAddress discovery, InetSocketAddress counter,
     long seed,
     Settings settings, Bounds limits, double connectLimitMs, double idleLimitMs, RosterNews known,
-    boolean watchCounter) {
+    boolean watchCounter, InetSocketAddress management) {
 
   /** The addresses that a new configuration may move. */
   record Peers(InetSocketAddress discovery, InetSocketAddress counter) { }
 
   /** Reads the file; anything that keeps the front door from serving is an IOException in plain words. */
   static Config read(Path file) throws IOException {
-    return of(fields(file));
+    Map<String, Object> fields = fields(file);
+    String management = System.getenv("GW_MANAGEMENT");
+    if (management != null && !management.isEmpty()) {
+      fields.putIfAbsent("management", management);
+    }
+    return of(fields);
   }
 
   /** Reads only what may change while the front door serves. */
@@ -57,14 +64,16 @@
     }
     Map<String, Object> bounds = JsonFields.child(settings, "Bounds");
     Map<String, Object> limits = JsonFields.child(fields, "limits");
-    Bounds held = Bounds.of(JsonFields.number(limits, "sockets", Bounds.USUAL_SOCKETS),
+    double forOperators = fields.get("management") == null ? 0 : ManagementServer.MOST_CONNECTIONS + 1;
+    Bounds held = Bounds.of(JsonFields.number(limits, "sockets", Bounds.USUAL_SOCKETS) - forOperators,
         JsonFields.number(limits, "memory_mb", Bounds.USUAL_MEMORY_MB));
     InetSocketAddress counter = fields.get("counter") == null && !parsed.allowed().sharedCount() ? null
         : address(fields, "counter");
+    InetSocketAddress management = fields.get("management") == null ? null : address(fields, "management");
     return new Config(address(fields, "listen"), address(fields, "discovery"), counter, seed(fields), parsed,
         held, JsonFields.number(bounds, "DialTimeoutMs", 250),
         JsonFields.number(bounds, "ConnIdleMs", 15_000), RosterNews.of(JsonFields.child(fields, "known")),
-            false);
+            false, management);
   }
 
   private static long seed(Map<String, Object> fields) throws IOException {
--- a/door/src/main/java/willowdoor/net/FrontDoor.java
+++ b/door/src/main/java/willowdoor/net/FrontDoor.java
@@ -11,7 +11,12 @@
 import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.logging.Logger;
+import willowdoor.management.ManagementServer;
+import willowdoor.management.Operations;
+import willowdoor.management.Order;
+import willowdoor.management.Reply;
 import willowdoor.policy.GatewayApi.Request;
 import willowdoor.policy.QuotaPolicy;
 import willowdoor.recovery.CounterWatch;
@@ -43,6 +48,12 @@
   private CeilingShares ceilings;
   private DiscoveryClient discovery;
   private Channel listening;
+  /** Null where operators do not call. */
+  private ManagementServer management;
+  /** Operators have sent the clients away. */
+  private boolean sentAway;
+  private boolean found;
+  private boolean ending;
 
   private FrontDoor() {
   }
@@ -75,6 +86,9 @@
       throws IOException, InterruptedException {
     FrontDoor door = wired(config);
     try {
+      if (config.management() != null) {
+        door.manage(config.management());
+      }
       beforeListening.of(door);
       door.bind(config.listen());
     } catch (IOException | RuntimeException e) {
@@ -217,9 +231,68 @@
 
   /** Answers {@code GET /up} with 200 from here on, as soon as a backend is known. */
   public void beFound() {
+    found = true;
     clients.serve();
   }
 
+  /** Has operators call at this address from here on; not for the loop's thread. */
+  public void manage(InetSocketAddress address) throws IOException, InterruptedException {
+    management = new ManagementServer(new Managed());
+    management.listen(group, Transport.BEST.serverSocket(), address);
+  }
+
+  /** Where operators call. */
+  SocketAddress managementAddress() {
+    return management.address();
+  }
+
+  /** What operators may do with this door. */
+  private final class Managed implements Operations {
+    @Override
+    public boolean ready() {
+      return found && !ending && driver.knowsBackends();
+    }
+
+    @Override
+    public void carryOut(Order order, boolean forwarded, Consumer<Reply> told) {
+      told.accept(carryOut(order));
+    }
+
+    private Reply carryOut(Order order) {
+      if (order instanceof Order.Drain) {
+        sendAway();
+        return Reply.yes("draining");
+      }
+      if (order instanceof Order.Undrain) {
+        takeBack();
+        return Reply.yes("serving");
+      }
+      return new Reply(501, "not implemented");
+    }
+  }
+
+  /** Operators send the clients away: as before an end, but nothing ends but the clients' connections. */
+  private void sendAway() {
+    if (!sentAway) {
+      sentAway = true;
+      if (!ending) {
+        beginDrain();
+        clients.empty(true);
+      }
+    }
+  }
+
+  /** They may come back; one that is ending goes on doing so. */
+  private void takeBack() {
+    if (sentAway) {
+      sentAway = false;
+      if (!ending) {
+        clients.empty(false);
+        resume();
+      }
+    }
+  }
+
   /**
    * Leaves new connections, and this door's parts of ceilings, to whoever else holds the listening socket;
    * {@link #accept} takes them back.
@@ -290,7 +363,10 @@
 
   /** The planned end: accept a little longer, answer all that was taken, then let the process go. */
   void drain() {
-    loop.execute(() -> clients.drain(true));
+    loop.execute(() -> {
+      ending = true;
+      clients.drain(true);
+    });
     loop.schedule(() -> clients.stopListening(listening), ACCEPT_MS, TimeUnit.MILLISECONDS);
     loop.schedule(() -> {
       beginDrain();
--- a/door/src/main/java/willowdoor/net/ModuleDriver.java
+++ b/door/src/main/java/willowdoor/net/ModuleDriver.java
@@ -168,6 +168,10 @@
     }
   }
 
+  boolean knowsBackends() {
+    return backends.knowsAny();
+  }
+
   int held() {
     return live.size();
   }
--- /dev/null
+++ b/door/src/test/java/willowdoor/net/ManagementTest.java
@@ -0,0 +1,141 @@
+package willowdoor.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import willowdoor.net.Peers.Client;
+import willowdoor.net.Peers.Message;
+
+/** Operators' calls on real sockets: what is answered, and what it does to clients. */
+@Timeout(30)
+class ManagementTest {
+
+  private static final String UP = "GET /up HTTP/1.1\r\nHost: a\r\n\r\n";
+  private final Peers peers = new Peers();
+  private FrontDoor door;
+
+  @BeforeEach
+  void start() throws Exception {
+    door = peers.start(peers.config(Peers.entry("s-1", peers.backend.getLocalPort(), "active"))
+        .replace("\"seed\"", "\"management\":\"127.0.0.1:0\",\"seed\""));
+  }
+
+  @AfterEach
+  void close() throws Exception {
+    peers.close();
+  }
+
+  private Message call(String text) throws IOException {
+    try (Client operator = new Client((InetSocketAddress) door.managementAddress())) {
+      Message answer = operator.ask(text);
+      assertTrue(operator.ended(), "one call to a connection");
+      return answer;
+    }
+  }
+
+  private int order(String target) throws IOException {
+    return call("POST " + target + " HTTP/1.1\r\nHost: a\r\n\r\n").status();
+  }
+
+  private int up() throws IOException {
+    try (Client client = peers.client()) {
+      return client.ask(UP).status();
+    }
+  }
+
+  @Test
+  void drainSendsClientsAwayAndUndrainTakesThemBack() throws Exception {
+    assertEquals(200, call("GET /ready HTTP/1.1\r\nHost: a\r\n\r\n").status());
+    Client busy = peers.client();
+    Client idle = peers.client();
+    Client fresh = peers.client();
+    assertEquals(200, busy.ask(Peers.get("r1", 3000)).status());
+    assertEquals(200, idle.ask(Peers.get("r2", 3000)).status());
+    assertEquals(200, order("/drain"));
+    assertEquals(503, up());
+    assertEquals(200, order("/drain"), "it may be said twice");
+    Message last = busy.ask(Peers.get("r3", 3000));
+    assertEquals(200, last.status(), "what comes meanwhile is served");
+    assertEquals("close", last.header("Connection"));
+    assertEquals(200, peers.client().ask(Peers.get("r4", 3000)).status(), "on new connections too");
+    long asked = System.nanoTime();
+    assertTrue(idle.ended());
+    assertTrue(fresh.ended());
+    assertTrue(System.nanoTime() - asked < 3_000_000_000L, "well before 4 s");
+    assertEquals(200, call("GET /ready HTTP/1.1\r\nHost: a\r\n\r\n").status(), "the process is ready yet");
+    assertEquals(200, order("/undrain"));
+    assertEquals(200, order("/undrain"));
+    assertEquals(200, up());
+    Client back = peers.client();
+    assertNull(back.ask(Peers.get("r5", 3000)).header("Connection"));
+    assertEquals(200, back.ask(Peers.get("r6", 3000)).status());
+  }
+
+  @Test
+  void aRequestUnderWayIsAnsweredThoughItsDoorIsDrained() throws Exception {
+    peers.answer = (request, out) -> {
+      try {
+        Thread.sleep(2_200);
+      } catch (InterruptedException e) {
+        throw new IOException(e);
+      }
+      return Peers.write(out, Peers.OK);
+    };
+    Client slow = peers.client();
+    slow.send(Peers.get("r1", 4000));
+    Peers.next(peers.atBackend);
+    assertEquals(200, order("/drain"));
+    Message answer = slow.receive();
+    assertEquals(200, answer.status());
+    assertEquals("close", answer.header("Connection"));
+    assertTrue(slow.ended());
+  }
+
+  @Test
+  void callsThatAreNoneAreRefusedInPlainWords() throws Exception {
+    assertEquals(404, order("/backends"));
+    assertEquals(404, order("/drain/"));
+    assertEquals(405, order("/ready"));
+    assertEquals(405, call("GET /drain HTTP/1.1\r\nHost: a\r\n\r\n").status());
+    assertEquals(405, call("GET /backends/enable?member=s-1 HTTP/1.1\r\nHost: a\r\n\r\n").status());
+    assertEquals(400, order("/backends/disable"));
+    assertEquals(400, order("/backends/disable?member="));
+    assertEquals(400, order("/backends/disable?member=a&member=a"));
+    assertEquals(400, order("/backends/disable?member=%zz"));
+    assertEquals(400, order("/backends/disable?member=" + "x".repeat(300)));
+    assertEquals(400, call("POST /drain HTTP/1.0\r\n\r\n").status());
+    assertEquals(400, call("POST /drain HTTP/1.1\r\nContent-Length: 2\r\n\r\n{}").status());
+    assertEquals(413, call("POST /drain HTTP/1.1\r\nContent-Length: 9999\r\n\r\n").status());
+    assertEquals(400, call("nonsense\r\n\r\n").status());
+    assertTrue(call("POST /backends/disable HTTP/1.1\r\nHost: a\r\n\r\n").text().contains("member=ID"));
+    assertEquals(200, up(), "none of it drained the door");
+  }
+
+  @Test
+  void silentCallersGiveWay() throws Exception {
+    List<Client> silent = new ArrayList<>();
+    for (int i = 0; i < 100; i++) {
+      Client caller = new Client((InetSocketAddress) door.managementAddress());
+      caller.send("POST /drain HTT");
+      silent.add(caller);
+    }
+    long asked = System.nanoTime();
+    assertEquals(200, call("GET /ready HTTP/1.1\r\nHost: a\r\n\r\n").status());
+    assertTrue(System.nanoTime() - asked < 1_000_000_000L, "a whole caller waits 1 s at most");
+    assertTrue(silent.get(0).ended());
+    assertFalse(silent.get(99).socket.isClosed());
+    for (Client caller : silent) {
+      caller.close();
+    }
+  }
+}
--- a/store-valkey/src/test/java/willowdoor/valkey/ValkeyStoreTest.java
+++ b/store-valkey/src/test/java/willowdoor/valkey/ValkeyStoreTest.java
@@ -66,7 +66,7 @@
     Settings settings = new Settings(1, 0, "a", 8, 0, false, List.of(), List.of(),
         new Allowed(true, LIMIT_MS, true, false, 6, 100, true, 2_000, false), new Rules(8, 0.2, 1_000, 2,
             2_000));
-    return new Config(null, null, counter, 1, settings, null, 250, 15_000, null, true);
+    return new Config(null, null, counter, 1, settings, null, 250, 15_000, null, true, null);
   }
 
   private CounterStore store(InetSocketAddress address, ValkeySettings settings) {
