Backends are taken out and put back by operators: one merge with discovery's list

Need: operators ban a backend, restart it and put it back, whatever discovery lists meanwhile; from the yes on it counts as draining.

Design: willowdoor.membership, without I/O, hears lists and operators and tells the one roster that pool and QuotaPolicy hear; the policy needs no line for it. Out goes by id alone, so that re-adds, full lists and new addresses change nothing. Back in, a backend counts as started at the call until a start is told that came after it went out: it was restarted while out, and discovery may tell that 6 s late. Way not taken: a flag in BackendPool that turns sends away; the policy would go on choosing the backend and count NOT_SENT.

Tested over every order, with repeats, of up to six of six events (55,986 histories), and on real sockets.

--- a/daemon/src/test/java/willowdoor/daemon/ArchitectureTest.java
+++ b/daemon/src/test/java/willowdoor/daemon/ArchitectureTest.java
@@ -21,7 +21,7 @@
   @Test
   void decisionsDoNoInputOrOutputReadNoClockAndStartNoThread() {
     noClasses().that().resideInAnyPackage("willowdoor.policy..", "willowdoor.life..",
-        "willowdoor.authz..", "willowdoor.recovery..", "willowdoor.fairness..")
+        "willowdoor.authz..", "willowdoor.recovery..", "willowdoor.fairness..", "willowdoor.membership..")
         .should().dependOnClassesThat().resideInAnyPackage("java.io..", "java.net..", "java.nio..",
             "io.netty..",
             "com.fasterxml..", "java.util.concurrent..", "java.time..", "java.util.logging..",
@@ -44,6 +44,13 @@
         "com.google..", "io.envoyproxy..", "picocli..", "org.tomlj..").check(ALL);
   }
 
+  @Test
+  void theOperatorsAddressKnowsNoDoor() {
+    noClasses().that().resideInAPackage("willowdoor.management..").should().dependOnClassesThat()
+        .resideInAnyPackage("willowdoor.net..", "willowdoor.policy..", "willowdoor.membership..",
+            "willowdoor.daemon..", "willowdoor.life..", "com.fasterxml..").check(ALL);
+  }
+
   @Test
   void theGateKnowsNoProductAndNoRig() {
     noClasses().that().resideInAPackage("willowdoor.extauthz..").should().dependOnClassesThat()
--- a/door/src/main/java/willowdoor/net/FrontDoor.java
+++ b/door/src/main/java/willowdoor/net/FrontDoor.java
@@ -47,6 +47,7 @@
   /** Null where ceilings are not divided. */
   private CeilingShares ceilings;
   private DiscoveryClient discovery;
+  private MergedRoster roster;
   private Channel listening;
   /** Null where operators do not call. */
   private ManagementServer management;
@@ -141,9 +142,9 @@
       driver.divide(ceilings);
     }
     counter.start();
-    driver.start(counter, config.known());
-    discovery = new DiscoveryClient(loop, clock, config.discovery(), config.known().version(),
-        driver::onRoster);
+    roster = new MergedRoster(clock::now, driver::onRoster);
+    driver.start(counter, roster.merge(config.known()));
+    discovery = new DiscoveryClient(loop, clock, config.discovery(), config.known().version(), roster::heard);
     discovery.start();
   }
 
@@ -267,7 +268,15 @@
         takeBack();
         return Reply.yes("serving");
       }
-      return new Reply(501, "not implemented");
+      if (order instanceof Order.Disable o) {
+        return roster.takeOut(o.member()) ? Reply.yes("out: " + o.member()) : unknown(o.member());
+      }
+      Order.Enable o = (Order.Enable) order;
+      return roster.putBack(o.member()) ? Reply.yes("back: " + o.member()) : unknown(o.member());
+    }
+
+    private Reply unknown(String member) {
+      return new Reply(404, "no backend " + member + " is listed");
     }
   }
 
--- a/door/src/test/java/willowdoor/net/ManagementTest.java
+++ b/door/src/test/java/willowdoor/net/ManagementTest.java
@@ -81,6 +81,31 @@
     assertEquals(200, back.ask(Peers.get("r6", 3000)).status());
   }
 
+  @Test
+  void aBackendThatIsOutGetsNothingUntilItIsBackWhateverDiscoverySays() throws Exception {
+    Client client = peers.client();
+    assertEquals(200, client.ask(Peers.get("r1", 3000)).status());
+    Peers.next(peers.atBackend);
+    assertEquals(200, order("/backends/disable?member=s-1"));
+    assertEquals(200, order("/backends/disable?member=s%2D1"), "it may be said twice");
+    assertEquals(404, order("/backends/disable?member=s-9"));
+    assertEquals(503, client.ask(Peers.get("r2", 3000)).status());
+    Peers.next(peers.watches);
+    String listed = Peers.entry("s-1", peers.backend.getLocalPort(), "active");
+    peers.tell(Peers.list(8, true, listed, Peers.entry("s-2", 1, "leaving")) + "\n");
+    while (order("/backends/disable?member=s-2") != 200) {
+      Thread.onSpinWait();
+    }
+    assertEquals(503, client.ask(Peers.get("r3", 3000)).status());
+    assertTrue(peers.atBackend.isEmpty());
+    assertEquals(200, order("/backends/enable?member=s-1"));
+    Message back = client.ask(Peers.get("r4", 3000));
+    for (int n = 0; back.status() != 200; n++) {
+      back = client.ask(Peers.get("again" + n, 3000));
+    }
+    assertEquals(404, order("/backends/enable?member=s-9"));
+  }
+
   @Test
   void aRequestUnderWayIsAnsweredThoughItsDoorIsDrained() throws Exception {
     peers.answer = (request, out) -> {
--- /dev/null
+++ b/policy/src/main/java/willowdoor/membership/Out.java
@@ -0,0 +1,8 @@
+package willowdoor.membership;
+
+/**
+ * A backend that an operator has taken out.
+ *
+ * @param sinceMs when; a start that is told later than that is one of its maintenance
+ */
+public record Out(long id, double sinceMs) { }
--- /dev/null
+++ b/policy/src/test/java/willowdoor/membership/MembershipTest.java
@@ -0,0 +1,166 @@
+package willowdoor.membership;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import willowdoor.membership.MembershipEvent.Inherited;
+import willowdoor.membership.MembershipEvent.Listed;
+import willowdoor.membership.MembershipEvent.PutBack;
+import willowdoor.membership.MembershipEvent.TakeOut;
+import willowdoor.policy.GatewayApi.BackendEntry;
+import willowdoor.policy.GatewayApi.Phase;
+
+/** The merge of lists and operators' words: single histories, and every order of a handful of events. */
+class MembershipTest {
+
+  private static final double FIRST_START = 500;
+  private final Membership membership = new Membership();
+
+  private static BackendEntry entry(long id, Phase phase, double startedMs) {
+    return new BackendEntry(id, "a", 0, phase, 1, startedMs);
+  }
+
+  private static Listed full(BackendEntry... entries) {
+    return new Listed(true, List.of(entries));
+  }
+
+  private static Listed changes(BackendEntry... entries) {
+    return new Listed(false, List.of(entries));
+  }
+
+  @Test
+  void oneThatIsOutDrainsWhateverTheListsSay() {
+    membership.on(1, full(entry(1, Phase.SERVING, 0), entry(2, Phase.SERVING, 0)));
+    Told out = membership.on(2, new TakeOut(1));
+    assertEquals(List.of(entry(1, Phase.DRAINING, 0)), out.entries());
+    assertFalse(out.full());
+    assertEquals(Phase.DRAINING, membership.on(3, full(entry(1, Phase.SERVING, 9))).entries().get(0).phase());
+    assertEquals(Phase.REMOVED, membership.on(4, changes(entry(1, Phase.REMOVED, 9))).entries().get(0).phase());
+    assertEquals(Phase.DRAINING,
+        membership.on(5, changes(entry(1, Phase.SERVING, 9))).entries().get(0).phase());
+  }
+
+  @Test
+  void anUnknownOneIsNamedSo() {
+    assertFalse(membership.on(1, new TakeOut(7)).known());
+    assertFalse(membership.on(1, new PutBack(7)).known());
+    membership.on(2, full(entry(7, Phase.SERVING, 0)));
+    assertTrue(membership.on(3, new PutBack(7)).known(), "it was never out, and is there");
+    assertTrue(membership.on(4, new TakeOut(7)).known());
+    membership.on(5, full());
+    assertTrue(membership.on(6, new TakeOut(7)).known(), "out, though no list names it");
+    assertTrue(membership.on(7, new PutBack(7)).known());
+    assertFalse(membership.on(8, new PutBack(7)).known());
+  }
+
+  @Test
+  void backItIsColdFromTheCallUntilItsStartIsTold() {
+    membership.on(1000, full(entry(1, Phase.SERVING, FIRST_START)));
+    membership.on(2000, new TakeOut(1));
+    membership.on(2100, new TakeOut(1));
+    assertEquals(List.of(entry(1, Phase.SERVING, 5000)), membership.on(5000, new PutBack(1)).entries());
+    assertEquals(5000, membership.on(5100, full(entry(1, Phase.SERVING, FIRST_START))).entries().get(0)
+        .startedMs(), "a list that is late");
+    assertEquals(3000, membership.on(5200, full(entry(1, Phase.SERVING, 3000))).entries().get(0).startedMs());
+    assertEquals(3000, membership.on(5300, full(entry(1, Phase.SERVING, 3000))).entries().get(0).startedMs());
+  }
+
+  @Test
+  void aStartThatWasToldWhileItWasOutIsItsStart() {
+    membership.on(1000, full(entry(1, Phase.SERVING, 0)));
+    membership.on(2000, new TakeOut(1));
+    membership.on(4000, changes(entry(1, Phase.SERVING, 3500)));
+    assertEquals(List.of(entry(1, Phase.SERVING, 3500)), membership.on(5000, new PutBack(1)).entries());
+  }
+
+  @Test
+  void whatAnotherProcessKnewIsOutHereToo() {
+    membership.on(1, full(entry(1, Phase.SERVING, 0), entry(2, Phase.SERVING, 0)));
+    membership.on(2, new TakeOut(2));
+    Membership successor = new Membership();
+    successor.on(3, full(entry(1, Phase.SERVING, 0), entry(2, Phase.SERVING, 0)));
+    assertEquals(List.of(entry(2, Phase.DRAINING, 0)), successor.on(4, new Inherited(membership.out()))
+        .entries());
+    assertEquals(List.of(), successor.on(5, new Inherited(membership.out())).entries(), "told again, no news");
+    assertEquals(membership.out(), successor.out());
+    assertTrue(successor.on(6, new Inherited(List.of(new Out(9, 1)))).entries().isEmpty(), "not listed yet");
+    assertEquals(Phase.DRAINING, successor.on(7, changes(entry(9, Phase.SERVING, 0))).entries().get(0)
+        .phase());
+  }
+
+  @Test
+  void theOutAreBounded() {
+    List<BackendEntry> many = new ArrayList<>();
+    List<Out> out = new ArrayList<>();
+    for (long id = 0; id <= Membership.MOST_OUT; id++) {
+      many.add(entry(id, Phase.SERVING, 0));
+      out.add(new Out(id, 1));
+    }
+    membership.on(1, new Listed(true, many));
+    membership.on(2, new Inherited(out));
+    assertEquals(Membership.MOST_OUT, membership.out().size());
+    assertFalse(membership.on(3, new TakeOut(Membership.MOST_OUT)).known());
+    assertTrue(membership.on(4, new TakeOut(0)).known());
+  }
+
+  /** Every order, with repeats, of six events that concern one backend, against what each rule says of it. */
+  @Test
+  void everyOrderOfAHandfulOfEventsKeepsTheRules() {
+    List<MembershipEvent> events = List.of(new TakeOut(1), new PutBack(1),
+        full(entry(1, Phase.SERVING, FIRST_START)), full(), changes(entry(1, Phase.REMOVED, 0)),
+        changes(entry(1, Phase.SERVING, 5)));
+    int orders = 0;
+    for (int length = 1; length <= 6; length++) {
+      int all = (int) Math.pow(events.size(), length);
+      for (int order = 0; order < all; order++, orders++) {
+        play(events, order, length);
+      }
+    }
+    assertEquals(55_986, orders);
+  }
+
+  private static void play(List<MembershipEvent> events, int order, int length) {
+    Membership m = new Membership();
+    Map<Long, BackendEntry> roster = new HashMap<>();
+    boolean out = false;
+    boolean listed = false;
+    double start = 0;
+    String history = "";
+    int rest = order;
+    for (int i = 0; i < length; i++, rest /= events.size()) {
+      MembershipEvent event = events.get(rest % events.size());
+      history += event + "; ";
+      Told told = m.on(1000 + i, event);
+      boolean known = true;
+      if (event instanceof TakeOut) {
+        known = out || listed;
+        out |= listed;
+      } else if (event instanceof PutBack) {
+        known = out || listed;
+        out = false;
+      } else if (event instanceof Listed e) {
+        listed = e.full() ? !e.entries().isEmpty() : e.entries().get(0).phase() != Phase.REMOVED;
+        start = listed ? e.entries().get(0).startedMs() : start;
+      }
+      assertEquals(known, told.known(), history);
+      if (told.full()) {
+        roster.clear();
+      }
+      told.entries().forEach(e -> roster.put(e.id(), e));
+      BackendEntry heard = roster.get(1L);
+      boolean there = heard != null && heard.phase() != Phase.REMOVED;
+      assertEquals(listed, there, history);
+      if (there) {
+        assertEquals(out ? Phase.DRAINING : Phase.SERVING, heard.phase(), history);
+        assertTrue(heard.startedMs() >= start, history);
+      }
+      assertEquals(out ? 1 : 0, m.out().size(), history);
+    }
+  }
+}
