--- a/policy/src/main/java/willowdoor/membership/Membership.java
+++ b/policy/src/main/java/willowdoor/membership/Membership.java
@@ -17,11 +17,11 @@
  * in, the roster out that all decisions hear. It does no I/O, reads no clock and starts no thread.
  *
  * <p>A backend that is out counts as draining whatever the lists say, by its id alone: over full lists, over
- * lists that drop it and name it again, over changes of its address. It is told as gone where it is gone. Back
- * in, it counts as cold, since it is put back after work on it: a start that was told since it went out is its
- * start; until one is told, the moment of the call is taken for it. Guards against a backend that is pushed
- * over because its restart is told seconds after it is back. Harm: one that was not restarted is spared for
- * the time that a cold one takes.
+ * lists that drop it and name it again, over changes of its address. It is told as gone where it is gone.
+ * Back in, it counts as cold, since it is put back after work on it: a start that was told since it went out
+ * is its start; until one is told, the moment of the call is taken for it. Guards against one that is
+ * pushed over because its restart is told seconds after it is back. Harm: one that was not restarted is spared
+ * for the time that a cold one takes.
  */
 public final class Membership {
 
--- a/policy/src/test/java/willowdoor/membership/MembershipTest.java
+++ b/policy/src/test/java/willowdoor/membership/MembershipTest.java
@@ -41,7 +41,8 @@
     assertEquals(List.of(entry(1, Phase.DRAINING, 0)), out.entries());
     assertFalse(out.full());
     assertEquals(Phase.DRAINING, membership.on(3, full(entry(1, Phase.SERVING, 9))).entries().get(0).phase());
-    assertEquals(Phase.REMOVED, membership.on(4, changes(entry(1, Phase.REMOVED, 9))).entries().get(0).phase());
+    assertEquals(Phase.REMOVED,
+        membership.on(4, changes(entry(1, Phase.REMOVED, 9))).entries().get(0).phase());
     assertEquals(Phase.DRAINING,
         membership.on(5, changes(entry(1, Phase.SERVING, 9))).entries().get(0).phase());
   }
@@ -87,9 +88,9 @@
     successor.on(3, full(entry(1, Phase.SERVING, 0), entry(2, Phase.SERVING, 0)));
     assertEquals(List.of(entry(2, Phase.DRAINING, 0)), successor.on(4, new Inherited(membership.out()))
         .entries());
-    assertEquals(List.of(), successor.on(5, new Inherited(membership.out())).entries(), "told again, no news");
+    assertEquals(List.of(), successor.on(5, new Inherited(membership.out())).entries(), "no news");
     assertEquals(membership.out(), successor.out());
-    assertTrue(successor.on(6, new Inherited(List.of(new Out(9, 1)))).entries().isEmpty(), "not listed yet");
+    assertTrue(successor.on(6, new Inherited(List.of(new Out(9, 1)))).entries().isEmpty(), "not listed");
     assertEquals(Phase.DRAINING, successor.on(7, changes(entry(9, Phase.SERVING, 0))).entries().get(0)
         .phase());
   }
