--- a/policy/src/main/java/willowdoor/membership/Membership.java
+++ b/policy/src/main/java/willowdoor/membership/Membership.java
@@ -20,8 +20,8 @@
  * lists that drop it and name it again, over changes of its address. It is told as gone where it is gone.
  * Back in, it counts as cold, since it is put back after work on it: a start that was told since it went out
  * is its start; until one is told, the moment of the call is taken for it. Guards against one that is
- * pushed over because its restart is told seconds after it is back. Harm: one that was not restarted is spared
- * for the time that a cold one takes.
+ * pushed over because its restart is told seconds after it is back. Harm: one that was not restarted is
+ * spared for the time that a cold one takes.
  */
 public final class Membership {
 
