--- a/door/src/main/java/willowdoor/management/Call.java
+++ b/door/src/main/java/willowdoor/management/Call.java
@@ -16,6 +16,14 @@
   /** An order to carry out. */
   record Ordered(Order order) implements Call { }
 
+  /**
+   * The other process of this front door tells of itself.
+   *
+   * @param at where it is managed
+   * @param serves whether it takes clients
+   */
+  record Hello(String at, boolean serves) implements Call { }
+
   /** None of the calls there are. */
   record Bad(Reply reply) implements Call { }
 
@@ -45,6 +53,10 @@
       case "/ready" -> with(message, HttpMethod.GET, new Ready());
       case "/drain" -> with(message, HttpMethod.POST, new Ordered(new Order.Drain()));
       case "/undrain" -> with(message, HttpMethod.POST, new Ordered(new Order.Undrain()));
+      case "/twin" -> fields.getOrDefault("at", List.of()).size() != 1
+          || fields.getOrDefault("serves", List.of()).size() != 1 ? bad(400, "expected one at and one serves")
+          : with(message, HttpMethod.POST, new Hello(fields.get("at").get(0),
+              Boolean.parseBoolean(fields.get("serves").get(0))));
       case "/backends/disable", "/backends/enable" -> member(message, path, fields.get("member"));
       default -> bad(404, "no such call: expected /ready, /backends/disable, /backends/enable, /drain or"
           + " /undrain");
--- a/door/src/main/java/willowdoor/management/ManagementServer.java
+++ b/door/src/main/java/willowdoor/management/ManagementServer.java
@@ -89,7 +89,7 @@
     asking.add(channel);
     channel.pipeline().addLast(new HttpRequestDecoder(new HttpDecoderConfig()
         .setMaxInitialLineLength(MOST_LINE).setMaxHeaderSize(MOST_HEADERS)), new HttpResponseEncoder(),
-        new HttpObjectAggregator(MOST_BODY, true), new Caller());
+        new HttpObjectAggregator(MOST_BODY, true), new Asked());
     channel.eventLoop().schedule(() -> {
       if (asking.remove(channel)) {
         channel.close();
@@ -98,7 +98,7 @@
   }
 
   /** One caller, and its one call. */
-  private final class Caller extends SimpleChannelInboundHandler<FullHttpRequest> {
+  private final class Asked extends SimpleChannelInboundHandler<FullHttpRequest> {
     private boolean called;
 
     @Override
@@ -111,6 +111,8 @@
       Call call = Call.read(message);
       if (call instanceof Call.Ready) {
         answer(ctx, operations.ready() ? Reply.yes("ready") : new Reply(503, "not ready"));
+      } else if (call instanceof Call.Hello hello) {
+        answer(ctx, operations.hello(hello.at(), hello.serves()));
       } else if (call instanceof Call.Bad bad) {
         answer(ctx, bad.reply());
       } else if (call instanceof Call.Ordered ordered) {
--- a/door/src/main/java/willowdoor/management/Operations.java
+++ b/door/src/main/java/willowdoor/management/Operations.java
@@ -8,6 +8,15 @@
   /** Whether this process is ready to serve, whether or not operators have sent the clients away. */
   boolean ready();
 
+  /**
+   * The other process of this front door tells of itself.
+   *
+   * @param at where it is managed
+   * @param serves whether it takes clients
+   * @return with a yes, the state that it has to go on from
+   */
+  Reply hello(String at, boolean serves);
+
   /**
    * Has the order hold for whatever begins after it.
    *
--- a/door/src/main/java/willowdoor/net/ClientServer.java
+++ b/door/src/main/java/willowdoor/net/ClientServer.java
@@ -34,11 +34,11 @@
   /** How often connections are looked at for overdue requests. */
   private static final long SWEEP_MS = 200;
   /** A front looks at /up every 0.1 s and sends new connections for 0.2 s more: none ends before. */
-  private static final double EMPTY_AFTER_MS = 500;
+  static final double EMPTY_AFTER_MS = 500;
   /** One without a request for so long is ended then; few requests cross the end of such a one. */
   private static final double EMPTY_QUIET_MS = 300;
-  /** After this one is ended as soon as no request is on it: 4 s after the call none may be held. */
-  private static final double EMPTY_ALL_MS = 1_600;
+  /** So long after that any is ended as soon as no request is on it: 4 s after the call none may be held. */
+  private static final double EMPTY_ALL_MS = 1_100;
 
   private final Clock clock;
   private final ModuleDriver driver;
@@ -52,8 +52,8 @@
   private boolean ready;
   private boolean draining;
   private boolean leaving;
-  /** When clients began to be sent away, or NaN; their idle connections end from then on. */
-  private double emptyingSince = Double.NaN;
+  /** Clients' idle connections end from then on, or NaN. */
+  private double emptyingFrom = Double.NaN;
 
   ClientServer(EventLoop loop, Clock clock, ModuleDriver driver, BackendPool backends, RequestReader reader,
       Bounds bounds, Places places) {
@@ -66,9 +66,17 @@
     loop.scheduleWithFixedDelay(this::endOverdue, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
   }
 
-  /** Listens and takes nothing yet: connections wait in the accept queue. */
-  ChannelFuture listen(EventLoopGroup group, InetSocketAddress address) {
-    return bootstrap(group).channel(Transport.BEST.serverSocket())
+  /**
+   * Listens and takes nothing yet: connections wait in the accept queue.
+   *
+   * @param shared another process of this front door may listen at the same address
+   */
+  ChannelFuture listen(EventLoopGroup group, InetSocketAddress address, boolean shared) {
+    ServerBootstrap bootstrap = bootstrap(group);
+    if (shared) {
+      bootstrap.option(Transport.SHARED, true);
+    }
+    return bootstrap.channel(Transport.BEST.serverSocket())
         .option(ChannelOption.SO_BACKLOG, 512)
         .option(ChannelOption.SO_REUSEADDR, true)
         .bind(address);
@@ -217,8 +225,8 @@
   private void endOverdue() {
     double now = clock.now();
     List.copyOf(connections).forEach(c -> c.endIfOverdue(now));
-    if (now - emptyingSince > EMPTY_AFTER_MS) {
-      double quiet = now - emptyingSince > EMPTY_ALL_MS ? 0 : EMPTY_QUIET_MS;
+    if (now >= emptyingFrom) {
+      double quiet = now - emptyingFrom > EMPTY_ALL_MS ? 0 : EMPTY_QUIET_MS;
       List.copyOf(connections).forEach(c -> c.endIfQuiet(now, quiet));
     }
   }
@@ -227,9 +235,11 @@
    * Ends clients' connections from here on, each with its next answer or when it has been quiet, or keeps
    * them again; new ones are still taken. Guards against requests that cross the end of their connection: it
    * is the quiet ones that end, and all others by their answer, which tells the client.
+   *
+   * @param afterMs in so long, or NaN for not at all
    */
-  void empty(boolean on) {
-    emptyingSince = on ? clock.now() : Double.NaN;
+  void empty(double afterMs) {
+    emptyingFrom = clock.now() + afterMs;
   }
 
   /** From here on it is not to be found, or is again; connections are taken and kept as before. */
@@ -247,6 +257,14 @@
     listening.close();
   }
 
+  /**
+   * The same once what waits to be accepted is in. Guards connections that came to this socket and not to the
+   * other process's: an end of the socket resets them. The loop looks at its sockets before its timers.
+   */
+  void stopListeningEmpty(Channel listening) {
+    listening.eventLoop().schedule(() -> listening.close(), 1, TimeUnit.MILLISECONDS);
+  }
+
   /** Takes no more connections, and ends those that no request is on. */
   void stopAccepting(Channel listening) {
     listening.close();
--- a/door/src/main/java/willowdoor/net/FrontDoor.java
+++ b/door/src/main/java/willowdoor/net/FrontDoor.java
@@ -9,14 +9,11 @@
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import java.util.logging.Logger;
-import willowdoor.management.ManagementServer;
-import willowdoor.management.Operations;
-import willowdoor.management.Order;
-import willowdoor.management.Reply;
+import willowdoor.membership.Out;
 import willowdoor.policy.GatewayApi.Request;
 import willowdoor.policy.QuotaPolicy;
 import willowdoor.recovery.CounterWatch;
@@ -49,12 +46,9 @@
   private DiscoveryClient discovery;
   private MergedRoster roster;
   private Channel listening;
+  private Places places;
   /** Null where operators do not call. */
-  private ManagementServer management;
-  /** Operators have sent the clients away. */
-  private boolean sentAway;
-  private boolean found;
-  private boolean ending;
+  private Managed managed;
 
   private FrontDoor() {
   }
@@ -67,7 +61,7 @@
     }
     Path path = Path.of(file);
     Config config = Config.read(path);
-    FrontDoor door = start(config, wired -> {
+    FrontDoor door = start(config, System.getenv("TMPDIR"), wired -> {
       Signals.handle("HUP", () -> wired.reload(path));
       warmUp(config);
     });
@@ -79,26 +73,38 @@
   }
 
   static FrontDoor start(Config config) throws IOException, InterruptedException {
-    return start(config, wired -> { });
+    return start(config, null);
+  }
+
+  /** The same for one that shares a folder with other processes of its front door, or with null none. */
+  static FrontDoor start(Config config, String folder) throws IOException, InterruptedException {
+    return start(config, folder, wired -> { });
   }
 
   /** Starts it; what is to be ready before the first client is done between its wiring and its listening. */
-  private static FrontDoor start(Config config, Preparation beforeListening)
+  private static FrontDoor start(Config config, String folder, Preparation beforeListening)
       throws IOException, InterruptedException {
     FrontDoor door = wired(config);
     try {
       if (config.management() != null) {
-        door.manage(config.management());
+        door.manage(config.management(), folder);
       }
       beforeListening.of(door);
-      door.bind(config.listen());
+      door.bind(config.listen(), config.management() != null);
+      if (config.management() != null) {
+        door.managed.nameItself();
+      }
     } catch (IOException | RuntimeException e) {
       door.stop();
       throw e;
     }
     door.loop.execute(() -> {
       door.accept();
-      door.beFound();
+      if (door.managed == null) {
+        door.beFound();
+      } else {
+        door.managed.serves(door::beFound);
+      }
     });
     return door;
   }
@@ -128,7 +134,7 @@
   }
 
   private void wire(Config config, CounterStore.Maker counts) {
-    Places places = new Places(config.limits().places());
+    places = new Places(config.limits().places());
     BackendPool backends = new BackendPool(loop, clock, Dialer.sockets(loop, config.connectLimitMs()),
         config.idleLimitMs(), places);
     QuotaPolicy policy = new QuotaPolicy(config.settings(), config.seed());
@@ -193,8 +199,12 @@
 
   /** Listens, and leaves what comes in the accept queue until {@link #accept}; not for the loop's thread. */
   public void bind(InetSocketAddress address) throws IOException, InterruptedException {
+    bind(address, false);
+  }
+
+  private void bind(InetSocketAddress address, boolean shared) throws IOException, InterruptedException {
     try {
-      listening = clients.listen(group, address).sync().channel();
+      listening = clients.listen(group, address, shared).sync().channel();
     } catch (InterruptedException e) {
       throw e;
     } catch (Exception e) {
@@ -232,74 +242,33 @@
 
   /** Answers {@code GET /up} with 200 from here on, as soon as a backend is known. */
   public void beFound() {
-    found = true;
     clients.serve();
   }
 
-  /** Has operators call at this address from here on; not for the loop's thread. */
-  public void manage(InetSocketAddress address) throws IOException, InterruptedException {
-    management = new ManagementServer(new Managed());
-    management.listen(group, Transport.BEST.serverSocket(), address);
+  /**
+   * Has operators call at this address from here on, and goes on from what another process of this front door
+   * says; not for the loop's thread.
+   *
+   * @param folder where processes of this front door find each other, or null
+   */
+  void manage(InetSocketAddress address, String folder) throws IOException, InterruptedException {
+    managed = new Managed(this, roster, clients, places, new TwinFile(folder));
+    managed.open(group, address);
   }
 
   /** Where operators call. */
   SocketAddress managementAddress() {
-    return management.address();
-  }
-
-  /** What operators may do with this door. */
-  private final class Managed implements Operations {
-    @Override
-    public boolean ready() {
-      return found && !ending && driver.knowsBackends();
-    }
-
-    @Override
-    public void carryOut(Order order, boolean forwarded, Consumer<Reply> told) {
-      told.accept(carryOut(order));
-    }
-
-    private Reply carryOut(Order order) {
-      if (order instanceof Order.Drain) {
-        sendAway();
-        return Reply.yes("draining");
-      }
-      if (order instanceof Order.Undrain) {
-        takeBack();
-        return Reply.yes("serving");
-      }
-      if (order instanceof Order.Disable o) {
-        return roster.takeOut(o.member()) ? Reply.yes("out: " + o.member()) : unknown(o.member());
-      }
-      Order.Enable o = (Order.Enable) order;
-      return roster.putBack(o.member()) ? Reply.yes("back: " + o.member()) : unknown(o.member());
-    }
-
-    private Reply unknown(String member) {
-      return new Reply(404, "no backend " + member + " is listed");
-    }
+    return managed.address();
   }
 
-  /** Operators send the clients away: as before an end, but nothing ends but the clients' connections. */
-  private void sendAway() {
-    if (!sentAway) {
-      sentAway = true;
-      if (!ending) {
-        beginDrain();
-        clients.empty(true);
-      }
-    }
+  /** The backends that operators have taken out; on the loop. */
+  List<Out> out() {
+    return roster.out();
   }
 
-  /** They may come back; one that is ending goes on doing so. */
-  private void takeBack() {
-    if (sentAway) {
-      sentAway = false;
-      if (!ending) {
-        clients.empty(false);
-        resume();
-      }
-    }
+  /** Whether any backend is listed, in use or not. */
+  boolean knowsBackends() {
+    return roster.listsAny();
   }
 
   /**
@@ -373,14 +342,12 @@
   /** The planned end: accept a little longer, answer all that was taken, then let the process go. */
   void drain() {
     loop.execute(() -> {
-      ending = true;
-      clients.drain(true);
+      if (managed != null && managed.ends()) {
+        leaveToOther();
+      } else {
+        leave();
+      }
     });
-    loop.schedule(() -> clients.stopListening(listening), ACCEPT_MS, TimeUnit.MILLISECONDS);
-    loop.schedule(() -> {
-      beginDrain();
-      stopAccepting();
-    }, KEEP_MS, TimeUnit.MILLISECONDS);
     loop.scheduleWithFixedDelay(() -> {
       if (clients.idle()) {
         drained.countDown();
@@ -397,6 +364,23 @@
     stop();
   }
 
+  private void leave() {
+    clients.drain(true);
+    loop.schedule(() -> clients.stopListening(listening), ACCEPT_MS, TimeUnit.MILLISECONDS);
+    loop.schedule(() -> {
+      beginDrain();
+      stopAccepting();
+    }, KEEP_MS, TimeUnit.MILLISECONDS);
+  }
+
+  /** Another process listens at the same address: clients come there from their next connection on. */
+  private void leaveToOther() {
+    driver.draining(true);
+    clients.leave(true);
+    clients.stopListeningEmpty(listening);
+    clients.empty(0);
+  }
+
   /** Ends the loop, and with it every socket. */
   public void stop() {
     if (counter != null) {
--- a/door/src/main/java/willowdoor/net/MergedRoster.java
+++ b/door/src/main/java/willowdoor/net/MergedRoster.java
@@ -61,6 +61,10 @@
     said(new Inherited(out));
   }
 
+  boolean listsAny() {
+    return !places.isEmpty();
+  }
+
   List<Out> out() {
     return membership.out();
   }
--- a/door/src/main/java/willowdoor/net/ModuleDriver.java
+++ b/door/src/main/java/willowdoor/net/ModuleDriver.java
@@ -168,10 +168,6 @@
     }
   }
 
-  boolean knowsBackends() {
-    return backends.knowsAny();
-  }
-
   int held() {
     return live.size();
   }
--- a/door/src/main/java/willowdoor/net/Places.java
+++ b/door/src/main/java/willowdoor/net/Places.java
@@ -12,14 +12,21 @@
   /** Clients hold a third of all descriptors at most for requests, each with one attempt out. */
   private static final double MOST_FOR_BACKENDS = 0.44;
 
-  private final int all;
+  private final int whole;
+  private int all;
   private int clients;
   private int backends;
 
   Places(int all) {
+    this.whole = all;
     this.all = all;
   }
 
+  /** Two processes share the places from here on, or this one has all of them; what is open stays open. */
+  void halve(boolean on) {
+    all = on ? whole / 2 : whole;
+  }
+
   void client(int change) {
     clients += change;
   }
--- a/door/src/main/java/willowdoor/net/Transport.java
+++ b/door/src/main/java/willowdoor/net/Transport.java
@@ -2,18 +2,22 @@
 
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelException;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.IoHandlerFactory;
 import io.netty.channel.ServerChannel;
 import io.netty.channel.epoll.Epoll;
+import io.netty.channel.epoll.EpollChannelOption;
 import io.netty.channel.epoll.EpollIoHandler;
 import io.netty.channel.epoll.EpollServerSocketChannel;
 import io.netty.channel.epoll.EpollSocketChannel;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.ServerSocketChannel;
 import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.channel.unix.UnixChannel;
+import java.net.StandardSocketOptions;
 
 /**
  * The sockets that the event loop drives: native epoll, which took a quarter less CPU on a calm day, or NIO
@@ -26,6 +30,10 @@
       ? new Transport(EpollIoHandler.newFactory(), EpollSocketChannel.class, EpollServerSocketChannel.class)
       : new Transport(NioIoHandler.newFactory(), NioSocketChannel.class, NioServerSocketChannel.class);
 
+  /** More than one process may listen at the address. */
+  static final ChannelOption<Boolean> SHARED = Epoll.isAvailable() ? EpollChannelOption.SO_REUSEPORT
+      : NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT);
+
   /** A server socket's channel on a descriptor that listens already; for epoll alone. */
   static ServerChannel listening(int descriptor) {
     if (!Epoll.isAvailable()) {
