--- a/door/src/main/java/willowdoor/net/Attempt.java
+++ b/door/src/main/java/willowdoor/net/Attempt.java
@@ -16,6 +16,8 @@
   boolean written;
   /** Fires when the attempt's time is up. */
   Future<?> timer;
+  /** What of a long answer is still to come, or null. */
+  AnswerPipe rest;
   private boolean ended;
 
   Attempt(FullHttpRequest message, double timeoutMs) {
--- a/door/src/main/java/willowdoor/net/BackendPool.java
+++ b/door/src/main/java/willowdoor/net/BackendPool.java
@@ -89,6 +89,10 @@
     }
   }
 
+  double now() {
+    return clock.now();
+  }
+
   boolean knowsAny() {
     return !backends.isEmpty();
   }
--- a/door/src/main/java/willowdoor/net/ClientConnection.java
+++ b/door/src/main/java/willowdoor/net/ClientConnection.java
@@ -10,15 +10,19 @@
 import io.netty.handler.codec.CodecException;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpContentException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
@@ -35,10 +39,12 @@
   /** How long a connection that is ended over bad input stays half open, so that the answer is read. */
   private static final long LINGER_MS = 300;
   /**
-   * From its connecting, or for a later request from its first byte, a client has so long for a whole
-   * request. A trickle does not extend it: each held connection is one that another client cannot have.
+   * From its connecting, or for a later request from its first byte, a client has so long for a request's
+   * head, which may take it 2 s, and more by what has come, as a body may come at 64 kB a second. A trickle
+   * does not extend it: each held connection is one that another client cannot have.
    */
-  private static final double REQUEST_MS = 2_200;
+  private static final double REQUEST_MS = 2_600;
+  private static final double LEAST_BYTES_PER_MS = 40;
   /** Between requests a connection may be ended after this, if another wants its place. */
   private static final double EVICT_MS = 2_050;
   /** One with no whole request in so long goes sooner: clients connect in order to ask, and ask at once. */
@@ -55,6 +61,10 @@
   /** The request that is being worked on, and whether its connection is kept after it. */
   private String current;
   private boolean keepAlive;
+  /** Whether its client reads chunks. */
+  private boolean chunks;
+  /** The answer that passes through, or null. */
+  private AnswerPipe passing;
   private boolean ending;
   /** When it was opened or last answered. */
   private double quietSince;
@@ -133,7 +143,8 @@
       return;
     }
     if (!Double.isNaN(receivingSince)) {
-      if (now - (asked ? receivingSince : quietSince) > REQUEST_MS) {
+      double wait = REQUEST_MS + receivedBytes / LEAST_BYTES_PER_MS;
+      if (now - (asked ? receivingSince : quietSince) > wait) {
         endWith(HttpResponseStatus.REQUEST_TIMEOUT, "request is not whole in time");
       }
     } else if (now - quietSince > (asked ? IDLE_MS : REQUEST_MS)) {
@@ -180,6 +191,7 @@
     asked = true;
     try {
       keepAlive = HttpUtil.isKeepAlive(message);
+      chunks = message.protocolVersion().compareTo(HttpVersion.HTTP_1_1) >= 0;
       if (message.decoderResult().isFailure()) {
         endWith(HttpResponseStatus.BAD_REQUEST, "malformed request");
       } else if (message.uri().equals("/up")) {
@@ -229,9 +241,13 @@
     current = request.id();
     server.driver().take(request, onward, new ModuleDriver.Client() {
       @Override
-      public void served(FullHttpResponse answer, HttpHeaders more) {
-        current = null;
-        ClientConnection.this.served(answer, more);
+      public void served(FullHttpResponse answer, HttpHeaders more, AnswerPipe rest) {
+        if (rest == null) {
+          current = null;
+          ClientConnection.this.served(answer, more);
+        } else {
+          passOn(answer, more, rest);
+        }
       }
 
       @Override
@@ -291,6 +307,81 @@
     write(answer);
   }
 
+  /** Passes a long answer on as it comes; the connection is taken until its end. */
+  private void passOn(FullHttpResponse from, HttpHeaders more, AnswerPipe rest) {
+    HttpResponse answer = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+    String type = from.headers().get(HttpHeaderNames.CONTENT_TYPE);
+    if (type != null) {
+      answer.headers().set(HttpHeaderNames.CONTENT_TYPE, type);
+    }
+    if (more != null) {
+      answer.headers().add(more);
+    }
+    if (HttpUtil.isContentLengthSet(from)) {
+      answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, HttpUtil.getContentLength(from));
+    } else if (chunks) {
+      HttpUtil.setTransferEncodingChunked(answer, true);
+    } else {
+      keepAlive = false;
+    }
+    boolean keep = keeps();
+    if (!keep) {
+      answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+    }
+    passing = rest;
+    channel.write(answer);
+    rest.to(new AnswerPipe.Taker() {
+      @Override
+      public void piece(ByteBuf bytes) {
+        channel.writeAndFlush(new DefaultHttpContent(bytes));
+        if (!channel.isWritable()) {
+          rest.readOn(false);
+        }
+      }
+
+      @Override
+      public void whole() {
+        passing = null;
+        current = null;
+        quietSince = server.now();
+        ending |= !keep;
+        channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT).addListener(keep
+            ? ChannelFutureListener.CLOSE_ON_FAILURE : ChannelFutureListener.CLOSE);
+        if (ending) {
+          dropWaiting();
+        }
+        proceed();
+      }
+
+      @Override
+      public void broken() {
+        passing = null;
+        breakOff();
+      }
+    });
+  }
+
+  /** Ends it so that its client can tell that the answer is not whole: by a reset, whatever its framing. */
+  private void breakOff() {
+    ending = true;
+    if (channel.isActive() && channel instanceof SocketChannel socket) {
+      socket.config().setSoLinger(0);
+    }
+    channel.close();
+  }
+
+  @Override
+  public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+    if (passing != null) {
+      passing.readOn(channel.isWritable());
+    }
+  }
+
+  private boolean keeps() {
+    // In a crowd a kept connection is a place that another client may not find.
+    return keepAlive && !server.leaving() && !server.crowded() && !(overrun && waiting.isEmpty());
+  }
+
   private void refused(double holdOffMs) {
     FullHttpResponse answer = empty(holdOffMs > 0 ? HttpResponseStatus.TOO_MANY_REQUESTS
         : HttpResponseStatus.SERVICE_UNAVAILABLE);
@@ -316,8 +407,7 @@
   private void write(FullHttpResponse answer) {
     answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, answer.content().readableBytes());
     quietSince = server.now();
-    // In a crowd a kept connection is a place that another client may not find.
-    boolean keep = keepAlive && !server.leaving() && !server.crowded() && !(overrun && waiting.isEmpty());
+    boolean keep = keeps();
     if (!keep) {
       ending = true;
       answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
@@ -371,7 +461,9 @@
     receivedAll();
     dropWaiting();
     server.closed(this);
-    if (current != null) {
+    if (passing != null) {
+      passing.breakOff();
+    } else if (current != null) {
       server.driver().clientLeft(current);
       current = null;
     }
--- a/door/src/main/java/willowdoor/net/ClientServer.java
+++ b/door/src/main/java/willowdoor/net/ClientServer.java
@@ -10,6 +10,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.WriteBufferWaterMark;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObjectAggregator;
@@ -31,6 +32,8 @@
   /** With so much of the places taken, connections end with their answers. */
   private static final double CROWDED = 0.75;
   private static final int MOST_BODY = 64 * 1024;
+  /** Of an answer that passes through, so much waits to be taken by its client. */
+  private static final WriteBufferWaterMark PASSING = new WriteBufferWaterMark(16 * 1024, 48 * 1024);
   /** How often connections are looked at for overdue requests. */
   private static final long SWEEP_MS = 200;
   /** A front looks at /up every 0.1 s and sends new connections for 0.2 s more: none ends before. */
@@ -92,6 +95,7 @@
         .option(ChannelOption.AUTO_READ, false)
         .childOption(ChannelOption.AUTO_READ, true)
         .childOption(ChannelOption.TCP_NODELAY, true)
+        .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, PASSING)
         .childHandler(new ChannelInitializer<Channel>() {
           @Override
           protected void initChannel(Channel channel) {
--- a/door/src/main/java/willowdoor/net/ModuleDriver.java
+++ b/door/src/main/java/willowdoor/net/ModuleDriver.java
@@ -48,8 +48,12 @@
 
   /** Who waits for the one final answer. */
   interface Client {
-    /** A backend's answer, with further headers for the client, or null. */
-    void served(FullHttpResponse answer, HttpHeaders more);
+    /**
+     * A backend's answer, with further headers for the client, or null.
+     *
+     * @param rest its body, as it comes; null when the answer is whole
+     */
+    void served(FullHttpResponse answer, HttpHeaders more, AnswerPipe rest);
 
     void refused(double holdOffMs);
 
@@ -410,7 +414,7 @@
     Attempt attempt = new Attempt(r.message, timeout) {
       @Override
       void onEnd(Status status, FullHttpResponse answer) {
-        attemptEnded(r, number, a.backend(), status, clock.now() - sentAt, answer);
+        attemptEnded(r, number, a.backend(), status, clock.now() - sentAt, answer, rest);
       }
     };
     r.attempts.add(attempt);
@@ -419,7 +423,7 @@
   }
 
   private void attemptEnded(Live r, int number, long backend, Status status, double latencyMs,
-      FullHttpResponse answer) {
+      FullHttpResponse answer, AnswerPipe rest) {
     r.out--;
     double units = 0;
     if (answer != null) {
@@ -428,7 +432,9 @@
         r.entry.charged(units);
       }
       if (r.finish(Gate.End.SERVED)) {
-        r.client.served(answer, r.forClient);
+        r.client.served(answer, r.forClient, rest);
+      } else if (rest != null) {
+        rest.breakOff();
       }
     }
     deliver(new Outcome(r.request.id(), number, backend, status, latencyMs, r.finished, units, null));
--- /dev/null
+++ b/door/src/test/java/willowdoor/net/LongAnswerTest.java
@@ -0,0 +1,237 @@
+package willowdoor.net;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.buffer.PooledByteBufAllocator;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import willowdoor.net.Peers.Client;
+import willowdoor.net.Peers.Message;
+
+/** Answers that are long, slow, in pieces or without a length, through a real front door. */
+@Timeout(60)
+class LongAnswerTest {
+
+  private static final int LONG = 3_000_001;
+  private final Peers peers = new Peers();
+  private final byte[] body = new byte[LONG];
+
+  @BeforeEach
+  void start() throws Exception {
+    new Random(7).nextBytes(body);
+    peers.start();
+  }
+
+  @AfterEach
+  void close() throws Exception {
+    peers.close();
+  }
+
+  private static void pause(long ms) throws IOException {
+    try {
+      Thread.sleep(ms);
+    } catch (InterruptedException e) {
+      throw new IOException(e);
+    }
+  }
+
+  private static void head(OutputStream out, String fields) throws IOException {
+    Peers.write(out, "HTTP/1.1 200 OK\r\nX-Units-Charged: 2\r\n" + fields + "\r\n");
+  }
+
+  private static void chunk(OutputStream out, byte[] from, int at, int length) throws IOException {
+    Peers.write(out, Integer.toHexString(length) + ";a=b\r\n");
+    out.write(from, at, length);
+    Peers.write(out, "\r\n");
+  }
+
+  @Test
+  void aLongAnswerPassesThroughAndItsConnectionIsKept() throws Exception {
+    peers.answer = (request, out) -> {
+      head(out, "Content-Length: " + LONG + "\r\n");
+      out.write(body);
+      return true;
+    };
+    Client client = peers.client();
+    Message answer = client.ask(Peers.get("r1", 3000));
+    assertArrayEquals(body, answer.body());
+    peers.answer = (request, out) -> Peers.write(out, Peers.OK);
+    assertEquals("fine", client.ask(Peers.get("r2", 3000)).text(), "the next on the same connection");
+  }
+
+  @Test
+  void nothingIsHeldBackWhileTheBackendPauses() throws Exception {
+    peers.answer = (request, out) -> {
+      head(out, "Content-Length: " + LONG + "\r\n");
+      out.write(body, 0, 1_000);
+      pause(1_500);
+      out.write(body, 1_000, LONG - 1_000);
+      return true;
+    };
+    Client client = peers.client();
+    client.send(Peers.get("r1", 1000));
+    InputStream in = client.socket.getInputStream();
+    long asked = System.nanoTime();
+    StringBuilder head = new StringBuilder();
+    while (!head.toString().endsWith("\r\n\r\n")) {
+      head.append((char) in.read());
+    }
+    in.readNBytes(1_000);
+    assertTrue(System.nanoTime() - asked < TimeUnit.MILLISECONDS.toNanos(1_200), "the first bytes");
+    assertEquals(LONG - 1_000, in.readNBytes(LONG - 1_000).length, "the rest, after its time");
+  }
+
+  @Test
+  void chunksWithExtensionsAndTrailersAndInSmallPiecesAreReadWhole() throws Exception {
+    peers.answer = (request, out) -> {
+      head(out, "Transfer-Encoding: chunked\r\n");
+      for (int at = 0; at < 2_000; at += 10) {
+        chunk(out, body, at, 10);
+      }
+      Peers.write(out, "0\r\nTrailer: x\r\n\r\n");
+      return true;
+    };
+    Message small = peers.client().ask(Peers.get("r1", 3000));
+    assertEquals("2000", small.header("Content-Length"), "a short one is made whole");
+    peers.answer = (request, out) -> {
+      head(out, "Transfer-Encoding: chunked\r\n");
+      chunk(out, body, 0, 50_000);
+      chunk(out, body, 50_000, LONG - 50_000);
+      Peers.write(out, "0\r\nTrailer: x\r\n\r\n");
+      return true;
+    };
+    Client client = peers.client();
+    Message answer = client.ask(Peers.get("r2", 3000));
+    assertEquals("chunked", answer.header("Transfer-Encoding"));
+    assertArrayEquals(body, client.chunks());
+  }
+
+  @Test
+  void anAnswerThatEndsWithItsConnectionIsReadAndOneThatIsResetIsNot() throws Exception {
+    peers.answer = (request, out) -> {
+      head(out, "Connection: close\r\n");
+      Peers.write(out, "until the end");
+      return false;
+    };
+    assertEquals("until the end", peers.client().ask(Peers.get("r1", 3000)).text());
+  }
+
+  @Test
+  void aSlowAnswerInPiecesIsNotCutOff() throws Exception {
+    peers.answer = (request, out) -> {
+      head(out, "Content-Length: 20\r\n");
+      for (int i = 0; i < 20; i++) {
+        Peers.write(out, "x");
+        pause(20);
+      }
+      return true;
+    };
+    assertEquals("x".repeat(20), peers.client().ask(Peers.get("r1", 3000)).text());
+    assertEquals(1, peers.atBackend.size(), "asked once");
+  }
+
+  @Test
+  void oneThatBreaksOffIsSeenToBeNotWhole() throws Exception {
+    for (String framing : new String[] {"Content-Length: " + LONG, "Transfer-Encoding: chunked"}) {
+      peers.answer = (request, out) -> {
+        head(out, framing + "\r\n");
+        if (framing.startsWith("T")) {
+          Peers.write(out, "200000\r\n");
+        }
+        out.write(body, 0, 200_000);
+        return false;
+      };
+      Client client = peers.client();
+      client.send(Peers.get(framing.substring(0, 1), 3000));
+      assertThrows(IOException.class, () -> {
+        Message answer = client.receive();
+        if (answer.header("Transfer-Encoding") != null) {
+          client.chunks();
+        }
+      });
+    }
+  }
+
+  @Test
+  void aSlowReaderHoldsBytesThatAreBoundedAndNobodyElse() throws Exception {
+    AtomicLong written = new AtomicLong();
+    byte[] piece = new byte[64 * 1024];
+    peers.answer = (request, out) -> {
+      if (request.firstLine().contains("POST")) {
+        return Peers.write(out, Peers.OK);
+      }
+      head(out, "Content-Length: " + (32 << 20) + "\r\n");
+      for (int at = 0; at < 32 << 20; at += piece.length) {
+        out.write(piece);
+        written.addAndGet(piece.length);
+      }
+      return true;
+    };
+    List<Client> slow = new ArrayList<>();
+    for (int i = 0; i < 10; i++) {
+      Client client = peers.client();
+      client.send(Peers.get("s" + i, 3000));
+      slow.add(client);
+      Peers.next(peers.atBackend);
+    }
+    long before = -1;
+    while (written.get() == 0 || before != written.get()) {
+      before = written.get();
+      pause(300);
+    }
+    assertTrue(before < 10L * (32 << 20), "the backends wait: " + before);
+    long direct = PooledByteBufAllocator.DEFAULT.metric().usedDirectMemory();
+    assertTrue(direct < 32 << 20, "held: " + direct);
+    assertEquals(200, peers.client().ask(Peers.post("quick", "b")).status(), "others are served");
+    Client first = slow.get(0);
+    assertEquals(32 << 20, first.receive().body().length);
+    assertNull(peers.client().ask(Peers.post("again", "b")).header("Connection"));
+  }
+
+  @Test
+  void aClientThatLeavesEndsItsLongAnswer() throws Exception {
+    AtomicLong failed = new AtomicLong();
+    peers.answer = (request, out) -> {
+      head(out, "Content-Length: " + (32 << 20) + "\r\n");
+      try {
+        out.write(new byte[32 << 20]);
+      } catch (IOException e) {
+        failed.incrementAndGet();
+        throw e;
+      }
+      return true;
+    };
+    Client client = peers.client();
+    client.send(Peers.get("r1", 3000));
+    client.socket.getInputStream().readNBytes(100_000);
+    client.close();
+    for (int looks = 0; failed.get() == 0; looks++) {
+      assertTrue(looks < 500, "the backend's connection ends");
+      pause(10);
+    }
+  }
+
+  @Test
+  void aLongErrorIsAnError() throws Exception {
+    peers.answer = (request, out) -> {
+      Peers.write(out, "HTTP/1.1 500 Oops\r\nContent-Length: " + LONG + "\r\n\r\n");
+      out.write(body);
+      return true;
+    };
+    assertTrue(peers.client().ask(Peers.post("r1", "b")).status() >= 500);
+  }
+}
--- a/door/src/test/java/willowdoor/net/Peers.java
+++ b/door/src/test/java/willowdoor/net/Peers.java
@@ -298,6 +298,21 @@
       return receive();
     }
 
+    /** The body of an answer in chunks, whose head has been received. */
+    byte[] chunks() throws IOException {
+      ByteArrayOutputStream all = new ByteArrayOutputStream();
+      for (int length = -1; length != 0;) {
+        length = Integer.parseInt(line(in), 16);
+        byte[] piece = in.readNBytes(length);
+        if (piece.length < length) {
+          throw new EOFException("chunk was cut");
+        }
+        all.write(piece);
+        line(in);
+      }
+      return all.toByteArray();
+    }
+
     /** True when nothing more comes and the connection ends. */
     boolean ended() throws IOException {
       try {
