A drained door ends a connection only after one more look at its sockets, never a new one

Not traced by request.

Change: a connection that has not asked yet has the 0.3 s that clients take to ask, from its accept on, and all that are found quiet end after the next look at the sockets, if nothing has come.

--- a/door/src/main/java/willowdoor/net/ClientConnection.java
+++ b/door/src/main/java/willowdoor/net/ClientConnection.java
@@ -443,9 +443,18 @@
     }
   }
 
-  /** Ends the connection if nothing has been on it, nor come of a next request, for so long. */
-  void endIfQuiet(double now, double quietMs) {
-    if (Double.isNaN(receivingSince) && now - quietSince >= quietMs) {
+  /**
+   * Whether nothing has been on it, nor come of a next request, for so long. One that has not asked yet is
+   * given the time that clients take to ask, however late this loop accepted it.
+   */
+  boolean quiet(double now, double forMs) {
+    return current == null && waiting.isEmpty() && !ending && Double.isNaN(receivingSince)
+        && now - quietSince >= (asked ? forMs : EVICT_SILENT_MS);
+  }
+
+  /** Ends the connection if it has been quiet since that moment. */
+  void endIfStill(double since) {
+    if (Double.isNaN(receivingSince) && quietSince <= since) {
       closeIfIdle();
     }
   }
--- a/door/src/main/java/willowdoor/net/ClientServer.java
+++ b/door/src/main/java/willowdoor/net/ClientServer.java
@@ -43,6 +43,7 @@
   /** So long after that any is ended as soon as no request is on it: 4 s after the call none may be held. */
   private static final double EMPTY_ALL_MS = 1_100;
 
+  private final EventLoop loop;
   private final Clock clock;
   private final ModuleDriver driver;
   private final BackendPool backends;
@@ -60,6 +61,7 @@
 
   ClientServer(EventLoop loop, Clock clock, ModuleDriver driver, BackendPool backends, RequestReader reader,
       Bounds bounds, Places places) {
+    this.loop = loop;
     this.clock = clock;
     this.driver = driver;
     this.backends = backends;
@@ -231,7 +233,9 @@
     List.copyOf(connections).forEach(c -> c.endIfOverdue(now));
     if (now >= emptyingFrom) {
       double quiet = now - emptyingFrom > EMPTY_ALL_MS ? 0 : EMPTY_QUIET_MS;
-      List.copyOf(connections).forEach(c -> c.endIfQuiet(now, quiet));
+      List<ClientConnection> quietOnes = connections.stream().filter(c -> c.quiet(now, quiet)).toList();
+      // They end after one more look at the sockets: a late loop has not read what came meanwhile.
+      loop.schedule(() -> quietOnes.forEach(c -> c.endIfStill(now)), 1, TimeUnit.MILLISECONDS);
     }
   }
 
