Upgrade: a second process warms up for longer, the serving one keeps most of the places

Cause, first part: each process had half of the places from the hello on (Places.halve), so that the one that served ended connections as crowded. Second part: after its yes the new process was cold, and 0.6 of a core was used up while requests waited.

Change: the first process has 0.7 of the places until it leaves, then 0.3; the second 0.8, as clients are the same few for both. A second process warms up by 4,000 requests, 2.5 s at the most, since nobody misses it and its yes is due within 6 s.

--- a/door/src/main/java/willowdoor/net/FrontDoor.java
+++ b/door/src/main/java/willowdoor/net/FrontDoor.java
@@ -63,7 +63,11 @@
     Config config = Config.read(path);
     FrontDoor door = start(config, System.getenv("TMPDIR"), wired -> {
       Signals.handle("HUP", () -> wired.reload(path));
-      warmUp(config);
+      if (wired.managed != null && wired.managed.second()) {
+        new WarmUp(config).run(WarmUp.LIMIT_BESIDE_MS, WarmUp.REQUESTS_BESIDE);
+      } else {
+        warmUp(config);
+      }
     });
     Runtime.getRuntime().addShutdownHook(new Thread(door::drain, "drain"));
   }
--- a/door/src/main/java/willowdoor/net/Managed.java
+++ b/door/src/main/java/willowdoor/net/Managed.java
@@ -19,13 +19,20 @@
 import willowdoor.membership.Out;
 
 /**
- * A front door as its operators have it: backends out and back, clients sent away and taken back, and a
- * second process that replaces the first. While two run they are one front door: an order to either holds in
- * both, each has half of the places, and what the first was told goes over to the second before it says yes.
+ * As its operators have a front door: backends out and back, clients sent away and taken back, and a second
+ * process that replaces the first. While two run they are one front door: an order to either holds in both,
+ * each has a part of the places, and what the first was told goes over to the second before it says yes.
  */
 final class Managed implements Operations {
 
   private static final Logger LOG = Logger.getLogger(Managed.class.getName());
+  /**
+   * Parts of the places while two processes run. Clients are the same few for both, so that the parts may sum
+   * to more than one: the first serves alone until the second does, and then lets its clients go in 1 s.
+   */
+  private static final double FIRST_PART = 0.7;
+  private static final double SECOND_PART = 0.8;
+  private static final double LEAVING_PART = 0.3;
 
   private final FrontDoor door;
   private final EventLoop loop;
@@ -40,6 +47,8 @@
   /** Operators have sent the clients away. */
   private boolean sentAway;
   private boolean found;
+  /** This process was started beside one that served. */
+  private volatile boolean second;
   private boolean ending;
 
   Managed(FrontDoor door, MergedRoster roster, ClientServer clients, Places places, TwinFile file) {
@@ -64,6 +73,7 @@
     }
     CompletableFuture<End> hello = new CompletableFuture<>();
     loop.execute(() -> {
+      second = true;
       meet(other);
       twin.hello(address(), false, hello::complete);
     });
@@ -102,6 +112,11 @@
     }
   }
 
+  /** Whether it starts beside a process that serves; for any thread. */
+  boolean second() {
+    return second;
+  }
+
   /** Names this process to the next one; not for the loop's thread. */
   void nameItself() {
     file.write(address());
@@ -123,18 +138,23 @@
   /** The process has been told to end; true if another one takes its clients. */
   boolean ends() {
     ending = true;
-    return twin != null && twin.serving();
+    boolean left = twin != null && twin.serving();
+    if (left) {
+      places.part(LEAVING_PART);
+    }
+    return left;
   }
 
   private void meet(InetSocketAddress other) {
     twin = new Twin(loop, caller, other, this::lost);
-    places.halve(true);
+    places.part(second ? SECOND_PART : FIRST_PART);
   }
 
   private void lost(Twin gone) {
     if (gone == twin) {
       twin = null;
-      places.halve(false);
+      second = false;
+      places.part(1);
       if (found && !ending) {
         Thread naming = new Thread(this::nameItself, "process-file");
         naming.setDaemon(true);
--- a/door/src/main/java/willowdoor/net/Places.java
+++ b/door/src/main/java/willowdoor/net/Places.java
@@ -22,9 +22,9 @@
     this.all = all;
   }
 
-  /** Two processes share the places from here on, or this one has all of them; what is open stays open. */
-  void halve(boolean on) {
-    all = on ? whole / 2 : whole;
+  /** This process has such a part of the places from here on; what is open stays open. */
+  void part(double part) {
+    all = (int) (whole * part);
   }
 
   void client(int change) {
--- a/door/src/main/java/willowdoor/net/WarmUp.java
+++ b/door/src/main/java/willowdoor/net/WarmUp.java
@@ -36,6 +36,12 @@
   static final int REQUESTS = 400;
   /** A start is worth so much more time at most: a restarted door is missed for as long. */
   static final double LIMIT_MS = 700;
+  /**
+   * The same for one that starts beside a process that serves: nobody misses it yet, clients come to it
+   * all at once, and its yes is due within 6 s.
+   */
+  static final int REQUESTS_BESIDE = 4_000;
+  static final double LIMIT_BESIDE_MS = 2_500;
   private static final int BACKENDS = 8;
   private static final int CUSTOMERS = 50;
   /** Requests on one connection. */
@@ -55,15 +61,20 @@
 
   /** Stops after the limit in any case; gives how many requests were served. */
   int run(double limitMs) {
+    return run(limitMs, REQUESTS);
+  }
+
+  /** The same with so many requests at the most. */
+  int run(double limitMs, int requests) {
     try {
-      exchange(clock.now() + limitMs);
+      exchange(clock.now() + limitMs, requests);
     } catch (RuntimeException e) {
       LOG.log(Level.WARNING, "not warmed up", e);
     }
     return served;
   }
 
-  private void exchange(double until) {
+  private void exchange(double until, int requests) {
     Places places = new Places(Integer.MAX_VALUE / 2);
     BackendPool pool = new BackendPool(loop, clock, (address, handler) -> open(backends, handler),
         config.idleLimitMs(), places);
@@ -74,7 +85,7 @@
         config.discovery(), config.settings().allowed().countLimitMs(), driver::counted);
     counter.start();
     driver.start(counter, roster());
-    for (int i = 0; i < REQUESTS && clock.now() < until; i += KEPT_FOR) {
+    for (int i = 0; i < requests && clock.now() < until; i += KEPT_FOR) {
       EmbeddedChannel client = new EmbeddedChannel(new ChannelInitializer<Channel>() {
         @Override
         protected void initChannel(Channel channel) {
