A long answer that nobody takes gives its first bytes back

Found when the change was read again: where a request had ended while its attempt was still out, the first 64 KiB of a long answer stayed in AnswerPipe.early when the pipe was broken off (ModuleDriver.attemptEnded), and were never released. A pipe that ends before it is whole now releases what nobody took. The test was red before.

--- a/door/src/main/java/willowdoor/net/AnswerPipe.java
+++ b/door/src/main/java/willowdoor/net/AnswerPipe.java
@@ -100,6 +100,10 @@
     if (!ended) {
       ended = true;
       whole = all;
+      if (!all) {
+        early.forEach(ByteBuf::release);
+        early.clear();
+      }
       if (taker != null) {
         finish();
       }
--- /dev/null
+++ b/door/src/test/java/willowdoor/net/AnswerPipeTest.java
@@ -0,0 +1,27 @@
+package willowdoor.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import org.junit.jupiter.api.Test;
+
+/** A pipe that nobody takes from holds nothing. */
+class AnswerPipeTest {
+
+  @Test
+  void whatNobodyTookIsGivenBackWhenThePipeBreaks() {
+    EmbeddedChannel backend = new EmbeddedChannel();
+    AnswerPipe pipe = new AnswerPipe(backend);
+    ByteBuf first = Unpooled.buffer().writeZero(100);
+    pipe.piece(first);
+    pipe.breakOff();
+    assertEquals(0, first.refCnt());
+    assertFalse(backend.isOpen());
+    ByteBuf late = Unpooled.buffer().writeZero(100);
+    pipe.piece(late);
+    assertEquals(0, late.refCnt());
+  }
+}
