Agreement's decisions: the record of permits and leases, and a door's side of it

Need: two operators can drain everything at once, a command that dies leaves what it left, and a door that was cut off sends to a backend that all others let go. Before stewards and links come the decisions, in a package without I/O, clock, thread or chance (held by ArchUnit), so that the same code can be played in simulated time and by real processes.

Found while it was built: a READY that a door says before it has heard of its permit would end that permit while the door goes out, so a heartbeat tells how much of the record the door knew; a door that ended by a signal dropped out of the budget's whole, so it stays known as out; a heartbeat that was overtaken would put a draining door back.

The first check there was wrong, not the record: a command by which time passes may end leases of others, so the budget is held against what each newly granted subject would have served.

Not yet: stewards, the link, the daemon, faults between processes, releases.

--- a/daemon/src/test/java/willowdoor/daemon/ArchitectureTest.java
+++ b/daemon/src/test/java/willowdoor/daemon/ArchitectureTest.java
@@ -21,7 +21,8 @@
   @Test
   void decisionsDoNoInputOrOutputReadNoClockAndStartNoThread() {
     noClasses().that().resideInAnyPackage("willowdoor.policy..", "willowdoor.life..",
-        "willowdoor.authz..", "willowdoor.recovery..", "willowdoor.fairness..", "willowdoor.membership..")
+        "willowdoor.agreement..", "willowdoor.authz..", "willowdoor.recovery..", "willowdoor.fairness..",
+        "willowdoor.membership..")
         .should().dependOnClassesThat().resideInAnyPackage("java.io..", "java.net..", "java.nio..",
             "io.netty..",
             "com.fasterxml..", "java.util.concurrent..", "java.time..", "java.util.logging..",
--- /dev/null
+++ b/policy/src/main/java/willowdoor/agreement/Command.java
@@ -0,0 +1,97 @@
+package willowdoor.agreement;
+
+import java.util.List;
+import java.util.Set;
+
+/**
+ * An entry of the agreed log. Each carries the leader's monotonic time in milliseconds, which means something
+ * within the leader's own term only; the first of a term is a {@link Lead}.
+ */
+public sealed interface Command {
+
+  /** The leader's time when it took the command. */
+  double atMs();
+
+  /** The first of a term, as the leader changed: its clock counts from here, and every lease anew. */
+  record Lead(double atMs) implements Command { }
+
+  /** Other terms; what is out already stays out. */
+  record Configure(double atMs, Terms terms) implements Command { }
+
+  /**
+   * A process of a door begins.
+   *
+   * @param door the name that all processes of this door have
+   * @param incarnation which process it is, unlike any other
+   * @param weight its part of the traffic, beside the other doors'
+   * @param alone whether it holds what only one process of the door can hold, so that all others have ended
+   */
+  record Join(double atMs, String door, String incarnation, String zone, double weight, boolean alone)
+      implements Command { }
+
+  /** Heartbeats that came together. */
+  record Beats(double atMs, List<Beat> beats) implements Command {
+
+    /** Keeps a copy. */
+    public Beats {
+      beats = List.copyOf(beats);
+    }
+  }
+
+  /**
+   * A heartbeat.
+   *
+   * @param number counted up by the process, from 1
+   * @param seen up to which command this process knew the record when it said this
+   * @param left permits of backends to which this process sends nothing more
+   */
+  record Beat(String door, String incarnation, Doing doing, long number, long seen,
+      Set<Long> left) {
+
+    /** Keeps a copy. */
+    public Beat {
+      left = Set.copyOf(left);
+    }
+  }
+
+  /** What a process of a door does. */
+  enum Doing { STARTING, READY, DRAINING, EMPTY, ENDED }
+
+  /** A process has ended, and says so itself. */
+  record Leave(double atMs, String door, String incarnation) implements Command { }
+
+  /** An operator vouches that a door is no more: it sends nothing. */
+  record Forget(double atMs, String door, String by) implements Command { }
+
+  /** The list of backends, whole. */
+  record Sight(double atMs, List<Backend> backends) implements Command {
+
+    /** Keeps a copy. */
+    public Sight {
+      backends = List.copyOf(backends);
+    }
+  }
+
+  /**
+   * A backend as listed.
+   *
+   * @param serving whether it is neither told as draining nor cold after a start
+   */
+  record Backend(String name, String zone, double weight, boolean serving) { }
+
+  /**
+   * Asks for a permit.
+   *
+   * @param request the asker's own name of this request: asked twice, it is one
+   * @param by who asks
+   * @param force whether it is given over the budget
+   */
+  record Ask(double atMs, String request, Subject subject, String by, String reason, boolean force)
+      implements Command { }
+
+  /** What was taken out goes back, or is not wanted out any more. */
+  record Return(double atMs, Subject subject, String by) implements Command { }
+
+  /** Time passes. */
+  record Tick(double atMs) implements Command { }
+}
--- /dev/null
+++ b/policy/src/main/java/willowdoor/agreement/DoorEvent.java
@@ -0,0 +1,26 @@
+package willowdoor.agreement;
+
+import willowdoor.agreement.Command.Doing;
+
+/** What a {@link DoorSide} hears. */
+public sealed interface DoorEvent {
+
+  /** Time has passed, or it is the time that was asked for. */
+  record Woken() implements DoorEvent { }
+
+  /** The instance does something else now. */
+  record Does(Doing doing) implements DoorEvent { }
+
+  /** The stewards have agreed on a heartbeat. */
+  record Answered(long number, View view) implements DoorEvent { }
+
+  /** No attempt of this door is out at the backend any more, and none begins while it is out. */
+  record LetGo(String backend) implements DoorEvent { }
+
+  /** An operator asks at this door. */
+  record Asked(String request, Subject subject, String by, String reason, boolean force)
+      implements DoorEvent { }
+
+  /** The stewards' answer to what an operator asked here. */
+  record Said(String request, Outcome outcome) implements DoorEvent { }
+}
--- /dev/null
+++ b/policy/src/main/java/willowdoor/agreement/DoorLease.java
@@ -0,0 +1,41 @@
+package willowdoor.agreement;
+
+/**
+ * The lease as its door counts it, on its own monotonic clock from the sending of a heartbeat that was agreed
+ * on. The stewards count the same length from the commit, which comes after the sending; so with clocks
+ * that each run wrong by a part of at most {@code drift}, the door's view ends first if it takes
+ * {@code length * (1 - drift) / (1 + drift)} (Gray and Cheriton, 1989): the door's clock may be as slow as
+ * {@code 1 - drift} while the stewards' is as fast as {@code 1 + drift}.
+ */
+public final class DoorLease {
+
+  private final double lengthMs;
+  private double untilMs = Double.NEGATIVE_INFINITY;
+
+  /**
+   * None is held yet.
+   *
+   * @param leaseMs the agreed length
+   * @param drift the most that a clock runs wrong, as a part of the time that passes
+   */
+  public DoorLease(double leaseMs, double drift) {
+    if (!(leaseMs > 0) || !(drift >= 0 && drift < 1)) {
+      throw new IllegalArgumentException("a lease of " + leaseMs + " ms with clocks wrong by " + drift
+          + " (expected: above 0, and from 0 to below 1)");
+    }
+    lengthMs = leaseMs * (1 - drift) / (1 + drift);
+  }
+
+  /** A heartbeat that was sent at that time has been agreed on, answers in any order. */
+  public void agreed(double sentMs) {
+    untilMs = Math.max(untilMs, sentMs + lengthMs);
+  }
+
+  /**
+   * Whether it holds; to be asked with the clock read just now, before each thing that needs it, since the
+   * process may have been stopped since it last looked.
+   */
+  public boolean holds(double nowMs) {
+    return nowMs < untilMs;
+  }
+}
--- /dev/null
+++ b/policy/src/main/java/willowdoor/agreement/Outcome.java
@@ -0,0 +1,28 @@
+package willowdoor.agreement;
+
+import java.util.List;
+
+/** What a command came to; the same at every steward. */
+public sealed interface Outcome {
+
+  /** Done, or known already. */
+  record Done() implements Outcome { }
+
+  /** Nothing was changed. */
+  record Refused(String why) implements Outcome { }
+
+  /** It waits for its turn; one is the next. */
+  record Waiting(long permit, int place, String why) implements Outcome { }
+
+  /** It may go out. */
+  record Granted(long permit) implements Outcome { }
+
+  /** Heartbeats were taken, but not of these processes, which have to join first. */
+  record Beaten(List<String> strangers) implements Outcome {
+
+    /** Keeps a copy. */
+    public Beaten {
+      strangers = List.copyOf(strangers);
+    }
+  }
+}
--- /dev/null
+++ b/policy/src/main/java/willowdoor/agreement/Terms.java
@@ -0,0 +1,15 @@
+package willowdoor.agreement;
+
+/**
+ * By what a record decides.
+ *
+ * @param doors the budget of the doors
+ * @param backends the budget of the backends
+ * @param leaseMs how long a door counts as reached after its last heartbeat was agreed on
+ */
+public record Terms(Budget doors, Budget backends, double leaseMs) {
+
+  Budget of(Subject.Kind kind) {
+    return kind == Subject.Kind.DOOR ? doors : backends;
+  }
+}
--- /dev/null
+++ b/policy/src/main/java/willowdoor/agreement/View.java
@@ -0,0 +1,18 @@
+package willowdoor.agreement;
+
+import java.util.List;
+
+/**
+ * What a door is told of the record in the answer to a heartbeat.
+ *
+ * @param index how many commands the record had taken, the heartbeat's among them
+ * @param permits those of backends that are not waiting, and this door's own if it has one
+ * @param known whether the record has this process; if not, it joins again
+ */
+public record View(long index, List<Permit> permits, boolean known) {
+
+  /** Keeps a copy. */
+  public View {
+    permits = List.copyOf(permits);
+  }
+}
--- /dev/null
+++ b/policy/src/test/java/willowdoor/agreement/FleetRecordTest.java
@@ -0,0 +1,457 @@
+package willowdoor.agreement;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import willowdoor.agreement.Command.Ask;
+import willowdoor.agreement.Command.Backend;
+import willowdoor.agreement.Command.Beat;
+import willowdoor.agreement.Command.Beats;
+import willowdoor.agreement.Command.Configure;
+import willowdoor.agreement.Command.Doing;
+import willowdoor.agreement.Command.Forget;
+import willowdoor.agreement.Command.Join;
+import willowdoor.agreement.Command.Lead;
+import willowdoor.agreement.Command.Leave;
+import willowdoor.agreement.Command.Return;
+import willowdoor.agreement.Command.Sight;
+import willowdoor.agreement.Command.Tick;
+import willowdoor.agreement.Outcome.Beaten;
+import willowdoor.agreement.Outcome.Done;
+import willowdoor.agreement.Outcome.Granted;
+import willowdoor.agreement.Outcome.Refused;
+import willowdoor.agreement.Outcome.Waiting;
+import willowdoor.agreement.Permit.Stage;
+import willowdoor.agreement.Subject.Kind;
+
+class FleetRecordTest {
+
+  private static final double LEASE = 3_000;
+
+  private FleetRecord record = new FleetRecord(terms(Most.of(1), Most.ANY, 0));
+  private double at = 1_000;
+  private long beat;
+  private final Map<String, Doing> doing = new HashMap<>();
+
+  private static Terms terms(Most inAll, Most inZone, double least) {
+    Budget budget = new Budget(inAll, inZone, least);
+    return new Terms(budget, budget, LEASE);
+  }
+
+  private static Subject door(String name) {
+    return new Subject(Kind.DOOR, name);
+  }
+
+  private static Subject backend(String name) {
+    return new Subject(Kind.BACKEND, name);
+  }
+
+  private FleetRecordTest with(Most inAll, Most inZone, double least) {
+    record = new FleetRecord(terms(inAll, inZone, least));
+    return this;
+  }
+
+  /** Doors d1 to dN, each ready with one process, in zones a and b by turns. */
+  private void doors(int n) {
+    record.on(new Lead(at));
+    for (int i = 1; i <= n; i++) {
+      join("d" + i, "x", i % 2 == 1 ? "a" : "b", false);
+      says("d" + i, Doing.READY);
+    }
+  }
+
+  private void backends(boolean... serving) {
+    List<Backend> all = new ArrayList<>();
+    for (int i = 0; i < serving.length; i++) {
+      all.add(new Backend("b" + (i + 1), i % 2 == 0 ? "a" : "b", 1, serving[i]));
+    }
+    record.on(new Sight(at, all));
+  }
+
+  private Outcome join(String door, String incarnation, String zone, boolean alone) {
+    return record.on(new Join(at, door, incarnation, zone, 1, alone));
+  }
+
+  private Outcome says(String door, Doing what, Long... left) {
+    return says(door, "x", what, record.state().index(), left);
+  }
+
+  private Outcome says(String door, String incarnation, Doing what, long seen, Long... left) {
+    doing.put(door, what);
+    return record.on(new Beats(at, List.of(new Beat(door, incarnation, what, ++beat, seen, Set.of(left)))));
+  }
+
+  private Outcome ask(String request, Subject subject) {
+    return record.on(new Ask(at, request, subject, "ana", "disk", false));
+  }
+
+  private Outcome giveBack(Subject subject) {
+    return record.on(new Return(at, subject, "ana"));
+  }
+
+  private Stage stage(Subject subject) {
+    return record.state().permits().stream().filter(x -> x.subject().equals(subject)).findFirst()
+        .map(Permit::stage).orElse(null);
+  }
+
+  private long id(Outcome outcome) {
+    return assertInstanceOf(Granted.class, outcome).permit();
+  }
+
+  private Waiting waits(Outcome outcome) {
+    return assertInstanceOf(Waiting.class, outcome);
+  }
+
+  private String refused(Outcome outcome) {
+    return assertInstanceOf(Refused.class, outcome).why();
+  }
+
+  @Test
+  void asManyAsTheBudgetSaysGoOutAndTheRestWaitsInOrder() {
+    doors(4);
+    id(ask("r1", door("d1")));
+    Waiting second = waits(ask("r2", door("d2")));
+    assertEquals(1, second.place());
+    assertEquals("1 of 4 are out, 1 may be: d1", second.why());
+    assertEquals(2, waits(ask("r3", door("d3"))).place());
+    says("d1", Doing.EMPTY);
+    assertEquals(Stage.OUT, stage(door("d1")));
+    giveBack(door("d1"));
+    says("d1", Doing.READY);
+    id(record.told("r2"));
+    assertEquals(1, waits(record.told("r3")).place());
+  }
+
+  @Test
+  void whatIsAskedTwiceIsOneRequest() {
+    doors(3);
+    long id = id(ask("r1", door("d1")));
+    assertEquals(id, id(ask("r1", door("d1"))));
+    assertTrue(refused(ask("r2", door("d1"))).contains("asked for by ana: disk"));
+    assertEquals("no door nobody is known", refused(ask("r3", door("nobody"))));
+    assertEquals("door d2 is not out on purpose", refused(giveBack(door("d2"))));
+    waits(ask("r4", door("d2")));
+    assertInstanceOf(Done.class, giveBack(door("d2")));
+    assertEquals("no request is called r4", refused(record.told("r4")));
+  }
+
+  /** A dead door, one that hasn't begun and one that ended by a signal. */
+  @Test
+  void whatIsOutByItselfCounts() {
+    with(Most.of(2), Most.ANY, 0).doors(4);
+    says("d1", Doing.STARTING);
+    record.on(new Leave(at, "d2", "x"));
+    waits(ask("r1", door("d3")));
+    says("d1", Doing.READY);
+    id(record.told("r1"));
+    at += LEASE;
+    says("d1", Doing.READY);
+    says("d3", Doing.READY);
+    waits(ask("r2", door("d1")));
+    assertEquals(3, record.out(Kind.DOOR), "d2 ended, d3 has a permit, d4's lease is over");
+  }
+
+  /** Going out, it takes nothing more from the budget; coming back it still needs its permit. */
+  @Test
+  void whatIsOutAlreadyNeedsNoRoom() {
+    doors(3);
+    record.on(new Leave(at, "d1", "x"));
+    id(ask("r1", door("d1")));
+    waits(ask("r2", door("d2")));
+    join("d1", "y", "a", true);
+    says("d1", "y", Doing.READY, record.state().index());
+    waits(record.told("r2"));
+  }
+
+  @Test
+  void aHoldersDeathFreesNothing() {
+    doors(3);
+    id(ask("r1", door("d1")));
+    at += 10 * LEASE;
+    says("d2", Doing.READY);
+    says("d3", Doing.READY);
+    waits(ask("r2", door("d2")));
+    giveBack(door("d1"));
+    waits(record.told("r2"));
+    join("d1", "y", "a", true);
+    waits(record.told("r2"));
+    says("d1", "y", Doing.READY, record.state().index());
+    id(record.told("r2"));
+  }
+
+  /** It said so before it had heard that it may go out, so it may be going now. */
+  @Test
+  void aReadyThatKnewNothingOfTheReturnEndsNoPermit() {
+    doors(3);
+    id(ask("r1", door("d1")));
+    long before = record.state().index();
+    giveBack(door("d1"));
+    says("d1", "x", Doing.READY, before);
+    assertEquals(Stage.RETURNING, stage(door("d1")));
+    waits(ask("r2", door("d2")));
+    says("d1", Doing.READY);
+    id(record.told("r2"));
+  }
+
+  @Test
+  void zoneAndWeightHaveBudgetsToo() {
+    with(Most.of(3), Most.of(1), 2).doors(6);
+    id(ask("r1", door("d1")));
+    assertEquals("1 of 3 are out in zone a, 1 may be", waits(ask("r2", door("d3"))).why());
+    id(ask("r3", door("d2")));
+    record.on(new Configure(at, terms(Most.of(6), Most.ANY, 3)));
+    id(record.told("r2"));
+    assertEquals("weight 3.0 serves, 3.0 must without it", waits(ask("r4", door("d4"))).why());
+  }
+
+  /** Smaller ones must not pass for ever. */
+  @Test
+  void nothingPassesOneThatTheWholeHoldsBack() {
+    with(Most.of(2), Most.of(1), 0).doors(6);
+    id(ask("r1", door("d1")));
+    waits(ask("r2", door("d3")));
+    id(ask("r3", door("d2")));
+    waits(ask("r4", door("d4")));
+    giveBack(door("d1"));
+    says("d1", Doing.READY);
+    id(record.told("r2"));
+    waits(record.told("r4"));
+  }
+
+  @Test
+  void sharesAreRoundedDownButLeaveOne() {
+    assertEquals(List.of(1, 1, 2, 3, 0), List.of(Most.part(0.1).among(4), Most.part(0.3).among(4),
+        Most.part(0.5).among(5), Most.part(0.3).among(10), Most.part(0).among(9)));
+  }
+
+  @Test
+  void forceIsWrittenDown() {
+    doors(3);
+    id(ask("r1", door("d1")));
+    id(record.on(new Ask(at, "r2", door("d2"), "ben", "fire", true)));
+    assertEquals(List.of(new Note(0, "ben", "takes out door d2 by force: fire")), record.state().notes());
+    assertEquals(2, record.out(Kind.DOOR));
+  }
+
+  @Test
+  void aBackendIsOutOnceTheLastDoorHasLetGo() {
+    doors(3);
+    backends(true, true, true);
+    long id = id(ask("r1", backend("b1")));
+    says("d1", Doing.READY, id);
+    says("d2", Doing.READY, id);
+    assertEquals(Stage.GRANTED, stage(backend("b1")));
+    assertEquals(List.of("d3/x"), record.holdUp(backend("b1")));
+    says("d3", Doing.READY, id);
+    assertEquals(Stage.OUT, stage(backend("b1")));
+  }
+
+  /** It may still reach the backend, so only an operator's word lets it go without its own. */
+  @Test
+  void aDoorThatIsCutOffHoldsUpABackendsGoing() {
+    doors(2);
+    backends(true, true);
+    long id = id(ask("r1", backend("b1")));
+    at += 10 * LEASE;
+    says("d1", Doing.READY, id);
+    assertEquals(List.of("d2/x"), record.holdUp(backend("b1")));
+    assertInstanceOf(Done.class, record.on(new Forget(at, "d2", "ana")));
+    assertEquals(Stage.OUT, stage(backend("b1")));
+    assertEquals("no door is called d2", refused(record.on(new Forget(at, "d2", "ana"))));
+    assertEquals(List.of("d2/x"), assertInstanceOf(Beaten.class, says("d2", Doing.READY)).strangers());
+  }
+
+  /** A process that joins after the grant sends too, and one that ended sends no more. */
+  @Test
+  void bothProcessesOfADoorHaveToLetGo() {
+    doors(1);
+    backends(true, true);
+    long id = id(ask("r1", backend("b1")));
+    join("d1", "y", "a", false);
+    says("d1", Doing.READY, id);
+    assertEquals(List.of("d1/y"), record.holdUp(backend("b1")));
+    record.on(new Leave(at, "d1", "y"));
+    assertEquals(Stage.OUT, stage(backend("b1")));
+  }
+
+  @Test
+  void aBackendIsBackWhenItServesAndAllWhoAreReachedKnow() {
+    doors(2);
+    backends(true, true);
+    long id = id(ask("r1", backend("b1")));
+    says("d1", Doing.READY, id);
+    says("d2", Doing.READY, id);
+    backends(false, true);
+    giveBack(backend("b1"));
+    backends(true, true);
+    says("d1", Doing.READY);
+    assertEquals(Stage.RETURNING, stage(backend("b1")));
+    says("d2", Doing.READY);
+    assertEquals(null, stage(backend("b1")));
+  }
+
+  @Test
+  void backendsThatDrainOrAreColdCountAndGoneOnesWaitUnseen() {
+    doors(1);
+    backends(false, true, true);
+    waits(ask("r1", backend("b2")));
+    record.on(new Sight(at, List.of(new Backend("b1", "a", 1, true), new Backend("b3", "a", 1, true))));
+    assertEquals("others wait before it", waits(record.told("r1")).why());
+    id(ask("r2", backend("b3")));
+  }
+
+  /** The new leader can't know what the old one has renewed, nor how its clock stands. */
+  @Test
+  void aNewLeaderLetsLeasesRunAnew() {
+    doors(2);
+    at += LEASE - 1;
+    record.on(new Tick(at));
+    assertEquals(0, record.out(Kind.DOOR));
+    at = 5;
+    record.on(new Lead(at));
+    at += LEASE - 1;
+    record.on(new Tick(at));
+    assertEquals(0, record.out(Kind.DOOR));
+    at += 1;
+    record.on(new Tick(at));
+    assertEquals(2, record.out(Kind.DOOR));
+    record.on(new Tick(at - 500));
+    assertEquals(2, record.out(Kind.DOOR), "time does not go back");
+  }
+
+  @Test
+  void overtakenHeartbeatsAndThoseOfTheEndedTellNothing() {
+    doors(2);
+    Beat late = new Beat("d1", "x", Doing.READY, ++beat, record.state().index(), Set.of());
+    says("d1", Doing.DRAINING);
+    record.on(new Beats(at, List.of(late)));
+    assertEquals(1, record.out(Kind.DOOR));
+    record.on(new Leave(at, "d1", "x"));
+    assertEquals(List.of("d1/x"), assertInstanceOf(Beaten.class, says("d1", Doing.READY)).strangers());
+    assertEquals(1, record.out(Kind.DOOR));
+  }
+
+  @Test
+  void everythingIsBounded() {
+    with(Most.of(0), Most.ANY, 0).record.on(new Lead(at));
+    IntStream.range(0, FleetRecord.MOST_LIVES).forEach(i -> join("d" + i, "x", "a", false));
+    assertTrue(refused(join("more", "x", "a", false)).startsWith("1000 processes"));
+    assertInstanceOf(Done.class, join("d1", "x", "a", false));
+    record.on(new Sight(at, IntStream.range(0, FleetRecord.MOST_BACKENDS + 5)
+        .mapToObj(i -> new Backend("b" + i, "a", 1, true)).toList()));
+    assertEquals(FleetRecord.MOST_BACKENDS, record.state().backends().size());
+    IntStream.range(0, FleetRecord.MOST_PERMITS).forEach(i -> ask("r" + i, backend("b" + i)));
+    assertTrue(refused(ask("more", backend("b5000"))).startsWith("1000 permits"));
+    IntStream.range(0, FleetRecord.MOST_NOTES + 1).forEach(i -> {
+      record.on(new Forget(at, "d" + (i + 1) % 1_000, "ana"));
+      join("d" + (i + 1) % 1_000, "x", "a", false);
+    });
+    assertEquals(FleetRecord.MOST_NOTES, record.state().notes().size());
+  }
+
+  @Test
+  void nonsenseIsNamed() {
+    assertTrue(message(() -> Most.part(1.5)).contains("1.5 of 1 (expected: 0 or more, 1 at most)"));
+    assertTrue(message(() -> new Budget(Most.ANY, Most.ANY, Double.NaN)).contains("least weight is NaN"));
+    assertTrue(message(() -> new DoorLease(0, 0.1)).contains("a lease of 0.0 ms"));
+  }
+
+  private static String message(Runnable made) {
+    try {
+      made.run();
+    } catch (IllegalArgumentException e) {
+      return e.getMessage();
+    }
+    return "nothing was refused";
+  }
+
+  /** Whatever the drift up to the bound, the door's view of its lease is over before the stewards'. */
+  @Test
+  void aDoorsLeaseIsOverBeforeTheStewardsCountItSo() {
+    double drift = 0.05;
+    for (double door : new double[] {1 - drift, 1, 1 + drift}) {
+      for (double steward : new double[] {1 - drift, 1, 1 + drift}) {
+        DoorLease lease = new DoorLease(LEASE, drift);
+        lease.agreed(700 * door);
+        lease.agreed(100 * door);
+        double overAtStewards = 700 + LEASE / steward;
+        assertTrue(!lease.holds(overAtStewards * door + 1e-6), door + " beside " + steward);
+        assertTrue(lease.holds(700 * door + LEASE * 0.85));
+      }
+    }
+  }
+
+  /** By chance, whatever comes: the budget is kept, and a copy from a snapshot says the same. */
+  @Test
+  void budgetsHoldUnderAnyCommands() {
+    for (long seed = 1; seed <= 300; seed++) {
+      Random random = new Random(seed);
+      with(Most.of(2), Most.of(1), 0).doors(5);
+      backends(true, true, true, true, true);
+      FleetRecord copy = new FleetRecord(record.state());
+      for (int step = 0; step < 120; step++) {
+        Set<String> outBefore = holders();
+        Command command = any(random);
+        Outcome outcome = record.on(command);
+        String what = "seed " + seed + " step " + step + " " + command;
+        assertEquals(outcome, copy.on(command), what);
+        assertEquals(record.state(), copy.state(), what);
+        holders().stream().filter(x -> !outBefore.contains(x) && serves(x)).forEach(x ->
+            assertTrue(record.out(x.startsWith("door") ? Kind.DOOR : Kind.BACKEND) <= 2, what));
+        if (step % 40 == 0) {
+          copy = new FleetRecord(record.state());
+        }
+      }
+    }
+  }
+
+  /** Whether it would serve but for its permit. */
+  private boolean serves(String subject) {
+    State state = record.state();
+    return state.lives().stream().anyMatch(x -> subject.equals("door " + x.door())
+        && x.doing() == Doing.READY && state.nowMs() < x.untilMs())
+        || state.backends().stream().anyMatch(x -> subject.equals("backend " + x.name()) && x.serving());
+  }
+
+  private Set<String> holders() {
+    Set<String> names = new HashSet<>();
+    record.state().permits().stream().filter(Permit::holds).forEach(x -> names.add(x.subject().toString()));
+    return names;
+  }
+
+  private Command any(Random random) {
+    at += random.nextInt(400);
+    String door = "d" + (1 + random.nextInt(5));
+    Subject subject = random.nextBoolean() ? door(door) : backend("b" + (1 + random.nextInt(5)));
+    switch (random.nextInt(8)) {
+      case 0:
+        return new Ask(at, "r" + random.nextInt(50), subject, "ana", "any", false);
+      case 1:
+        return new Return(at, subject, "ana");
+      case 2:
+        return new Leave(at, door, "x");
+      case 3:
+        return new Join(at, door, random.nextBoolean() ? "x" : "y", "a", 1, random.nextBoolean());
+      case 4:
+        at = random.nextInt(5_000);
+        return new Lead(at);
+      case 5:
+        return new Sight(at, IntStream.rangeClosed(1, 5).mapToObj(i -> new Backend("b" + i,
+            i % 2 == 0 ? "a" : "b", 1, random.nextInt(4) > 0)).toList());
+      default:
+        Doing what = Doing.values()[random.nextInt(4)];
+        return new Beats(at, List.of(new Beat(door, random.nextInt(4) == 0 ? "y" : "x", what, ++beat,
+            record.state().index() - random.nextInt(3), Set.of(1L + random.nextInt(20)))));
+    }
+  }
+}
