Stewards replicate the record by MicroRaft, on disk, played in simulated time

Need: the agreed record has to outlive any of its keepers, and a leader in the smaller half, or one that was stopped, must give nothing away.

Module steward: the consensus is MicroRaft's, the record FleetRecord. The library takes executor, clock, chance, transport and store from outside, so the same Steward lives in a process and in simulated time; as its heartbeats are whole seconds it is told that time goes ten times faster (a leader is missed after 0.5 s). Messages and the disk's rows are JSON by Jackson, no Java object is deserialized, and what can't be read is named. The disk is one SQLite file, synced before the library answers and locked while open, so that no second process votes by it; a steward's identity has its disk's in it.

Not found: a log that is not cut behind a conflict, as the rows there are written over; to be searched for with more seeds.

Not yet: the link between processes, adding and replacing stewards, an old copy of a disk, and anything of it in the daemon.

--- /dev/null
+++ b/steward/src/main/java/willowdoor/steward/Codec.java
@@ -0,0 +1,81 @@
+package willowdoor.steward;
+
+import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.StreamReadConstraints;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.jsontype.NamedType;
+import java.io.IOException;
+import willowdoor.agreement.Command;
+import willowdoor.agreement.Outcome;
+import willowdoor.agreement.State;
+
+/** Commands, outcomes and snapshots as JSON, each kind by its name in {@code is}. */
+final class Codec {
+
+  /** No command may be longer, in bytes: some 1,000 heartbeats, or 10,000 backends. */
+  static final int MOST_BYTES = 2 << 20;
+
+  private static final ObjectMapper JSON = mapper();
+
+  private Codec() {
+  }
+
+  @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "is")
+  private interface ByName { }
+
+  private static ObjectMapper mapper() {
+    ObjectMapper mapper = JsonMapper.builder().enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+        .enable(DeserializationFeature.FAIL_ON_NULL_CREATOR_PROPERTIES,
+            DeserializationFeature.FAIL_ON_MISSING_CREATOR_PROPERTIES).build();
+    mapper.getFactory().setStreamReadConstraints(StreamReadConstraints.builder().maxNestingDepth(20).build());
+    for (Class<?> root : new Class<?>[] {Command.class, Outcome.class}) {
+      mapper.addMixIn(root, ByName.class);
+      for (Class<?> one : root.getPermittedSubclasses()) {
+        mapper.registerSubtypes(new NamedType(one, one.getSimpleName()));
+      }
+    }
+    return mapper;
+  }
+
+  static byte[] bytes(Command command) {
+    byte[] bytes = write(command, Command.class);
+    if (bytes.length > MOST_BYTES) {
+      throw new IllegalArgumentException("a " + command.getClass().getSimpleName() + " of " + bytes.length
+          + " bytes (expected: " + MOST_BYTES + " at most)");
+    }
+    return bytes;
+  }
+
+  static byte[] bytes(State state) {
+    return write(state, State.class);
+  }
+
+  private static byte[] write(Object value, Class<?> as) {
+    try {
+      return JSON.writerFor(as).writeValueAsBytes(value);
+    } catch (JsonProcessingException e) {
+      throw new IllegalArgumentException("cannot write " + value, e);
+    }
+  }
+
+  static Command command(byte[] bytes) {
+    return read(bytes, Command.class);
+  }
+
+  static State state(byte[] bytes) {
+    return read(bytes, State.class);
+  }
+
+  /** What cannot be read is named, with where. */
+  private static <T> T read(byte[] bytes, Class<T> as) {
+    try {
+      return JSON.readValue(bytes, as);
+    } catch (IOException e) {
+      throw new IllegalArgumentException("no " + as.getSimpleName().toLowerCase(java.util.Locale.ROOT)
+          + " is in these " + bytes.length + " bytes: " + e.getMessage(), e);
+    }
+  }
+}
--- /dev/null
+++ b/steward/src/main/java/willowdoor/steward/Machine.java
@@ -0,0 +1,56 @@
+package willowdoor.steward;
+
+import io.microraft.statemachine.StateMachine;
+import java.io.ByteArrayOutputStream;
+import java.util.Arrays;
+import java.util.List;
+import java.util.function.Consumer;
+import java.util.function.DoubleSupplier;
+import willowdoor.agreement.Command.Lead;
+import willowdoor.agreement.FleetRecord;
+import willowdoor.agreement.Terms;
+
+/** The record as the library's state machine: bytes of commands in, outcomes out, snapshots in pieces. */
+final class Machine implements StateMachine {
+
+  /** A piece of a snapshot has so many bytes at most, as one message carries it. */
+  static final int CHUNK_BYTES = 256 << 10;
+
+  private final DoubleSupplier now;
+  private FleetRecord record;
+
+  Machine(Terms terms, DoubleSupplier now) {
+    this.now = now;
+    record = new FleetRecord(terms);
+  }
+
+  FleetRecord record() {
+    return record;
+  }
+
+  @Override
+  public Object runOperation(long commitIndex, Object operation) {
+    return record.on(Codec.command((byte[]) operation));
+  }
+
+  @Override
+  public void takeSnapshot(long commitIndex, Consumer<Object> pieces) {
+    byte[] all = Codec.bytes(record.state());
+    for (int from = 0; from < all.length; from += CHUNK_BYTES) {
+      pieces.accept(Arrays.copyOfRange(all, from, Math.min(all.length, from + CHUNK_BYTES)));
+    }
+  }
+
+  @Override
+  public void installSnapshot(long commitIndex, List<Object> pieces) {
+    ByteArrayOutputStream all = new ByteArrayOutputStream();
+    pieces.forEach(piece -> all.writeBytes((byte[]) piece));
+    record = new FleetRecord(Codec.state(all.toByteArray()));
+  }
+
+  /** The first entry of each term: from here on this leader's clock counts, and every lease anew. */
+  @Override
+  public Object getNewTermOperation() {
+    return Codec.bytes(new Lead(now.getAsDouble()));
+  }
+}
--- /dev/null
+++ b/steward/src/main/java/willowdoor/steward/Paced.java
@@ -0,0 +1,58 @@
+package willowdoor.steward;
+
+import io.microraft.executor.RaftNodeExecutor;
+import java.time.Clock;
+import java.time.Instant;
+import java.time.ZoneId;
+import java.time.ZoneOffset;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * The library's time: its heartbeats take whole seconds, one at least, which is too long to be without a
+ * leader. So it is told that time goes faster, by the same factor at its clock and at its timers.
+ */
+final class Paced extends Clock implements RaftNodeExecutor {
+
+  private final Surroundings around;
+  private final double factor;
+
+  Paced(Surroundings around, double factor) {
+    this.around = around;
+    this.factor = factor;
+  }
+
+  @Override
+  public void execute(Runnable task) {
+    around.later(0, task);
+  }
+
+  @Override
+  public void submit(Runnable task) {
+    around.later(0, task);
+  }
+
+  @Override
+  public void schedule(Runnable task, long delay, TimeUnit unit) {
+    around.later(unit.toMicros(delay) / 1e3 / factor, task);
+  }
+
+  @Override
+  public long millis() {
+    return (long) (around.now() * factor);
+  }
+
+  @Override
+  public Instant instant() {
+    return Instant.ofEpochMilli(millis());
+  }
+
+  @Override
+  public ZoneId getZone() {
+    return ZoneOffset.UTC;
+  }
+
+  @Override
+  public Clock withZone(ZoneId zone) {
+    return this;
+  }
+}
--- /dev/null
+++ b/steward/src/main/java/willowdoor/steward/Steward.java
@@ -0,0 +1,133 @@
+package willowdoor.steward;
+
+import io.microraft.RaftConfig;
+import io.microraft.RaftEndpoint;
+import io.microraft.RaftNode;
+import io.microraft.RaftNodeStatus;
+import io.microraft.exception.NotLeaderException;
+import io.microraft.model.message.RaftMessage;
+import io.microraft.persistence.RestoredRaftState;
+import io.microraft.transport.Transport;
+import java.io.IOException;
+import java.util.Collection;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BiConsumer;
+import java.util.function.DoubleFunction;
+import java.util.function.Predicate;
+import willowdoor.agreement.Command;
+import willowdoor.agreement.FleetRecord;
+import willowdoor.agreement.Outcome;
+import willowdoor.agreement.Terms;
+
+/**
+ * One of those who keep the fleet's record: the consensus is MicroRaft's, the record {@link FleetRecord}. It
+ * has no thread, clock, link or chance of its own; everything runs on the thread of its surroundings.
+ */
+public final class Steward {
+
+  /** By this the library's seconds are shorter: heartbeats each 0.1 s, a leader missed after 0.5 s. */
+  static final double PACE = 10;
+  private static final int HEARTBEAT_SECS = 1;
+  private static final int MISSED_SECS = 5;
+  /** Of the library's time; votes are asked for again after this. */
+  private static final int ELECTION_MS = 1_000;
+  /** Commands that wait for a majority; one more is refused by the library. */
+  private static final int MOST_PENDING = 1_000;
+
+  private final Surroundings around;
+  private final Machine machine;
+  private final RaftNode node;
+
+  /**
+   * Begins with {@link #start}.
+   *
+   * @param members those who begin the record together, this one among them
+   * @param send to another, with no answer and no promise that it arrives
+   * @param reachable whether it may be worth sending to it
+   * @param snapshotAfter so many commands
+   * @param store its disk; what is on it goes before the members given here
+   * @throws IOException if the disk can't be read
+   */
+  public Steward(StewardId self, Collection<StewardId> members, Terms terms, Surroundings around,
+      BiConsumer<StewardId, byte[]> send, Predicate<StewardId> reachable, int snapshotAfter, DiskStore store)
+      throws IOException {
+    this.around = around;
+    machine = new Machine(terms, around::now);
+    Paced paced = new Paced(around, PACE);
+    RestoredRaftState before = store.restored();
+    RaftNode.RaftNodeBuilder builder = RaftNode.newBuilder();
+    if (before == null) {
+      builder.setLocalEndpoint(self).setInitialGroupMembers(List.<RaftEndpoint>copyOf(members));
+    } else {
+      builder.setRestoredState(before);
+    }
+    node = builder.setGroupId(Wire.GROUP).setStore(store)
+        .setConfig(RaftConfig.newBuilder().setLeaderHeartbeatPeriodSecs(HEARTBEAT_SECS)
+            .setLeaderHeartbeatTimeoutSecs(MISSED_SECS).setLeaderElectionTimeoutMillis(ELECTION_MS)
+            .setMaxPendingLogEntryCount(MOST_PENDING).setCommitCountToTakeSnapshot(snapshotAfter).build())
+        .setExecutor(paced).setClock(paced).setRandom(around.random()).setStateMachine(machine)
+        .setTransport(new Transport() {
+          @Override
+          public void send(RaftEndpoint to, RaftMessage message) {
+            send.accept((StewardId) to, Wire.bytes(message));
+          }
+
+          @Override
+          public boolean isReachable(RaftEndpoint to) {
+            return reachable.test((StewardId) to);
+          }
+        }).build();
+  }
+
+  /** Takes part from here on. */
+  public void start() {
+    node.start();
+  }
+
+  /** Takes part no longer. */
+  public void stop() {
+    node.terminate();
+  }
+
+  /**
+   * Takes what another steward sent.
+   *
+   * @throws IllegalArgumentException naming what can't be read
+   */
+  public void handle(byte[] message) {
+    RaftMessage read = Wire.message(message);
+    if (!RaftNodeStatus.isTerminal(node.getStatus())) {
+      node.handle(read);
+    }
+  }
+
+  /**
+   * Has a command agreed on; fails where this steward doesn't lead, or no majority agrees before it stops
+   * leading. A failure doesn't tell that the command was not, or will not be, agreed on.
+   *
+   * @param command made with the time of this steward's clock, which counts only if it leads
+   */
+  public CompletableFuture<Outcome> propose(DoubleFunction<Command> command) {
+    if (!leads()) {
+      return CompletableFuture.failedFuture(new NotLeaderException(node.getLocalEndpoint(),
+          node.getTerm().getLeaderEndpoint()));
+    }
+    return node.<Outcome>replicate(Codec.bytes(command.apply(around.now()))).thenApply(x -> x.getResult());
+  }
+
+  /** Whether it believes that it leads; what it proposes shows whether it does. */
+  public boolean leads() {
+    return node.getLocalEndpoint().equals(node.getTerm().getLeaderEndpoint());
+  }
+
+  /** Whom it takes for the leader; null where it knows none. */
+  public StewardId leader() {
+    return (StewardId) node.getTerm().getLeaderEndpoint();
+  }
+
+  /** What this steward has heard as agreed, which may be behind. For its own thread. */
+  public FleetRecord record() {
+    return machine.record();
+  }
+}
--- /dev/null
+++ b/steward/src/test/java/willowdoor/steward/StewardTest.java
@@ -0,0 +1,227 @@
+package willowdoor.steward;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.DoubleFunction;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import willowdoor.agreement.Command;
+import willowdoor.agreement.Command.Ask;
+import willowdoor.agreement.Command.Backend;
+import willowdoor.agreement.Command.Sight;
+import willowdoor.agreement.Outcome;
+import willowdoor.agreement.Outcome.Granted;
+import willowdoor.agreement.Outcome.Waiting;
+import willowdoor.agreement.Permit;
+import willowdoor.agreement.Subject;
+import willowdoor.agreement.Subject.Kind;
+
+class StewardTest {
+
+  @TempDir
+  private Path folder;
+  private final List<StewardWorld> open = new ArrayList<>();
+
+  @AfterEach
+  void close() throws IOException {
+    for (StewardWorld world : open) {
+      world.close();
+    }
+  }
+
+  private StewardWorld begun(int stewards, long seed, int budget, int snapshotAfter) throws IOException {
+    StewardWorld world = new StewardWorld(folder, stewards, seed, budget, snapshotAfter);
+    open.add(world);
+    return world;
+  }
+
+  private static DoubleFunction<Command> ask(String request, String backend) {
+    return at -> new Ask(at, request, new Subject(Kind.BACKEND, backend), "ana", "disk", false);
+  }
+
+  private static DoubleFunction<Command> backends(int n) {
+    return at -> new Sight(at, java.util.stream.IntStream.range(0, n)
+        .mapToObj(i -> new Backend("b" + i, "a", 1, true)).toList());
+  }
+
+  private static void assertAllAgree(StewardWorld world, String what) throws IOException {
+    world.lost = 0;
+    world.cut.clear();
+    world.mend();
+    world.agreed(Set.of(), Command.Tick::new);
+    world.run(3_000);
+    for (Steward steward : world.stewards) {
+      assertEquals(world.stewards.get(0).record().state(), steward.record().state(), what);
+    }
+  }
+
+  @Test
+  void whatIsAgreedOnIsTheSameEverywhere() throws Exception {
+    StewardWorld world = begun(3, 1, 1, 10_000);
+    world.agreed(Set.of(), backends(3));
+    assertInstanceOf(Granted.class, world.agreed(Set.of(), ask("r1", "b1")));
+    assertInstanceOf(Waiting.class, world.agreed(Set.of(), ask("r2", "b2")));
+    assertAllAgree(world, "seed 1");
+  }
+
+  /** An operator at each half: the old leader, in the smaller one, can give nothing away. */
+  @Test
+  void theLeaderInTheSmallerHalfGrantsNothing() throws Exception {
+    StewardWorld world = begun(5, 2, 1, 10_000);
+    world.agreed(Set.of(), backends(3));
+    int old = world.leader(Set.of());
+    Set<Integer> side = Set.of(old, (old + 1) % 5);
+    world.split(side);
+    CompletableFuture<Outcome> inMinority = world.propose(old, ask("r1", "b1"));
+    assertInstanceOf(Granted.class, world.agreed(side, ask("r2", "b2")));
+    assertFalse(inMinority.isDone() && !inMinority.isCompletedExceptionally());
+    assertAllAgree(world, "seed 2");
+    assertInstanceOf(Waiting.class, world.agreed(Set.of(), ask("r1", "b1")));
+  }
+
+  /** It is stopped in the middle of handing out a permit, for longer than a lease, and continued. */
+  @Test
+  void aLeaderThatWasStoppedGrantsNothingByWhatItBelieved() throws Exception {
+    StewardWorld world = begun(3, 3, 1, 10_000);
+    world.agreed(Set.of(), backends(3));
+    int old = world.leader(Set.of());
+    CompletableFuture<Outcome> late = world.propose(old, ask("r1", "b1"));
+    world.stop(old);
+    assertInstanceOf(Granted.class, world.agreed(Set.of(old), ask("r2", "b2")));
+    world.run(10_000);
+    world.goOn(old);
+    assertTrue(world.stewards.get(old).leads(), "it doesn't know yet");
+    CompletableFuture<Outcome> after = world.propose(old, ask("r3", "b0"));
+    world.run(3_000);
+    assertFalse(granted(late) || granted(after));
+    assertAllAgree(world, "seed 3");
+  }
+
+  private static boolean granted(CompletableFuture<Outcome> answer) {
+    return answer.isDone() && !answer.isCompletedExceptionally() && answer.join() instanceof Granted;
+  }
+
+  /** With their disks: whoever was told yes still has it. */
+  @Test
+  void allAreKilledAtOnceAndComeBack() throws Exception {
+    StewardWorld world = begun(3, 5, 1, 25);
+    world.agreed(Set.of(), backends(3));
+    assertInstanceOf(Granted.class, world.agreed(Set.of(), ask("r1", "b1")));
+    for (int round = 0; round < 5; round++) {
+      for (int i = 0; i < 10; i++) {
+        world.agreed(Set.of(), Command.Tick::new);
+      }
+      for (int i = 0; i < 3; i++) {
+        world.kill(i);
+      }
+      world.run(500);
+      world.mend();
+      assertInstanceOf(Waiting.class, world.agreed(Set.of(), ask("r2", "b2")));
+      assertEquals(1, world.stewards.get(world.leader(Set.of())).record().out(Kind.BACKEND));
+    }
+    assertAllAgree(world, "seed 5");
+  }
+
+  /** A second process on the same disk would vote twice. */
+  @Test
+  void aDiskIsOpenInOneProcessOnly() throws Exception {
+    Path path = folder.resolve("one.db");
+    try (DiskStore store = new DiskStore(path)) {
+      assertEquals(null, store.restored());
+      assertTrue(assertThrows(IOException.class, () -> new DiskStore(path)).getMessage()
+          .startsWith("the store " + path + " cannot be opened"));
+    }
+    Files.write(path, new byte[5_000]);
+    assertThrows(IOException.class, () -> new DiskStore(path));
+  }
+
+  @Test
+  void oneThatWasAwayCatchesUpFromASnapshot() throws Exception {
+    StewardWorld world = begun(3, 4, 2, 20);
+    world.agreed(Set.of(), backends(2_000));
+    int away = (world.leader(Set.of()) + 1) % 3;
+    world.split(Set.of(away));
+    for (int i = 0; i < 100; i++) {
+      world.agreed(Set.of(away), ask("r" + i, "b" + i));
+    }
+    assertAllAgree(world, "seed 4");
+    assertEquals(100, world.stewards.get(away).record().state().permits().size());
+  }
+
+  /** Links that lose and delay, splits, processes that stand still: one record, and what was told holds. */
+  @Test
+  void whatWasToldHoldsThroughFaultsByChance() throws Exception {
+    for (long seed = 1; seed <= 60; seed++) {
+      Random random = new Random(seed);
+      StewardWorld world = begun(3 + 2 * random.nextInt(2), seed, 2, 30);
+      world.lost = 0.1 * random.nextDouble();
+      world.mostDelayMs = 1 + random.nextInt(80);
+      world.agreed(Set.of(), backends(6));
+      Map<String, Long> told = new HashMap<>();
+      Map<CompletableFuture<Outcome>, String> asked = new HashMap<>();
+      for (int step = 0; step < 40; step++) {
+        int one = random.nextInt(world.ids.size());
+        String request = "r" + random.nextInt(6);
+        switch (random.nextInt(8)) {
+          case 0 -> world.split(Set.of(one));
+          case 1 -> world.cut.clear();
+          case 2 -> world.stop(one);
+          case 3 -> world.mend();
+          case 4 -> world.kill(one);
+          default -> {
+            if (world.lives(one)) {
+              asked.put(world.propose(one, ask(request, "b" + request.substring(1))), request);
+            }
+          }
+        }
+        world.run(random.nextInt(400));
+      }
+      String what = "seed " + seed;
+      assertAllAgree(world, what);
+      asked.forEach((answer, request) -> {
+        if (granted(answer)) {
+          long permit = ((Granted) answer.join()).permit();
+          assertEquals(permit, told.merge(request, permit, (a, b) -> a.equals(b) ? a : -1), what);
+        }
+      });
+      List<Permit> permits = world.stewards.get(0).record().state().permits();
+      told.forEach((request, id) -> assertTrue(permits.stream().anyMatch(x -> x.id() == id
+          && x.request().equals(request) && x.stage() != Permit.Stage.WAITING), what + " " + request));
+      assertTrue(permits.stream().filter(x -> x.stage() != Permit.Stage.WAITING).count() <= 2, what);
+    }
+  }
+
+  @Test
+  void whatCannotBeReadIsNamed() {
+    for (String bytes : new String[] {"{", "{\"is\":\"Nothing\"}", "{\"is\":\"Tick\",\"atMs\":1,\"more\":2}",
+        "{\"is\":\"Tick\"}"}) {
+      String message = assertThrows(IllegalArgumentException.class,
+          () -> Codec.command(bytes.getBytes(StandardCharsets.UTF_8))).getMessage();
+      assertTrue(message.startsWith("no command is in these " + bytes.length() + " bytes"), message);
+    }
+    for (String bytes : new String[] {"", "7", "{", "{\"from\":{\"name\":\"a\"}}",
+        "{\"is\":\"Gossip\",\"term\":1,\"from\":{\"name\":\"a\",\"store\":\"b\"}}"}) {
+      assertThrows(IllegalArgumentException.class,
+          () -> Wire.message(bytes.getBytes(StandardCharsets.UTF_8)), bytes);
+    }
+    String endless = "x".repeat(Codec.MOST_BYTES);
+    assertTrue(assertThrows(IllegalArgumentException.class,
+        () -> Codec.bytes(new Command.Forget(1, endless, "a"))).getMessage().contains("a Forget of"));
+  }
+}
