Stewards in simulated time move to the emulator, the project's one simulated world

A second simulated world in a module's tests is none that others can extend. Nothing but packages, imports and the place of two tests changes: StewardWorldTest (6) and FromOutsideTest (2) pass.

--- a/emulator/src/main/java/willowdoor/emulator/agreement/StewardWorld.java
+++ b/emulator/src/main/java/willowdoor/emulator/agreement/StewardWorld.java
@@ -1,4 +1,4 @@
-package willowdoor.steward;
+package willowdoor.emulator.agreement;
 
 import java.io.IOException;
 import java.nio.file.Files;
@@ -20,6 +20,10 @@
 import willowdoor.agreement.Most;
 import willowdoor.agreement.Outcome;
 import willowdoor.agreement.Terms;
+import willowdoor.steward.DiskStore;
+import willowdoor.steward.Steward;
+import willowdoor.steward.StewardId;
+import willowdoor.steward.Surroundings;
 
 /** The real library in simulated time: links that lose and delay, processes that stand still. */
 final class StewardWorld implements AutoCloseable {
--- a/emulator/src/test/java/willowdoor/emulator/agreement/StewardWorldTest.java
+++ b/emulator/src/test/java/willowdoor/emulator/agreement/StewardWorldTest.java
@@ -1,14 +1,11 @@
-package willowdoor.steward;
+package willowdoor.emulator.agreement;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
-import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
-import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -31,8 +28,9 @@
 import willowdoor.agreement.Permit;
 import willowdoor.agreement.Subject;
 import willowdoor.agreement.Subject.Kind;
+import willowdoor.steward.Steward;
 
-class StewardTest {
+class StewardWorldTest {
 
   @TempDir
   private Path folder;
@@ -138,19 +136,6 @@
     assertAllAgree(world, "seed 5");
   }
 
-  /** A second process on the same disk would vote twice. */
-  @Test
-  void aDiskIsOpenInOneProcessOnly() throws Exception {
-    Path path = folder.resolve("one.db");
-    try (DiskStore store = new DiskStore(path)) {
-      assertEquals(null, store.restored());
-      assertTrue(assertThrows(IOException.class, () -> new DiskStore(path)).getMessage()
-          .startsWith("the store " + path + " cannot be opened"));
-    }
-    Files.write(path, new byte[5_000]);
-    assertThrows(IOException.class, () -> new DiskStore(path));
-  }
-
   @Test
   void oneThatWasAwayCatchesUpFromASnapshot() throws Exception {
     StewardWorld world = begun(3, 4, 2, 20);
@@ -206,22 +191,4 @@
       assertTrue(permits.stream().filter(x -> x.stage() != Permit.Stage.WAITING).count() <= 2, what);
     }
   }
-
-  @Test
-  void whatCannotBeReadIsNamed() {
-    for (String bytes : new String[] {"{", "{\"is\":\"Nothing\"}", "{\"is\":\"Tick\",\"atMs\":1,\"more\":2}",
-        "{\"is\":\"Tick\"}"}) {
-      String message = assertThrows(IllegalArgumentException.class,
-          () -> Codec.command(bytes.getBytes(StandardCharsets.UTF_8))).getMessage();
-      assertTrue(message.startsWith("no command is in these " + bytes.length() + " bytes"), message);
-    }
-    for (String bytes : new String[] {"", "7", "{", "{\"from\":{\"name\":\"a\"}}",
-        "{\"is\":\"Gossip\",\"term\":1,\"from\":{\"name\":\"a\",\"store\":\"b\"}}"}) {
-      assertThrows(IllegalArgumentException.class,
-          () -> Wire.message(bytes.getBytes(StandardCharsets.UTF_8)), bytes);
-    }
-    String endless = "x".repeat(Codec.MOST_BYTES);
-    assertTrue(assertThrows(IllegalArgumentException.class,
-        () -> Codec.bytes(new Command.Forget(1, endless, "a"))).getMessage().contains("a Forget of"));
-  }
 }
--- /dev/null
+++ b/steward/src/test/java/willowdoor/steward/FromOutsideTest.java
@@ -0,0 +1,51 @@
+package willowdoor.steward;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import willowdoor.agreement.Command;
+
+/** What comes from outside: bytes that are no message, a disk that is none. The rest is in the emulator's. */
+class FromOutsideTest {
+
+  @TempDir
+  private Path folder;
+
+  /** A second process on the same disk would vote twice. */
+  @Test
+  void aDiskIsOpenInOneProcessOnly() throws Exception {
+    Path path = folder.resolve("one.db");
+    try (DiskStore store = new DiskStore(path)) {
+      assertEquals(null, store.restored());
+      assertTrue(assertThrows(IOException.class, () -> new DiskStore(path)).getMessage()
+          .startsWith("the store " + path + " cannot be opened"));
+    }
+    Files.write(path, new byte[5_000]);
+    assertThrows(IOException.class, () -> new DiskStore(path));
+  }
+
+  @Test
+  void whatCannotBeReadIsNamed() {
+    for (String bytes : new String[] {"{", "{\"is\":\"Nothing\"}", "{\"is\":\"Tick\",\"atMs\":1,\"more\":2}",
+        "{\"is\":\"Tick\"}"}) {
+      String message = assertThrows(IllegalArgumentException.class,
+          () -> Codec.command(bytes.getBytes(StandardCharsets.UTF_8))).getMessage();
+      assertTrue(message.startsWith("no command is in these " + bytes.length() + " bytes"), message);
+    }
+    for (String bytes : new String[] {"", "7", "{", "{\"from\":{\"name\":\"a\"}}",
+        "{\"is\":\"Gossip\",\"term\":1,\"from\":{\"name\":\"a\",\"store\":\"b\"}}"}) {
+      assertThrows(IllegalArgumentException.class,
+          () -> Wire.message(bytes.getBytes(StandardCharsets.UTF_8)), bytes);
+    }
+    String endless = "x".repeat(Codec.MOST_BYTES);
+    assertTrue(assertThrows(IllegalArgumentException.class,
+        () -> Codec.bytes(new Command.Forget(1, endless, "a"))).getMessage().contains("a Forget of"));
+  }
+}
