--- a/door/src/main/java/willowdoor/net/BackendPool.java
+++ b/door/src/main/java/willowdoor/net/BackendPool.java
@@ -137,7 +137,6 @@
   private void connect(Backend b, Attempt attempt) {
     places.backend(1);
     b.connecting.add(attempt);
-    double since = clock.now();
     ResponseDecoder decoder = new ResponseDecoder();
     BackendConnection c = new BackendConnection(this, b, decoder);
     ChannelFuture connected = dialer.dial(b.place, new ChannelInitializer<Channel>() {
@@ -147,28 +146,19 @@
       }
     });
     connected.addListener((ChannelFuture f) -> {
-      if (f.isSuccess() && clock.now() - since > NewsFirst.AWAY_MS) {
-        // The loop may have been away since the attempt was decided on.
-        NewsFirst.afterARound(loop, () -> connected(b, attempt, c, f));
+      b.connecting.remove(attempt);
+      // Guards against writing what has timed out, was cancelled or must not reach a drained backend.
+      if (attempt.ended()) {
+        f.channel().close();
+      } else if (f.isSuccess()) {
+        c.carry(attempt, request(b, attempt));
       } else {
-        connected(b, attempt, c, f);
+        attempt.end(unconnected(f.cause()), null);
       }
     });
     connected.channel().closeFuture().addListener(f -> places.backend(-1));
   }
 
-  /** Guards against writing what has timed out, was cancelled or must not reach a drained backend. */
-  private void connected(Backend b, Attempt attempt, BackendConnection c, ChannelFuture f) {
-    b.connecting.remove(attempt);
-    if (attempt.ended()) {
-      f.channel().close();
-    } else if (f.isSuccess()) {
-      c.carry(attempt, request(b, attempt));
-    } else {
-      attempt.end(unconnected(f.cause()), null);
-    }
-  }
-
   /**
    * A reset shows that something lives there, which took the connection and dropped it: BROKEN. Guards
    * against taking live backends for restarted ones, whatever resets: their full tables, a box between, a
--- a/door/src/main/java/willowdoor/net/FrontDoor.java
+++ b/door/src/main/java/willowdoor/net/FrontDoor.java
@@ -12,7 +12,6 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicReference;
 import java.util.logging.Logger;
 import willowdoor.membership.Out;
 import willowdoor.policy.GatewayApi.Request;
@@ -34,11 +33,6 @@
   /** Connections are kept for so long: a front sends on these, and on no other, till it has noticed. */
   private static final long KEEP_MS = 2_600;
   private static final long POLL_MS = 10;
-  /**
-   * A door that has been told nothing for so long after its start serves by the list that it was given. Until
-   * then it takes no client: that list may name backends which were told to drain before this process began.
-   */
-  private static final long FIRST_LIST_MS = 1_500;
 
   private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, Transport.BEST.ioHandler());
   final EventLoop loop = group.next();
@@ -52,7 +46,6 @@
   private DiscoveryClient discovery;
   private MergedRoster roster;
   private Channel listening;
-  private boolean accepting;
   private Places places;
   /** Null where operators do not call. */
   private Managed managed;
@@ -66,46 +59,17 @@
     if (file == null) {
       throw new IOException("GW_CONFIG is not set");
     }
-    FrontDoor door = serve(Path.of(file), System.getenv("TMPDIR"), () -> { });
-    Runtime.getRuntime().addShutdownHook(new Thread(door::drain, "drain"));
-  }
-
-  /**
-   * The same by this file, which may be replaced at any time, with or without a signal that is heard.
-   *
-   * @param beforeListening done last before it listens
-   */
-  static FrontDoor serve(Path file, String folder, Runnable beforeListening)
-      throws IOException, InterruptedException {
-    AtomicReference<FrontDoor> serving = new AtomicReference<>();
-    // The first thing of all: the JVM would end by a signal that nothing handles.
-    Signals.handle("HUP", () -> {
-      FrontDoor door = serving.get();
-      if (door != null) {
-        door.reload(file);
-      }
-    });
-    Config config = Config.read(file);
-    FrontDoor door = start(config, folder, wired -> {
+    Path path = Path.of(file);
+    Config config = Config.read(path);
+    FrontDoor door = start(config, System.getenv("TMPDIR"), wired -> {
+      Signals.handle("HUP", () -> wired.reload(path));
       if (wired.managed != null && wired.managed.second()) {
         new WarmUp(config).run(WarmUp.LIMIT_BESIDE_MS, WarmUp.REQUESTS_BESIDE);
       } else {
         warmUp(config);
       }
-      beforeListening.run();
-      serving.set(wired);
-      // A start takes seconds where CPU is short, and the file may have been replaced since it was read.
-      wired.reload(file);
     });
-    return door;
-  }
-
-  private void watchLoop(double before) {
-    double now = clock.now();
-    if (now - before > 250) {
-      NewsLog.step(clock, "loop away for " + (now - before));
-    }
-    loop.schedule(() -> watchLoop(now), 50, TimeUnit.MILLISECONDS);
+    Runtime.getRuntime().addShutdownHook(new Thread(door::drain, "drain"));
   }
 
   private interface Preparation {
@@ -125,10 +89,6 @@
   private static FrontDoor start(Config config, String folder, Preparation beforeListening)
       throws IOException, InterruptedException {
     FrontDoor door = wired(config);
-    if (NewsLog.ON) {
-      NewsLog.step(door.clock, "start, known " + config.known().version() + " at " + config.discovery());
-      door.watchLoop(door.clock.now());
-    }
     try {
       if (config.management() != null) {
         door.manage(config.management(), folder);
@@ -142,17 +102,14 @@
       door.stop();
       throw e;
     }
-    door.loop.execute(() -> door.discovery.whenAnswered(() -> {
-      if (NewsLog.ON) {
-        NewsLog.step(door.clock, "accepts");
-      }
+    door.loop.execute(() -> {
       door.accept();
       if (door.managed == null) {
         door.beFound();
       } else {
         door.managed.serves(door::beFound);
       }
-    }));
+    });
     return door;
   }
 
@@ -186,7 +143,6 @@
         config.idleLimitMs(), places);
     QuotaPolicy policy = new QuotaPolicy(config.settings(), config.seed());
     driver = new ModuleDriver(loop, clock, policy, backends);
-    driver.lookForNewsFirst();
     clients = new ClientServer(loop, clock, driver, backends, new RequestReader(config.settings()),
         config.limits(), places);
     counter = counts == null ? linesOf(config)
@@ -199,7 +155,7 @@
     roster = new MergedRoster(clock::now, driver::onRoster);
     driver.start(counter, roster.merge(config.known()));
     discovery = new DiscoveryClient(loop, clock, config.discovery(), config.known().version(), roster::heard);
-    discovery.start(FIRST_LIST_MS);
+    discovery.start();
   }
 
   private CounterClient linesOf(Config config) {
@@ -280,22 +236,17 @@
     return Transport.descriptor(listening);
   }
 
-  /** Takes connections from here on, or as soon as discovery has told what it holds. */
+  /** Takes connections from here on. */
   public void accept() {
-    accepting = true;
-    discovery.whenAnswered(() -> {
-      if (accepting) {
-        if (ceilings != null) {
-          ceilings.begin();
-        }
-        listening.config().setAutoRead(true);
-      }
-    });
+    if (ceilings != null) {
+      ceilings.begin();
+    }
+    listening.config().setAutoRead(true);
   }
 
-  /** Answers {@code GET /up} with 200 from here on, as soon as a backend is known and discovery has told. */
+  /** Answers {@code GET /up} with 200 from here on, as soon as a backend is known. */
   public void beFound() {
-    discovery.whenAnswered(clients::serve);
+    clients.serve();
   }
 
   /**
@@ -329,7 +280,6 @@
    * {@link #accept} takes them back.
    */
   public void leaveListening() {
-    accepting = false;
     if (ceilings != null) {
       ceilings.handOver();
     }
@@ -338,7 +288,6 @@
 
   /** Answers {@code GET /up} with 503, and ends each connection with its next answer. */
   public void beginDrain() {
-    discovery.goOn();
     driver.draining(true);
     clients.drain(true);
     clients.leave(true);
@@ -381,25 +330,22 @@
 
   /**
    * Takes the addresses of discovery and of the counter from the replaced file; nothing else of it changes
-   * while the process lives. Guards against a file that cannot be read: the old addresses stay. Not for the
-   * loop's thread, as it reads a file.
+   * while the process lives. Guards against a file that cannot be read: the old addresses stay.
    */
   void reload(Path file) {
-    if (NewsLog.ON) {
-      NewsLog.step(clock, "hup");
-    }
-    try {
-      Config.Peers peers = Config.readPeers(file);
-      loop.execute(() -> moveTo(peers.discovery(), peers.counter()));
-    } catch (IOException | RuntimeException e) {
-      LOG.warning("the new configuration is not taken: " + e.getMessage());
-    }
+    loop.execute(() -> {
+      try {
+        Config.Peers peers = Config.readPeers(file);
+        moveTo(peers.discovery(), peers.counter());
+      } catch (IOException | RuntimeException e) {
+        LOG.warning("the new configuration is not taken: " + e.getMessage());
+      }
+    });
   }
 
   /** The planned end: accept a little longer, answer all that was taken, then let the process go. */
   void drain() {
     loop.execute(() -> {
-      discovery.goOn();
       if (managed != null && managed.ends()) {
         leaveToOther();
       } else {
--- a/door/src/main/java/willowdoor/net/ModuleDriver.java
+++ b/door/src/main/java/willowdoor/net/ModuleDriver.java
@@ -138,14 +138,8 @@
   private CeilingShares ceilings;
   private final Map<String, Live> live = new HashMap<>();
   private final ArrayDeque<Event> inbox = new ArrayDeque<>();
-  /** News of the backends, which nothing may overtake. */
-  private final ArrayDeque<Event> news = new ArrayDeque<>(2);
-  /** Null where no news comes from elsewhere. */
-  private NewsFirst newsFirst;
   private int heldBytes;
   private boolean delivering;
-  /** When the event that is worked on came up. */
-  private double nowMs;
 
   ModuleDriver(EventLoop loop, Clock clock, QuotaPolicy policy, BackendPool backends) {
     this.loop = loop;
@@ -154,11 +148,6 @@
     this.backends = backends;
   }
 
-  /** Has a loop that was away look for news before it decides. */
-  void lookForNewsFirst() {
-    newsFirst = new NewsFirst(loop, clock, this::work);
-  }
-
   void start(CounterStore counter, RosterNews known) {
     this.counter = counter;
     policy.start(clock.now()).forEach(this::execute);
@@ -306,13 +295,11 @@
 
   /**
    * The net under module and gate: a request that they left unanswered fails while its client still listens.
-   * At the gate nothing of it has run, and before the module was told of it: there it is refused.
+   * At the gate nothing of it has run, so there it is refused.
    */
   private void fail(Live r) {
-    // One that waits for news has not been decided on either.
-    boolean nothingRan = r.atGate || inbox.contains(r.request);
-    if (r.finish(nothingRan ? Gate.End.REFUSED : Gate.End.FAILED)) {
-      if (nothingRan) {
+    if (r.finish(r.atGate ? Gate.End.REFUSED : Gate.End.FAILED)) {
+      if (r.atGate) {
         r.client.refused(0);
       } else {
         r.client.failed();
@@ -324,17 +311,13 @@
 
   /** Events that come up while an event is worked on wait for their turn: the module is not re-entered. */
   private void deliver(Event event) {
-    (event instanceof Roster ? news : inbox).add(event);
-    work();
-  }
-
-  private void work() {
+    inbox.add(event);
     if (delivering) {
       return;
     }
     delivering = true;
     try {
-      for (Event e = next(); e != null; e = next()) {
+      for (Event e = inbox.poll(); e != null; e = inbox.poll()) {
         step(e);
       }
     } finally {
@@ -342,19 +325,11 @@
     }
   }
 
-  /** The next event whose turn it is; none while the loop still has to look for news after it was away. */
-  private Event next() {
-    nowMs = clock.now();
-    Event told = news.poll();
-    boolean holds = told == null && newsFirst != null && !inbox.isEmpty() && newsFirst.holds(nowMs);
-    return told != null || holds ? told : inbox.poll();
-  }
-
   private void step(Event event) {
     List<Action> actions;
     try {
       boolean divided = ceilings != null && event instanceof Request;
-      actions = policy.on(nowMs, divided ? ceilings.shared((Request) event) : event);
+      actions = policy.on(clock.now(), divided ? ceilings.shared((Request) event) : event);
     } catch (RuntimeException e) {
       LOG.log(Level.SEVERE, "the module failed on " + event, e);
       recover(event);
@@ -444,9 +419,6 @@
     };
     r.attempts.add(attempt);
     r.out++;
-    if (NewsLog.ON) {
-      NewsLog.sent(clock, a.backend());
-    }
     backends.start(a.backend(), attempt);
   }
 
