The platform's jar holds nothing of agreement again

Need: the agreement package came with the policy module into the lean jar (55 entries), though nothing of it may cost the platform anything; the test that holds the jar lean didn't know the package. A lease that is no length is refused too.

--- a/daemon/src/test/java/willowdoor/daemon/ArchitectureTest.java
+++ b/daemon/src/test/java/willowdoor/daemon/ArchitectureTest.java
@@ -110,6 +110,8 @@
           || e.getName().startsWith("willowdoor/daemon") || e.getName().startsWith("willowdoor/testkit")
           || e.getName().startsWith("willowdoor/life") || e.getName().startsWith("willowdoor/authz")
           || e.getName().startsWith("willowdoor/fair")
+          || e.getName().startsWith("willowdoor/agreement") || e.getName().startsWith("willowdoor/steward")
+          || e.getName().startsWith("io/microraft") || e.getName().startsWith("org/sqlite")
           || e.getName().startsWith("willowdoor/extauthz") || e.getName().startsWith("willowdoor/valkey")
           || e.getName().startsWith("io/lettuce") || e.getName().startsWith("reactor") ||
               e.getName().startsWith("io/grpc")
--- a/policy/src/main/java/willowdoor/agreement/Terms.java
+++ b/policy/src/main/java/willowdoor/agreement/Terms.java
@@ -9,6 +9,13 @@
  */
 public record Terms(Budget doors, Budget backends, double leaseMs) {
 
+  /** Refuses a lease that is none. */
+  public Terms {
+    if (!(leaseMs > 0 && leaseMs < Double.POSITIVE_INFINITY)) {
+      throw new IllegalArgumentException("the lease is " + leaseMs + " ms (expected: above 0)");
+    }
+  }
+
   Budget of(Subject.Kind kind) {
     return kind == Subject.Kind.DOOR ? doors : backends;
   }
--- a/policy/src/test/java/willowdoor/agreement/FleetRecordTest.java
+++ b/policy/src/test/java/willowdoor/agreement/FleetRecordTest.java
@@ -363,6 +363,7 @@
   void nonsenseIsNamed() {
     assertTrue(message(() -> Most.part(1.5)).contains("1.5 of 1 (expected: 0 or more, 1 at most)"));
     assertTrue(message(() -> new Budget(Most.ANY, Most.ANY, Double.NaN)).contains("least weight is NaN"));
+    assertTrue(message(() -> new Terms(null, null, Double.NaN)).contains("the lease is NaN ms"));
     assertTrue(message(() -> new DoorLease(0, 0.1)).contains("a lease of 0.0 ms"));
   }
 
