Drains: a door started with SIGHUP ignored looks at its file itself

A process that is started with the signal ignored (nohup, or anything that nohup started) hands that on, and the JVM installs no handler where SIGHUP, SIGINT or SIGTERM was ignored before; Signal.handle tells so by its return value alone, which was dropped. The doors stayed at an address of discovery that was gone, and sent to backends that the new one told to drain.

Change: Signals.handle says whether the signal is heard. SIGHUP is handled before anything else in a start, as it ended one that came earlier, and what was replaced before it could be taken is taken then.

HangUpTest was red without the change (the ignored case; handled before the watch begins).

--- a/daemon/src/main/java/willowdoor/daemon/Cli.java
+++ b/daemon/src/main/java/willowdoor/daemon/Cli.java
@@ -19,6 +19,7 @@
 import willowdoor.daemon.fleet.FleetCommand;
 import willowdoor.daemon.fleet.LabCommand;
 import willowdoor.daemon.life.Daemon;
+import willowdoor.net.ReplacedFile;
 import willowdoor.net.Signals;
 
 /** The product's command line. */
@@ -74,10 +75,11 @@
     public Integer call() throws InterruptedException {
       Daemon daemon;
       try {
+        ReplacedFile replaced = new ReplacedFile(config);
         daemon = Daemon.create(DaemonConfig.read(config), config);
         Signals.handle("TERM", daemon::end);
         Signals.handle("INT", daemon::end);
-        Signals.handle("HUP", daemon::reload);
+        replaced.onHangUp(daemon::reload);
         daemon.start(takeOver);
       } catch (ConfigException e) {
         return fail(e, EXIT_USAGE);
--- a/door/src/main/java/willowdoor/net/FrontDoor.java
+++ b/door/src/main/java/willowdoor/net/FrontDoor.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.logging.Logger;
 import willowdoor.membership.Out;
 import willowdoor.policy.GatewayApi.Request;
@@ -60,9 +61,20 @@
       throw new IOException("GW_CONFIG is not set");
     }
     Path path = Path.of(file);
+    ReplacedFile replaced = new ReplacedFile(path);
+    AtomicReference<FrontDoor> serving = new AtomicReference<>();
+    // First of all: a signal that nothing handles would end the JVM, and a start takes long without CPU.
+    replaced.onHangUp(() -> {
+      if (serving.get() != null) {
+        serving.get().reload(path);
+      }
+    });
     Config config = Config.read(path);
     FrontDoor door = start(config, System.getenv("TMPDIR"), wired -> {
-      Signals.handle("HUP", () -> wired.reload(path));
+      serving.set(wired);
+      if (replaced.changed()) {
+        wired.reload(path);
+      }
       if (wired.managed != null && wired.managed.second()) {
         new WarmUp(config).run(WarmUp.LIMIT_BESIDE_MS, WarmUp.REQUESTS_BESIDE);
       } else {
--- a/door/src/main/java/willowdoor/net/Signals.java
+++ b/door/src/main/java/willowdoor/net/Signals.java
@@ -17,8 +17,9 @@
    * Runs the handler at each signal of that name, on a thread of the JVM's own.
    *
    * @param name without the leading SIG, such as HUP
+   * @return false where whoever started this process had the signal ignored: the JVM then never runs it
    */
-  public static void handle(String name, Runnable handler) throws IOException {
+  public static boolean handle(String name, Runnable handler) throws IOException {
     try {
       Class<?> signal = Class.forName("sun.misc.Signal");
       Class<?> type = Class.forName("sun.misc.SignalHandler");
@@ -27,8 +28,9 @@
             handler.run();
             return null;
           });
-      signal.getMethod("handle", signal, type)
+      Object before = signal.getMethod("handle", signal, type)
           .invoke(null, signal.getConstructor(String.class).newInstance(name), handling);
+      return before != type.getField("SIG_IGN").get(null);
     } catch (ReflectiveOperationException e) {
       throw new IOException("cannot handle SIG" + name, e);
     }
--- /dev/null
+++ b/door/src/test/java/willowdoor/net/HangUpTest.java
@@ -0,0 +1,95 @@
+package willowdoor.net;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** A front door that is a process of its own takes a replaced configuration. */
+@Timeout(60)
+class HangUpTest {
+
+  @TempDir
+  private Path folder;
+  private final Peers before = new Peers();
+  private final Peers after = new Peers();
+  private Path file;
+  private Process door;
+
+  @AfterEach
+  void close() throws Exception {
+    if (door != null) {
+      door.destroyForcibly().waitFor(10, TimeUnit.SECONDS);
+    }
+    before.close();
+    after.close();
+  }
+
+  /** Starts it by a shell that does this first, and waits until it watches. */
+  private void started(String first) throws Exception {
+    file = Files.writeString(folder.resolve("config.json"), before.config());
+    List<String> words = new ArrayList<>(List.of("sh", "-c", first + "exec \"$@\"", "sh",
+        Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:TieredStopAtLevel=1",
+        "-cp", System.getProperty("java.class.path"), "willowdoor.Main", "serve"));
+    ProcessBuilder builder = new ProcessBuilder(words).redirectErrorStream(true)
+        .redirectOutput(folder.resolve("log").toFile());
+    builder.environment().put("GW_CONFIG", file.toString());
+    door = builder.start();
+    Peers.next(before.watches);
+  }
+
+  private void replace() throws Exception {
+    Path fresh = Files.writeString(folder.resolve("fresh.json"), after.config());
+    Files.move(fresh, file, StandardCopyOption.ATOMIC_MOVE);
+  }
+
+  @Test
+  void bySignal() throws Exception {
+    started("");
+    // One that came before it is handled would end the process.
+    assertTrue(isHandled());
+    replace();
+    new ProcessBuilder("kill", "-HUP", Long.toString(door.pid())).start().waitFor();
+    Peers.next(after.watches);
+    assertTrue(door.isAlive());
+  }
+
+  /** A start takes a second and more where CPU is short: it looks once more when it can take a change. */
+  @Test
+  void whatWasReplacedMeanwhileIsSeen() throws Exception {
+    file = Files.writeString(folder.resolve("config.json"), before.config());
+    ReplacedFile read = new ReplacedFile(file);
+    assertFalse(read.changed());
+    replace();
+    assertTrue(read.changed());
+    Files.delete(file);
+    assertFalse(read.changed());
+    replace();
+    assertTrue(read.changed());
+  }
+
+  private boolean isHandled() throws IOException {
+    String caught = Files.readString(Path.of("/proc/" + door.pid() + "/status")).lines()
+        .filter(l -> l.startsWith("SigCgt")).findFirst().orElseThrow();
+    return (Integer.parseInt(caught.substring(caught.length() - 1), 16) & 1) == 1;
+  }
+
+  /** Started by nohup, or by what was: no SIGHUP reaches it, and the old address tells no drains any more. */
+  @Test
+  void whereItIsStartedWithTheSignalIgnored() throws Exception {
+    started("trap '' HUP; ");
+    replace();
+    Peers.next(after.watches);
+    assertTrue(door.isAlive());
+  }
+}
