--- a/daemon/src/main/java/willowdoor/daemon/Cli.java
+++ b/daemon/src/main/java/willowdoor/daemon/Cli.java
@@ -10,8 +10,11 @@
 import picocli.CommandLine.Parameters;
 import picocli.CommandLine.Spec;
 import willowdoor.Main;
+import willowdoor.daemon.agreement.PermitsCommand;
+import willowdoor.daemon.agreement.StewardCommand;
 import willowdoor.daemon.config.ConfigException;
 import willowdoor.daemon.config.DaemonConfig;
+import willowdoor.daemon.fleet.AgreedCommand;
 import willowdoor.daemon.fleet.AuthorisedCommand;
 import willowdoor.daemon.fleet.CounterCommand;
 import willowdoor.daemon.fleet.DemoCommand;
@@ -27,7 +30,8 @@
     description = "A front door that keeps each customer's quota over all front doors together.",
     subcommands = {Cli.Run.class, Cli.Check.class, DemoCommand.class, FleetCommand.class,
         AuthorisedCommand.class, CounterCommand.class, FairCommand.class, LabCommand.class,
-        Cli.Serve.class,
+        AgreedCommand.class,
+        StewardCommand.class, PermitsCommand.class, Cli.Serve.class,
         Cli.BenchLinkCommand.class},
     footer = {"",
         "Exit codes: 0 ended in order or nothing wrong; 1 cannot start or go on, or a rule "
@@ -86,7 +90,7 @@
       } catch (IOException e) {
         return fail(e, 1);
       }
-      return daemon.ended().join();
+      return daemon.awaitEnd();
     }
 
     private int fail(Exception e, int code) {
--- /dev/null
+++ b/daemon/src/main/java/willowdoor/daemon/agreement/PermitsCommand.java
@@ -0,0 +1,226 @@
+package willowdoor.daemon.agreement;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.UUID;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.ParameterException;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+import willowdoor.agreement.Life;
+import willowdoor.agreement.Note;
+import willowdoor.agreement.Outcome;
+import willowdoor.agreement.Permit;
+import willowdoor.agreement.Subject;
+import willowdoor.agreement.Subject.Kind;
+import willowdoor.net.RosterNews;
+import willowdoor.steward.link.Answer;
+import willowdoor.steward.link.Operator;
+import willowdoor.steward.link.Standing;
+
+/** What operators ask of the stewards. */
+@Command(name = "permits", mixinStandardHelpOptions = true, description =
+    "Takes doors and backends out of the fleet, never too many at once, and back.",
+    subcommands = {PermitsCommand.Ask.class, PermitsCommand.Return.class, PermitsCommand.Forget.class,
+        PermitsCommand.Status.class},
+    footer = {"", "Exit codes: 0 yes; 1 no answer from the stewards, nothing is known of what became of it; "
+        + "2 bad command line; 3 no; 4 it waits for its turn"})
+public final class PermitsCommand {
+
+  private static final int NO_ANSWER = 1;
+  private static final int NO = 3;
+  private static final int WAITS = 4;
+
+  private PermitsCommand() {
+  }
+
+  /** Whom to ask. */
+  static final class At {
+    @Option(names = "--stewards", required = true, split = ",", paramLabel = "ADDRESS", description =
+        "Where stewards are, such as 127.0.0.1:7101; one that answers is enough.")
+    private List<String> stewards;
+    @Option(names = "--fleet", defaultValue = "fleet", description = "Default: ${DEFAULT-VALUE}.")
+    private String fleet;
+    @Option(names = "--by", defaultValue = "${sys:user.name}", description =
+        "Who asks, as it is written down. Default: ${DEFAULT-VALUE}.")
+    private String by;
+    @Option(names = "--limit-ms", defaultValue = "5000", description =
+        "An answer is waited for so long. Default: ${DEFAULT-VALUE}.")
+    private long limitMs;
+    @Spec(Spec.Target.MIXEE)
+    private CommandSpec spec;
+
+    private Operator operator() {
+      List<InetSocketAddress> all = stewards.stream().map(RosterNews::address).toList();
+      if (all.contains(null)) {
+        throw new ParameterException(spec.commandLine(), "--stewards " + String.join(",", stewards)
+            + " (expected: numeric addresses with ports)");
+      }
+      return new Operator(fleet, by, all);
+    }
+
+    private int put(willowdoor.agreement.Command command) throws InterruptedException {
+      try (Operator operator = operator()) {
+        return say(operator.put(command, limitMs));
+      }
+    }
+
+    private int say(Answer answer) {
+      PrintWriter out = spec.commandLine().getOut();
+      if (answer instanceof Answer.Failed e) {
+        spec.commandLine().getErr().println("willowdoor: " + e.why());
+        return NO_ANSWER;
+      }
+      Outcome outcome = ((Answer.Came) answer).outcome();
+      if (outcome instanceof Outcome.Refused e) {
+        out.println("no: " + e.why());
+        return NO;
+      }
+      if (outcome instanceof Outcome.Waiting e) {
+        out.println("waits as number " + e.place() + ", permit " + e.permit() + ": " + e.why());
+        return WAITS;
+      }
+      out.println(outcome instanceof Outcome.Granted e ? "yes, permit " + e.permit() : "yes");
+      return 0;
+    }
+  }
+
+  /** Which door or backend; a backend is told by the name that discovery lists. */
+  static final class What {
+    @Parameters(index = "0", paramLabel = "KIND", description = "door or backend")
+    private String kind;
+    @Parameters(index = "1", paramLabel = "NAME")
+    private String name;
+    @Spec(Spec.Target.MIXEE)
+    private CommandSpec spec;
+
+    private Subject subject() {
+      return switch (kind) {
+        case "door" -> new Subject(Kind.DOOR, name);
+        case "backend" -> new Subject(Kind.BACKEND, Long.toHexString(RosterNews.number(name)));
+        default -> throw new ParameterException(spec.commandLine(), "\"" + kind
+            + "\" (expected: door or backend)");
+      };
+    }
+  }
+
+  @Command(name = "ask", mixinStandardHelpOptions = true, description = "Has a door or a backend go out.")
+  static final class Ask implements Callable<Integer> {
+    @Mixin
+    private What what;
+    @Mixin
+    private At at;
+    @Option(names = "--reason", required = true, description = "Why, as it is written down.")
+    private String reason;
+    @Option(names = "--request", description =
+        "The request's name: asked again under the same name it is the same request. Default: a new one.")
+    private String request = UUID.randomUUID().toString();
+    @Option(names = "--force", description = "Over the budget; written down.")
+    private boolean force;
+
+    @Override
+    public Integer call() throws InterruptedException {
+      return at.put(new willowdoor.agreement.Command.Ask(0, request, what.subject(), at.by, reason, force));
+    }
+  }
+
+  @Command(name = "return", mixinStandardHelpOptions = true, description =
+      "Has it come back, or not go out any more.")
+  static final class Return implements Callable<Integer> {
+    @Mixin
+    private What what;
+    @Mixin
+    private At at;
+
+    @Override
+    public Integer call() throws InterruptedException {
+      Subject subject = what.subject();
+      try (Operator operator = at.operator()) {
+        Answer answer = operator.look(at.limitMs);
+        if (!(answer instanceof Answer.Stands e)) {
+          return at.say(answer);
+        }
+        Optional<Permit> permit = e.standing().permits().stream().filter(x -> x.subject().equals(subject))
+            .findFirst();
+        if (permit.isEmpty()) {
+          return at.say(new Answer.Came(new Outcome.Refused(subject + " is not out on purpose")));
+        }
+        return at.say(operator.put(new willowdoor.agreement.Command.Return(0, subject, permit.get().id(),
+            at.by), at.limitMs));
+      }
+    }
+  }
+
+  @Command(name = "forget", mixinStandardHelpOptions = true, description =
+      "Vouches that a door's machine is no more, so that nothing waits for its word.")
+  static final class Forget implements Callable<Integer> {
+    @Parameters(paramLabel = "DOOR")
+    private String door;
+    @Mixin
+    private At at;
+
+    @Override
+    public Integer call() throws InterruptedException {
+      return at.put(new willowdoor.agreement.Command.Forget(0, UUID.randomUUID().toString(), door, at.by));
+    }
+  }
+
+  @Command(name = "status", mixinStandardHelpOptions = true, description =
+      "How all stands, by a majority's word.")
+  static final class Status implements Callable<Integer> {
+    @Mixin
+    private At at;
+    @Option(names = "--json", description = "For programs.")
+    private boolean json;
+    @Spec
+    private CommandSpec spec;
+
+    @Override
+    public Integer call() throws InterruptedException, IOException {
+      try (Operator operator = at.operator()) {
+        Answer answer = operator.look(at.limitMs);
+        if (!(answer instanceof Answer.Stands e)) {
+          return at.say(answer);
+        }
+        PrintWriter out = spec.commandLine().getOut();
+        if (json) {
+          out.println(new ObjectMapper().writeValueAsString(e.standing()));
+        } else {
+          print(out, e.standing());
+        }
+        return 0;
+      }
+    }
+
+    private static void print(PrintWriter out, Standing s) {
+      out.printf(Locale.ROOT, "steward %s leads; %d commands agreed on%ndoors: %d, of them out: %d%n"
+          + "backends: %d, of them out: %d%n", s.leader(), s.index(), s.doors(), s.doorsOut(), s.backends(),
+          s.backendsOut());
+      for (Life x : s.lives()) {
+        out.printf(Locale.ROOT, "  %-20s %-24s %s%n", x.door(), x.incarnation(), lower(x.doing()));
+      }
+      for (int i = 0; i < s.permits().size(); i++) {
+        Permit x = s.permits().get(i);
+        out.printf(Locale.ROOT, "permit %d: %s %s, asked for by %s: %s%s%s%n", x.id(), x.subject(),
+            lower(x.stage()), x.by(), x.reason(), x.force() ? " (by force)" : "",
+            s.held().get(i).isEmpty() ? "" : "; held up by " + String.join(", ", s.held().get(i)));
+      }
+      for (Note x : s.notes()) {
+        out.printf(Locale.ROOT, "note: %s %s%n", x.by(), x.what());
+      }
+    }
+
+    private static String lower(Enum<?> value) {
+      return value.name().toLowerCase(Locale.ROOT);
+    }
+  }
+}
--- a/daemon/src/main/java/willowdoor/daemon/config/DaemonConfig.java
+++ b/daemon/src/main/java/willowdoor/daemon/config/DaemonConfig.java
@@ -40,11 +40,12 @@
  *
  * @param authorisation whom members have asked, or null when no member is named
  * @param fair how requests wait their turn, or null when none does
+ * @param agreement with whom drains are agreed on, or null where this door is alone
  * @param effective every key with the value in force, defaults included
  */
 public record DaemonConfig(Instance instance, InetSocketAddress discovery, Counter counter, Limits limits,
     InstanceLife.Bounds end, TakeOver takeOver, Backends backends, Settings settings,
-    ExtAuthzSettings authorisation, Fair fair, Map<String, Object> effective) {
+    ExtAuthzSettings authorisation, Fair fair, Agreement agreement, Map<String, Object> effective) {
 
   /** Who this instance is in its fleet; zone may be empty. */
   public record Instance(String name, InetSocketAddress listen, int doors, int index, String zone) { }
@@ -62,6 +63,17 @@
   /** How requests wait their turn, and what tells a firm's clients apart. */
   public record Fair(FairSettings settings, FairGate.ClientBy clientBy, String header) { }
 
+  /**
+   * Where the fleet agrees on drains.
+   *
+   * @param fleet the fleet's name, as its stewards know it
+   * @param drift the most that a clock runs wrong, as a part of the time that passes
+   * @param weight this door's part of the traffic, beside the other doors'
+   * @param lockFile held by one process of this door at a time
+   */
+  public record Agreement(String fleet, List<InetSocketAddress> stewards, double drift, double weight,
+      String lockFile) { }
+
   /** What the process may hold. */
   public record Limits(int descriptors, int memoryMb) { }
 
@@ -182,9 +194,30 @@
       b.end();
       ExtAuthzSettings authorisation = new AuthorisationReader(root, settings).read();
       Fair fair = new FairReader(root, settings).read();
+      Agreement agreement = agreement(takeOver);
       root.end();
       return new DaemonConfig(instance, discovery, counter, limits, end, takeOver, backends, settings,
-          authorisation, fair, Map.copyOf(effective));
+          authorisation, fair, agreement, Map.copyOf(effective));
+    }
+
+    /** Null where it is off. */
+    private Agreement agreement(TakeOver takeOver) {
+      Section a = root.table("agreement");
+      boolean on = a.flag("enabled", false);
+      String fleet = a.text("fleet", "fleet");
+      List<InetSocketAddress> stewards = a.addresses("stewards");
+      if (on && stewards.isEmpty()) {
+        a.problem("stewards", null, "the addresses of the stewards, as agreement.enabled is true");
+      }
+      double drift = a.number("drift", 0.01, 0, 0.5);
+      double weight = a.number("weight", 1, 0.001, 1_000_000);
+      String lock = a.text("lock_file", takeOver.controlSocket().isEmpty() ? ""
+          : takeOver.controlSocket() + ".lock");
+      if (on && lock.isEmpty()) {
+        a.problem("lock_file", null, "a file that one process of this door holds at a time");
+      }
+      a.end();
+      return on ? new Agreement(fleet, stewards, drift, weight, lock) : null;
     }
 
     private static double answerMs(Section e, double accept) {
--- a/daemon/src/main/java/willowdoor/daemon/config/Section.java
+++ b/daemon/src/main/java/willowdoor/daemon/config/Section.java
@@ -11,6 +11,7 @@
 import org.tomlj.TomlArray;
 import org.tomlj.TomlPosition;
 import org.tomlj.TomlTable;
+import willowdoor.agreement.Most;
 import willowdoor.net.RosterNews;
 
 /**
@@ -163,6 +164,33 @@
     return note(key, address);
   }
 
+  /** Numeric addresses and ports; none where the key is missing. */
+  List<InetSocketAddress> addresses(String key) {
+    List<String> texts = texts(key, List.of());
+    List<InetSocketAddress> all = texts.stream().map(RosterNews::address).toList();
+    if (all.contains(null)) {
+      problem(key, texts, "addresses and ports such as [\"127.0.0.1:7101\"]; no names");
+      return List.of();
+    }
+    return all;
+  }
+
+  /** How many: a whole number, or a share such as "10%". */
+  Most most(String key, Most absent) {
+    Object found = look(key);
+    if (found instanceof Long l && l >= 0 && l <= 1_000_000) {
+      return note(key, Most.of(l.intValue()));
+    }
+    if (found instanceof String s && s.matches("[0-9]{1,3}%") && Integer.parseInt(s.substring(0, s.length()
+        - 1)) <= 100) {
+      return note(key, Most.part(Integer.parseInt(s.substring(0, s.length() - 1)) / 100.0));
+    }
+    if (found != null || absent == null) {
+      problem(key, found, "a whole number from 0, or a share from \"0%\" to \"100%\"");
+    }
+    return note(key, absent == null ? Most.of(0) : absent);
+  }
+
   /** A table in this one; one that is missing gives its defaults. */
   Section table(String key) {
     Object found = look(key);
--- /dev/null
+++ b/daemon/src/main/java/willowdoor/daemon/config/StewardConfig.java
@@ -0,0 +1,93 @@
+package willowdoor.daemon.config;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.tomlj.Toml;
+import org.tomlj.TomlParseResult;
+import willowdoor.agreement.Budget;
+import willowdoor.agreement.Most;
+import willowdoor.agreement.Terms;
+import willowdoor.steward.StewardId;
+import willowdoor.steward.link.StewardProcess;
+
+/** A steward's configuration, read from TOML; {@code deploy/steward.toml} documents every key. */
+public final class StewardConfig {
+
+  private static final int MOST_STEWARDS = 7;
+  private static final double MOST_LEASE_MS = 600_000;
+
+  private StewardConfig() {
+  }
+
+  /**
+   * Reads a file.
+   *
+   * @param begin whether the steward's disk may be a new one
+   */
+  public static StewardProcess.Settings read(Path file, boolean begin) throws IOException, ConfigException {
+    String text;
+    try {
+      text = Files.readString(file);
+    } catch (NoSuchFileException e) {
+      throw new IOException("there is no file " + file, e);
+    }
+    TomlParseResult toml = Toml.parse(text);
+    List<Problem> problems = new ArrayList<>();
+    toml.errors().forEach(e -> problems.add(new Problem("syntax", e.position().line(),
+        String.valueOf(e.getMessage()).lines().findFirst().orElse(""), "TOML 1.0")));
+    StewardProcess.Settings settings = problems.isEmpty()
+        ? read(new Section("", toml, 0, problems, Section.newEffective()), begin) : null;
+    if (!problems.isEmpty()) {
+      problems.sort(null);
+      throw new ConfigException(file, problems);
+    }
+    return settings;
+  }
+
+  private static StewardProcess.Settings read(Section root, boolean begin) {
+    Section s = root.table("steward");
+    String name = s.text("name", null);
+    String fleet = s.text("fleet", "fleet");
+    String store = s.text("store", null);
+    s.end();
+    Map<StewardId, InetSocketAddress> members = new LinkedHashMap<>();
+    StewardId self = null;
+    Set<String> names = new HashSet<>();
+    for (Section m : root.tables("member", 1, MOST_STEWARDS)) {
+      String other = DaemonConfig.Reader.unique(m, "name", names);
+      StewardId id = new StewardId(other, Integer.toString(m.whole("disk", 1, 1, 1_000_000)));
+      InetSocketAddress address = m.address("address");
+      m.end();
+      members.put(id, address == null ? new InetSocketAddress(0) : address);
+      self = other.equals(name) ? id : self;
+    }
+    if (self == null) {
+      root.problem("member", names, "one of the name \"" + name + "\", as steward.name is");
+    }
+    Terms terms = terms(root.table("terms"));
+    root.end();
+    return self == null ? null : new StewardProcess.Settings(fleet, self, members.get(self), Path.of(store),
+        members, terms, begin);
+  }
+
+  private static Terms terms(Section t) {
+    Terms terms = new Terms(budget(t, "doors"), budget(t, "backends"),
+        t.number("lease_ms", 3_000, 200, MOST_LEASE_MS));
+    t.end();
+    return terms;
+  }
+
+  private static Budget budget(Section t, String kind) {
+    return new Budget(t.most(kind + "_out", Most.of(1)), t.most(kind + "_out_in_zone", Most.ANY),
+        t.number(kind + "_least_weight", 0, 0, 1e9));
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/willowdoor/daemon/fleet/AgreedCommand.java
@@ -0,0 +1,141 @@
+package willowdoor.daemon.fleet;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.stream.IntStream;
+import org.HdrHistogram.Histogram;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+import willowdoor.agreement.Subject;
+import willowdoor.agreement.Subject.Kind;
+import willowdoor.net.RosterNews;
+import willowdoor.testkit.BackendPark;
+import willowdoor.testkit.ClientFleet;
+import willowdoor.testkit.Judge;
+import willowdoor.testkit.Judge.Verdict;
+import willowdoor.testkit.Terms;
+
+/** Runs stewards and doors under load, breaks what is between them, and judges what came of it. */
+@Command(name = "agreed", mixinStandardHelpOptions = true, description = {
+    "Runs stewards and doors, each a process, under load, with operators who take doors and backends out.",
+    "  schedules  links and processes break by seeds; what operators and requests met is judged",
+    "  leader     how long nothing is agreed on after the leader was killed"})
+public final class AgreedCommand implements Callable<Integer> {
+
+  enum Run { schedules, leader }
+
+  private static final double WITHIN_MS = 5_000;
+  private static final long TIDY_LIMIT_MS = 30_000;
+  private static final int BUDGET = 2;
+  /** Longer than any lease lasts through the elections of one schedule, and any answer is late. */
+  private static final double LAPSE_MS = 15_000;
+
+  @Parameters(paramLabel = "RUN", description = "${COMPLETION-CANDIDATES}")
+  private Run what;
+  @Option(names = "--count", defaultValue = "10", description =
+      "Schedules, or kills. Default: ${DEFAULT-VALUE}.")
+  private int count;
+  @Option(names = "--doors", defaultValue = "12", description = "Default: ${DEFAULT-VALUE}.")
+  private int doors;
+  @Option(names = "--stewards", defaultValue = "3", description = "Default: ${DEFAULT-VALUE}.")
+  private int stewards;
+  @Option(names = "--rate", defaultValue = "200", description = "Requests/s. Default: ${DEFAULT-VALUE}.")
+  private double rate;
+  @Option(names = "--seed", defaultValue = "1", description =
+      "Of the first schedule; the next has the next. Default: ${DEFAULT-VALUE}.")
+  private long seed;
+  @Spec
+  private CommandSpec spec;
+  private PrintWriter out;
+
+  @Override
+  public Integer call() throws IOException, InterruptedException {
+    out = spec.commandLine().getOut();
+    out.printf("%d stewards, %d doors, %.0f requests/s, at most %d doors and %d backends out, from seed %d%n",
+        stewards, doors, rate, BUDGET, BUDGET, seed);
+    out.flush();
+    try (FleetRun run = new FleetRun(Terms.usual(), new BackendPark.Make(8, 4, 32, 5, 10), doors, seed);
+        Stewards keepers = new Stewards(run, stewards, "lease_ms = 1500\ndoors_out = " + BUDGET
+            + "\nbackends_out = " + BUDGET + "\n")) {
+      run.rig().budgets(new Judge.Budgets(BUDGET, BUDGET, x -> x.startsWith("d"), LAPSE_MS));
+      keepers.start();
+      run.start(new ClientFleet.Load(rate, 40, 0.1, 5, 1));
+      run.clients().begin();
+      return what == Run.schedules ? schedules(run, keepers) : leader(keepers);
+    }
+  }
+
+  private Map<Subject, String> subjects() {
+    Map<Subject, String> all = new LinkedHashMap<>();
+    IntStream.range(0, doors).forEach(i -> all.put(new Subject(Kind.DOOR, "d" + i), "d" + i));
+    IntStream.range(0, 8).forEach(i -> all.put(new Subject(Kind.BACKEND,
+        Long.toHexString(RosterNews.number("b" + i))), "b" + i));
+    return all;
+  }
+
+  private int schedules(FleetRun run, Stewards keepers) throws InterruptedException {
+    Map<Subject, String> subjects = subjects();
+    AgreedOperator.Counts counts = new AgreedOperator.Counts();
+    int untidy = 0;
+    AgreedOperator.tidy(keepers, run.rig().ledger(), subjects, TIDY_LIMIT_MS);
+    for (int i = 0; i < count; i++) {
+      AgreedSchedule schedule = AgreedSchedule.drawn(seed + i, stewards, doors, WITHIN_MS);
+      out.printf("schedule %d at %.0f ms: %s%n", schedule.seed(), run.rig().ledger().now(),
+          schedule.faults());
+      out.flush();
+      AtomicBoolean going = new AtomicBoolean(true);
+      List<Thread> operators = new ArrayList<>();
+      for (String name : List.of("ana", "rui")) {
+        operators.add(new Thread(new AgreedOperator(keepers, run.rig().ledger(), name + "-" + schedule.seed(),
+            subjects, schedule.seed() * 31 + name.hashCode(), going, counts), name));
+      }
+      operators.forEach(Thread::start);
+      schedule.cause(run, keepers);
+      going.set(false);
+      for (Thread operator : operators) {
+        operator.join();
+      }
+      if (!AgreedOperator.tidy(keepers, run.rig().ledger(), subjects, TIDY_LIMIT_MS)) {
+        untidy++;
+        out.println("BREACH: not all is back " + TIDY_LIMIT_MS + " ms after all is whole: " + keepers.look());
+      }
+    }
+    Verdict verdict = run.finish();
+    out.printf("granted %d, given up while waiting %d, backends told out %d, calls unanswered %d, commands"
+        + " that died %d%n", counts.granted().get(), counts.waited().get(), counts.out().get(),
+        counts.unanswered().get(), counts.died().get());
+    out.print(verdict);
+    int breaches = verdict.breaches().size() + untidy;
+    out.println("breaches " + breaches);
+    out.flush();
+    return breaches == 0 ? 0 : 1;
+  }
+
+  private int leader(Stewards keepers) throws InterruptedException {
+    Histogram without = new Histogram(3);
+    for (int i = 0; i < count; i++) {
+      int leads = keepers.leader();
+      keepers.processes().get(leads).kill();
+      long from = System.nanoTime();
+      while (keepers.look() == null) {
+        Thread.onSpinWait();
+      }
+      without.recordValue((System.nanoTime() - from) / 1_000_000);
+      keepers.processes().get(leads).start();
+      Thread.sleep(3_000);
+    }
+    out.printf("no word for p50 %d ms, p99 %d ms, most %d ms after %d kills of the leader%n",
+        without.getValueAtPercentile(50), without.getValueAtPercentile(99), without.getMaxValue(), count);
+    out.flush();
+    return 0;
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/willowdoor/daemon/fleet/AgreedOperator.java
@@ -0,0 +1,155 @@
+package willowdoor.daemon.fleet;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import willowdoor.agreement.Command.Ask;
+import willowdoor.agreement.Command.Return;
+import willowdoor.agreement.Outcome;
+import willowdoor.agreement.Outcome.Granted;
+import willowdoor.agreement.Outcome.Waiting;
+import willowdoor.agreement.Permit;
+import willowdoor.agreement.Permit.Stage;
+import willowdoor.agreement.Subject;
+import willowdoor.agreement.Subject.Kind;
+import willowdoor.steward.link.Answer;
+import willowdoor.steward.link.Operator;
+import willowdoor.steward.link.Standing;
+import willowdoor.testkit.Ledger;
+
+/**
+ * Takes doors and backends out and has them back, for as long as it is told to, and writes into the ledger
+ * what it was told, no earlier, and what it asks for, no later. Now and then its command dies, and leaves
+ * what it left.
+ */
+final class AgreedOperator implements Runnable {
+
+  /** What all operators of a run came to. */
+  record Counts(AtomicInteger granted, AtomicInteger waited, AtomicInteger out, AtomicInteger unanswered,
+      AtomicInteger died) {
+
+    Counts() {
+      this(new AtomicInteger(), new AtomicInteger(), new AtomicInteger(), new AtomicInteger(),
+          new AtomicInteger());
+    }
+  }
+
+  private static final long PATIENCE_MS = 2_500;
+  private static final long CALL_MS = 1_500;
+  private static final double DIES = 0.1;
+
+  private final Stewards stewards;
+  private final Ledger ledger;
+  private final String name;
+  private final Map<Subject, String> subjects;
+  private final Random random;
+  private final AtomicBoolean going;
+  private final Counts counts;
+  private int requests;
+
+  /** One of that name, who takes out any of these, by the name that the ledger has for it. */
+  AgreedOperator(Stewards stewards, Ledger ledger, String name, Map<Subject, String> subjects, long seed,
+      AtomicBoolean going, Counts counts) {
+    this.stewards = stewards;
+    this.ledger = ledger;
+    this.name = name;
+    this.subjects = subjects;
+    this.random = new Random(seed);
+    this.going = going;
+    this.counts = counts;
+  }
+
+  @Override
+  public void run() {
+    List<Subject> all = List.copyOf(subjects.keySet());
+    try (Operator operator = stewards.operator(name)) {
+      while (going.get()) {
+        takeOut(operator, all.get(random.nextInt(all.size())));
+        Thread.sleep(random.nextInt(200));
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private void takeOut(Operator operator, Subject subject) throws InterruptedException {
+    String request = name + "-" + ++requests;
+    long until = System.nanoTime() + PATIENCE_MS * 1_000_000;
+    long permit = -1;
+    boolean granted = false;
+    do {
+      Answer answer = operator.put(new Ask(0, request, subject, name, "test", false), CALL_MS);
+      Outcome outcome = answer instanceof Answer.Came came ? came.outcome() : null;
+      if (outcome instanceof Granted e) {
+        permit = e.permit();
+        granted = true;
+        ledger.machine(Ledger.Kind.PERMITTED, subjects.get(subject), Long.toString(permit));
+        counts.granted.incrementAndGet();
+      } else if (outcome instanceof Waiting e) {
+        permit = e.permit();
+        Thread.sleep(50);
+      } else if (outcome != null) {
+        return;
+      } else {
+        counts.unanswered.incrementAndGet();
+      }
+    } while (!granted && System.nanoTime() < until && going.get());
+    if (random.nextDouble() < DIES) {
+      counts.died.incrementAndGet();
+      return;
+    }
+    if (granted && subject.kind() == Kind.BACKEND) {
+      awaitOut(subject, permit);
+    }
+    if (granted) {
+      Thread.sleep(300 + random.nextInt(700));
+    } else {
+      counts.waited.incrementAndGet();
+    }
+    if (permit >= 0) {
+      giveBack(operator, subject, permit);
+    }
+  }
+
+  private void awaitOut(Subject subject, long permit) throws InterruptedException {
+    long until = System.nanoTime() + PATIENCE_MS * 1_000_000;
+    while (System.nanoTime() < until) {
+      Standing s = stewards.look();
+      if (s != null && s.permits().stream().anyMatch(x -> x.id() == permit && x.stage() == Stage.OUT)) {
+        ledger.machine(Ledger.Kind.OUT, subjects.get(subject), Long.toString(permit));
+        counts.out.incrementAndGet();
+        return;
+      }
+      Thread.sleep(50);
+    }
+  }
+
+  private void giveBack(Operator operator, Subject subject, long permit) throws InterruptedException {
+    ledger.machine(Ledger.Kind.GIVEN_BACK, subjects.get(subject), Long.toString(permit));
+    operator.put(new Return(0, subject, permit, name), CALL_MS);
+  }
+
+  /** Has everything come back that anybody left; true once nothing is out any more. */
+  static boolean tidy(Stewards stewards, Ledger ledger, Map<Subject, String> subjects, long limitMs)
+      throws InterruptedException {
+    long until = System.nanoTime() + limitMs * 1_000_000;
+    try (Operator operator = stewards.operator("tidy")) {
+      while (System.nanoTime() < until) {
+        Standing s = stewards.look();
+        if (s != null && s.permits().isEmpty() && s.doorsOut() == 0 && s.backendsOut() == 0) {
+          return true;
+        }
+        for (Permit x : s == null ? List.<Permit>of() : s.permits()) {
+          if (x.stage() != Stage.RETURNING) {
+            ledger.machine(Ledger.Kind.GIVEN_BACK, subjects.get(x.subject()), Long.toString(x.id()));
+            operator.put(new Return(0, x.subject(), x.id(), "tidy"), CALL_MS);
+          }
+        }
+        Thread.sleep(100);
+      }
+    }
+    return false;
+  }
+}
--- a/daemon/src/main/java/willowdoor/daemon/fleet/DoorFiles.java
+++ b/daemon/src/main/java/willowdoor/daemon/fleet/DoorFiles.java
@@ -18,7 +18,7 @@
   private final Rig rig;
   private final Path folder;
   private final int doors;
-  private String more = "";
+  private IntFunction<String> more = door -> "";
   /** Lines of the counter's table in the place of the rig's, or null. */
   private IntFunction<String> counter;
 
@@ -29,7 +29,7 @@
   }
 
   /** Further tables of every file that is written from here on. */
-  public void more(String tables) {
+  public void more(IntFunction<String> tables) {
     more = tables;
   }
 
@@ -123,7 +123,7 @@
             text(b.address()), b.zone()));
       }
     }
-    return text.append(more).toString();
+    return text.append(more.apply(index)).toString();
   }
 
   private static String text(InetSocketAddress a) {
--- a/daemon/src/main/java/willowdoor/daemon/fleet/FleetRun.java
+++ b/daemon/src/main/java/willowdoor/daemon/fleet/FleetRun.java
@@ -44,13 +44,14 @@
   private final Path folder;
   private final DoorFiles files;
   private final List<DoorProcess> doors = new ArrayList<>();
+  private final int net;
   private ClientFleet clients;
 
   public FleetRun(Terms terms, BackendPark.Make backends, int doorCount, long seed) throws IOException {
     rig = new Rig(terms, backends, seed);
     folder = Files.createTempDirectory("willowdoor-fleet");
     files = new DoorFiles(rig, folder, doorCount);
-    int net = 64 + (int) ((ProcessHandle.current().pid() + RUNS.getAndIncrement()) % 128);
+    net = 64 + (int) ((ProcessHandle.current().pid() + RUNS.getAndIncrement()) % 128);
     for (int i = 0; i < doorCount; i++) {
       int index = i;
       InetSocketAddress address = new InetSocketAddress("127." + net + '.' + i / 200 + '.' + (1 + i % 200),
@@ -63,17 +64,23 @@
 
   /** The command that runs a daemon by that file, from the classes of this process. */
   public static List<String> command(Path config, boolean takeOver) {
+    List<String> words = words("daemon");
+    words.addAll(List.of("--config", config.toString()));
+    if (takeOver) {
+      words.add("--take-over");
+    }
+    return words;
+  }
+
+  /** The command that runs this program's subcommand, from the classes of this process. */
+  static List<String> words(String subcommand) {
     List<String> words = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java")
         .toString()));
     words.addAll(JVM);
     if (!Boolean.getBoolean(OPTIMISED)) {
       words.add(NOT_OPTIMISED);
     }
-    words.addAll(List.of("-cp", System.getProperty("java.class.path"), "willowdoor.daemon.Cli", "daemon",
-        "--config", config.toString()));
-    if (takeOver) {
-      words.add("--take-over");
-    }
+    words.addAll(List.of("-cp", System.getProperty("java.class.path"), "willowdoor.daemon.Cli", subcommand));
     return words;
   }
 
@@ -91,9 +98,24 @@
 
   /** Further tables of the doors' configurations; to be told before they start. */
   public void more(String tables) {
+    more(door -> tables);
+  }
+
+  /** The same by the door's number. */
+  public void more(IntFunction<String> tables) {
     files.more(tables);
   }
 
+  /** An address that is this run's own, for a further process of it. */
+  InetSocketAddress address(int number, int port) {
+    return new InetSocketAddress("127." + net + ".250." + (1 + number), port);
+  }
+
+  /** Where files of this run are, until it ends. */
+  Path folder() {
+    return folder;
+  }
+
   /** Has the doors' shared counts elsewhere than at the rig's counter; to be told before they start. */
   public void counter(String lines) {
     counter(door -> lines);
--- /dev/null
+++ b/daemon/src/main/java/willowdoor/daemon/fleet/Stewards.java
@@ -0,0 +1,168 @@
+package willowdoor.daemon.fleet;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import willowdoor.steward.link.Answer;
+import willowdoor.steward.link.Operator;
+import willowdoor.steward.link.Standing;
+import willowdoor.testkit.DoorProcess;
+import willowdoor.testkit.Relay;
+import willowdoor.testkit.StandIns;
+
+/**
+ * Stewards as processes of their own, beside a fleet's doors. Each directed link, from door to steward and
+ * from steward to steward, goes through a relay of its own.
+ */
+final class Stewards implements AutoCloseable {
+
+  private static final int PORT = 7101;
+
+  private final FleetRun run;
+  private final String terms;
+  private final List<DoorProcess> processes = new ArrayList<>();
+  /** From the first steward to the second; null from each to itself. */
+  private final Relay[][] between;
+  /** From the door to the steward. */
+  private final Relay[][] doors;
+  private boolean begun;
+
+  Stewards(FleetRun run, int count, String terms) {
+    this.run = run;
+    this.terms = terms;
+    between = new Relay[count][count];
+    doors = new Relay[run.doors().size()][count];
+    for (int i = 0; i < count; i++) {
+      for (int k = 0; k < count; k++) {
+        between[i][k] = i == k ? null : run.rig().relay(address(k));
+      }
+      int me = i;
+      processes.add(new DoorProcess("s" + i, address(i), run.rig().ledger(), () -> command(me), Map.of(),
+          run.folder().resolve("s" + i + ".log").toFile()));
+    }
+    for (int d = 0; d < doors.length; d++) {
+      for (int k = 0; k < count; k++) {
+        doors[d][k] = run.rig().relay(address(k));
+      }
+    }
+    run.more(this::table);
+  }
+
+  private InetSocketAddress address(int steward) {
+    return run.address(steward, PORT);
+  }
+
+  private String table(int door) {
+    return "[agreement]\nenabled = true\nstewards = [" + texts(List.of(doors[door])) + "]\n";
+  }
+
+  private static String texts(List<Relay> relays) {
+    return relays.stream().map(r -> '"' + StandIns.text(r.address()) + '"').collect(Collectors.joining(", "));
+  }
+
+  private List<String> command(int me) {
+    StringBuilder text = new StringBuilder("[steward]\nname = \"s" + me + "\"\nstore = \""
+        + run.folder().resolve("s" + me + ".db") + "\"\n");
+    for (int k = 0; k < processes.size(); k++) {
+      text.append("[[member]]\nname = \"s").append(k).append("\"\naddress = \"")
+          .append(StandIns.text(k == me ? address(k) : between[me][k].address())).append("\"\n");
+    }
+    Path file = run.folder().resolve("s" + me + ".toml");
+    try {
+      Files.writeString(file, text + "[terms]\n" + terms);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+    List<String> words = new ArrayList<>(FleetRun.words("steward"));
+    words.addAll(List.of("--config", file.toString()));
+    if (!begun) {
+      words.add("--begin");
+    }
+    return words;
+  }
+
+  /** Starts all on new disks, and waits until one leads. */
+  void start() throws IOException {
+    processes.forEach(DoorProcess::start);
+    begun = true;
+    if (!FleetRun.until(() -> look() != null, 30_000)) {
+      throw new IOException("no steward leads after 30 s; the first printed: " + log(0));
+    }
+  }
+
+  /** How all stands, or null where nobody says so within a second. */
+  Standing look() {
+    try (Operator operator = operator("look")) {
+      return operator.look(1_000) instanceof Answer.Stands e ? e.standing() : null;
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return null;
+    }
+  }
+
+  Operator operator(String by) {
+    return new Operator("fleet", by,
+        IntStream.range(0, processes.size()).mapToObj(this::address).toList());
+  }
+
+  List<DoorProcess> processes() {
+    return processes;
+  }
+
+  /** The number of the one that leads by the others' word; -1 where nobody says so. */
+  int leader() {
+    var standing = look();
+    return standing == null ? -1 : Integer.parseInt(standing.leader().substring(1));
+  }
+
+  String log(int steward) throws IOException {
+    Path log = run.folder().resolve("s" + steward + ".log");
+    return Files.exists(log) ? Files.readString(log) : "";
+  }
+
+  /** Has the links of a steward, to and from the others and from the doors, be so. */
+  void steward(int steward, Relay.Mode mode) {
+    for (int k = 0; k < processes.size(); k++) {
+      if (k != steward) {
+        between[steward][k].set(mode);
+        between[k][steward].set(mode);
+      }
+    }
+    for (Relay[] door : doors) {
+      door[steward].set(mode);
+    }
+  }
+
+  /** Has one directed link between stewards be so. */
+  void between(int from, int to, Relay.Mode mode) {
+    between[from][to].set(mode);
+  }
+
+  /** Has the links of a door to all stewards be so. */
+  void door(int door, Relay.Mode mode) {
+    for (Relay link : doors[door]) {
+      link.set(mode);
+    }
+  }
+
+  /** All links whole, all processes there and going on. */
+  void mend() {
+    for (int i = 0; i < processes.size(); i++) {
+      steward(i, Relay.Mode.WHOLE);
+      processes.get(i).stopped(false);
+      processes.get(i).start();
+    }
+  }
+
+  @Override
+  public void close() {
+    processes.forEach(DoorProcess::close);
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/willowdoor/daemon/life/Agreement.java
@@ -0,0 +1,210 @@
+package willowdoor.daemon.life;
+
+import io.netty.channel.EventLoop;
+import java.io.IOException;
+import java.nio.channels.FileChannel;
+import java.nio.channels.FileLock;
+import java.nio.channels.OverlappingFileLockException;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.logging.Logger;
+import willowdoor.agreement.Command.Backend;
+import willowdoor.agreement.Command.Doing;
+import willowdoor.daemon.config.DaemonConfig;
+import willowdoor.life.InstanceLife.Phase;
+import willowdoor.life.LifeEvent.ComeBack;
+import willowdoor.life.LifeEvent.GoOut;
+import willowdoor.net.FrontDoor;
+import willowdoor.net.RosterNews;
+import willowdoor.policy.GatewayApi.BackendEntry;
+import willowdoor.steward.link.DoorLink;
+
+/**
+ * A daemon's part in what the fleet agrees on: tells the stewards what this instance does and which backends
+ * it hears of, and has the door do what was agreed on. What it says of the door it reads on the door's loop;
+ * the link has a thread of its own.
+ */
+final class Agreement implements AutoCloseable, DoorLink.Hands {
+
+  private static final Logger LOG = Logger.getLogger(Agreement.class.getName());
+  /** How often it looks at what is told by no event: attempts that end, backends that are warm by now. */
+  private static final long LOOK_MS = 50;
+
+  private final FrontDoor door;
+  private final EventLoop loop;
+  private final Instance instance;
+  private final DaemonConfig config;
+  private final DoorLink link;
+  /** Backends that go out, until no attempt is out at them. */
+  private final Map<Long, String> leaving = new HashMap<>();
+  private final Map<Long, BackendEntry> listed = new HashMap<>();
+  private final Set<Long> cold = new HashSet<>();
+  private long version;
+  private boolean dirty;
+  private Phase phase = Phase.STARTING;
+  private FileChannel lockFile;
+  private FileLock lock;
+
+  /**
+   * Begins at once; on no loop.
+   *
+   * @param incarnation which process this is, unlike any other of this door
+   */
+  Agreement(FrontDoor door, Instance instance, DaemonConfig config, String incarnation)
+      throws IOException, InterruptedException {
+    this.door = door;
+    this.instance = instance;
+    this.config = config;
+    loop = door.loop();
+    DaemonConfig.Agreement a = config.agreement();
+    lockFile = FileChannel.open(Path.of(a.lockFile()), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
+    link = new DoorLink(new DoorLink.Self(a.fleet(), config.instance().name(), incarnation,
+        config.instance().zone(), a.weight()), a.stewards(), a.drift(), this);
+    loop.submit(() -> {
+      door.listed(this::heard);
+      heard(config.backends().known());
+      look();
+    }).sync();
+  }
+
+  /** What the instance has come to; on the door's loop. */
+  void changed(Phase other) {
+    phase = other;
+    link.does(doing());
+  }
+
+  private Doing doing() {
+    return switch (phase) {
+      case STARTING, WARMING -> Doing.STARTING;
+      case READY -> Doing.READY;
+      case OUT -> door.idle() && door.held() == 0 ? Doing.EMPTY : Doing.DRAINING;
+      case DRAINING, ANSWERING, FAILING -> Doing.DRAINING;
+      case STOPPED -> Doing.ENDED;
+    };
+  }
+
+  private void look() {
+    if (phase == Phase.STOPPED) {
+      return;
+    }
+    if (phase == Phase.OUT) {
+      link.does(doing());
+    }
+    leaving.entrySet().removeIf(e -> {
+      boolean gone = !door.sendsTo(e.getKey());
+      if (gone) {
+        link.letGo(e.getValue());
+      }
+      return gone;
+    });
+    if (dirty || cold.stream().anyMatch(id -> !isCold(listed.get(id)))) {
+      tell();
+    }
+    if (lock == null) {
+      lock = tried();
+      if (lock != null) {
+        link.alone();
+      }
+    }
+    loop.schedule(this::look, LOOK_MS, TimeUnit.MILLISECONDS);
+  }
+
+  /** Held by one process of this door at a time, until it has ended, however it ends. */
+  private FileLock tried() {
+    try {
+      return lockFile.tryLock();
+    } catch (IOException | OverlappingFileLockException e) {
+      return null;
+    }
+  }
+
+  private void heard(RosterNews news) {
+    if (news.full()) {
+      listed.clear();
+    }
+    for (BackendEntry e : news.entries()) {
+      if (e.phase() == willowdoor.policy.GatewayApi.Phase.REMOVED) {
+        listed.remove(e.id());
+      } else {
+        listed.put(e.id(), e);
+      }
+    }
+    version = news.version();
+    dirty = true;
+  }
+
+  private void tell() {
+    dirty = false;
+    cold.clear();
+    List<Backend> all = new ArrayList<>(listed.size());
+    for (BackendEntry e : listed.values()) {
+      boolean resting = isCold(e);
+      if (resting) {
+        cold.add(e.id());
+      }
+      all.add(new Backend(Long.toHexString(e.id()), e.zone(), e.size(),
+          !resting && e.phase() == willowdoor.policy.GatewayApi.Phase.SERVING));
+    }
+    link.sight(version, all);
+  }
+
+  private boolean isCold(BackendEntry e) {
+    return e != null && e.startedMs() > 0 && door.now() - e.startedMs() < config.settings().rules().coldMs();
+  }
+
+  @Override
+  public void takeOut(String backend) {
+    onDoor(backend, id -> {
+      LOG.info("backend " + backend + " goes out, as agreed");
+      door.agreed(id, true);
+      leaving.put(id, backend);
+    });
+  }
+
+  @Override
+  public void putBack(String backend) {
+    onDoor(backend, id -> {
+      LOG.info("backend " + backend + " is back, as agreed");
+      leaving.remove(id);
+      door.agreed(id, false);
+    });
+  }
+
+  private void onDoor(String backend, java.util.function.LongConsumer then) {
+    loop.execute(() -> {
+      try {
+        then.accept(Long.parseLong(backend, 16));
+      } catch (NumberFormatException e) {
+        LOG.warning("\"" + backend + "\" is no backend that a door can know");
+      }
+    });
+  }
+
+  @Override
+  public void drain() {
+    instance.tell(new GoOut());
+  }
+
+  @Override
+  public void undrain() {
+    instance.tell(new ComeBack());
+  }
+
+  /** Says that this process has ended; not for the door's loop. */
+  @Override
+  public void close() {
+    link.close();
+    try {
+      lockFile.close();
+    } catch (IOException e) {
+      LOG.warning("the lock file: " + e.getMessage());
+    }
+  }
+}
--- a/daemon/src/main/java/willowdoor/daemon/life/ControlSocket.java
+++ b/daemon/src/main/java/willowdoor/daemon/life/ControlSocket.java
@@ -137,7 +137,7 @@
             + words[3]);
       } else if (successor != null) {
         refuse(ctx, "process " + successor.pid + " is taking over already");
-      } else if (instance.phase() != Phase.READY) {
+      } else if (instance.phase() != Phase.READY && instance.phase() != Phase.OUT) {
         refuse(ctx, "process " + ProcessHandle.current().pid() + " is " + instance.phase());
       } else {
         successor = this;
--- a/daemon/src/main/java/willowdoor/daemon/life/Daemon.java
+++ b/daemon/src/main/java/willowdoor/daemon/life/Daemon.java
@@ -14,6 +14,7 @@
 import willowdoor.fairgate.FairGate;
 import willowdoor.fairness.FairCounts;
 import willowdoor.life.InstanceLife;
+import willowdoor.life.InstanceLife.Phase;
 import willowdoor.life.LifeEvent.Bound;
 import willowdoor.life.LifeEvent.Broken;
 import willowdoor.life.LifeEvent.EndSignal;
@@ -42,6 +43,8 @@
   private TakeOver takeOver;
   private ExtAuthzGate gate;
   private FairGate fair;
+  /** Null where the fleet agrees on nothing. */
+  private volatile Agreement agreement;
 
   private Daemon(DaemonConfig config, Path file) throws InterruptedException {
     this.config = config;
@@ -66,6 +69,13 @@
         opening.start();
       }
 
+      @Override
+      public void changed(Phase phase) {
+        if (agreement != null) {
+          agreement.changed(phase);
+        }
+      }
+
       @Override
       public void resumed() {
         if (control != null) {
@@ -98,6 +108,7 @@
     try {
       guard();
       listen(mayTakeOver);
+      agree();
     } catch (IOException | RuntimeException e) {
       close();
       throw e;
@@ -122,6 +133,23 @@
     }
   }
 
+  /** Without agreement none of its classes is loaded. */
+  private void agree() throws IOException, InterruptedException {
+    if (config.agreement() != null) {
+      agreement = new Agreement(door, instance, config, ProcessHandle.current().pid() + "-"
+          + Long.toHexString(new SecureRandom().nextLong()));
+    }
+  }
+
+  /** Waits for the end, and tells the fleet of it; the exit code. */
+  public int awaitEnd() {
+    int code = ended().join();
+    if (agreement != null) {
+      agreement.close();
+    }
+    return code;
+  }
+
   /** What waits and has waited for its turn; null where nothing does. */
   public FairCounts fairness() throws InterruptedException {
     if (fair == null) {
--- a/daemon/src/main/java/willowdoor/daemon/life/Instance.java
+++ b/daemon/src/main/java/willowdoor/daemon/life/Instance.java
@@ -42,6 +42,9 @@
     /** The instance serves. */
     void found();
 
+    /** It has come to another phase; on the door's loop. */
+    void changed(Phase phase);
+
     /** The instance serves again after it had been left for a successor. */
     void resumed();
   }
@@ -81,6 +84,7 @@
       execute(action);
     }
     if (life.phase() != before) {
+      surroundings.changed(life.phase());
       LOG.log(Level.INFO, "{0} on {1}; {2} requests held",
           new Object[] {life.phase().name().toLowerCase(java.util.Locale.ROOT), event, door.held()});
     }
--- /dev/null
+++ b/daemon/src/test/java/willowdoor/daemon/fleet/AgreedTest.java
@@ -0,0 +1,213 @@
+package willowdoor.daemon.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import willowdoor.agreement.Command.Ask;
+import willowdoor.agreement.Command.Doing;
+import willowdoor.agreement.Command.Return;
+import willowdoor.agreement.Outcome;
+import willowdoor.agreement.Outcome.Granted;
+import willowdoor.agreement.Outcome.Waiting;
+import willowdoor.agreement.Permit.Stage;
+import willowdoor.agreement.Subject;
+import willowdoor.agreement.Subject.Kind;
+import willowdoor.net.RosterNews;
+import willowdoor.steward.link.Answer;
+import willowdoor.steward.link.Operator;
+import willowdoor.steward.link.Standing;
+import willowdoor.testkit.BackendPark;
+import willowdoor.testkit.ClientFleet;
+import willowdoor.testkit.DoorProcess;
+import willowdoor.testkit.Judge;
+import willowdoor.testkit.Ledger;
+import willowdoor.testkit.Relay;
+import willowdoor.testkit.Terms;
+
+/** Three stewards and three doors, each a process, under load, with faults between them. */
+@Timeout(120)
+class AgreedTest {
+
+  private static final long LIMIT_MS = 20_000;
+  private static final String TERMS = "lease_ms = 1500\ndoors_out = 1\nbackends_out = 1\n";
+
+  private final AtomicInteger requests = new AtomicInteger();
+  private FleetRun run;
+  private Stewards stewards;
+  private Operator operator;
+
+  @BeforeEach
+  void open() throws IOException {
+    run = new FleetRun(Terms.usual(), new BackendPark.Make(4, 4, 32, 5, 10), 3, 7);
+    run.rig().budgets(new Judge.Budgets(1, 1, x -> x.startsWith("d"), 15_000));
+    stewards = new Stewards(run, 3, TERMS);
+    stewards.start();
+    run.start(new ClientFleet.Load(60, 20, 0.1, 5, 1));
+    run.clients().begin();
+    operator = stewards.operator("ana");
+    await("all doors and backends known", () -> {
+      Standing s = stewards.look();
+      return s != null && s.doors() == 3 && s.doorsOut() == 0 && s.backends() == 4 && s.backendsOut() == 0;
+    });
+  }
+
+  @AfterEach
+  void close() throws IOException {
+    operator.close();
+    stewards.close();
+    run.close();
+  }
+
+  private void await(String what, BooleanSupplier condition) {
+    if (!FleetRun.until(condition, LIMIT_MS)) {
+      throw new AssertionError("not within " + LIMIT_MS + " ms: " + what + "; " + stewards.look());
+    }
+  }
+
+  private static Subject door(int number) {
+    return new Subject(Kind.DOOR, "d" + number);
+  }
+
+  private static Subject backend(int number) {
+    return new Subject(Kind.BACKEND, Long.toHexString(RosterNews.number("b" + number)));
+  }
+
+  private Outcome ask(Subject subject) throws InterruptedException {
+    Answer answer = operator.put(new Ask(0, "r" + requests.incrementAndGet(), subject, "ana", "disk", false),
+        LIMIT_MS);
+    return assertInstanceOf(Answer.Came.class, answer, answer::toString).outcome();
+  }
+
+  private void granted(Subject subject, String name) throws InterruptedException {
+    Granted granted = assertInstanceOf(Granted.class, ask(subject));
+    run.rig().ledger().machine(Ledger.Kind.PERMITTED, name, Long.toString(granted.permit()));
+  }
+
+  private void giveBack(Subject subject, String name) throws InterruptedException {
+    run.rig().ledger().machine(Ledger.Kind.GIVEN_BACK, name, "");
+    long permit = stewards.look().permits().stream().filter(x -> x.subject().equals(subject)).findFirst()
+        .orElseThrow().id();
+    assertInstanceOf(Answer.Came.class, operator.put(new Return(0, subject, permit, "ana"), LIMIT_MS));
+  }
+
+  private Stage stage(Subject subject) {
+    Standing s = stewards.look();
+    return s == null ? null : s.permits().stream().filter(x -> x.subject().equals(subject))
+        .map(x -> x.stage()).findFirst().orElse(null);
+  }
+
+  private void awaitOut(int backend) {
+    await("out", () -> stage(backend(backend)) == Stage.OUT);
+    run.rig().ledger().machine(Ledger.Kind.OUT, "b" + backend, "");
+  }
+
+  private boolean says(int door, Doing what) {
+    Standing s = stewards.look();
+    return s != null && s.lives().stream().anyMatch(x -> x.door().equals("d" + door) && x.doing() == what);
+  }
+
+  private void kept() {
+    Judge.Verdict verdict = run.finish();
+    assertTrue(verdict.kept(), verdict::toString);
+    assertTrue(verdict.served() > 0, verdict::toString);
+  }
+
+  @Test
+  void doorsGoOutOneAtATimeAndBackendsAreOutWhenNobodySendsThereAnyMore() throws Exception {
+    granted(door(0), "d0");
+    await("d0 sends clients away", () -> says(0, Doing.EMPTY) && !run.clients().up(0));
+    assertInstanceOf(Waiting.class, ask(door(1)));
+    granted(backend(2), "b2");
+    awaitOut(2);
+    assertInstanceOf(Waiting.class, ask(backend(3)));
+    FleetRun.sleep(500);
+    giveBack(door(0), "d0");
+    await("d0 back, then d1 out", () -> run.clients().up(0) && says(1, Doing.EMPTY));
+    giveBack(backend(2), "b2");
+    await("b3 in its place", () -> stage(backend(3)) == Stage.OUT && stage(backend(2)) == null);
+    kept();
+  }
+
+  /** A door that is killed counts as out, so nothing else may go; back, it makes room. */
+  @Test
+  void whatFailuresTookCounts() throws Exception {
+    run.doors().get(2).kill();
+    await("d2 counts as out", () -> stewards.look() != null && stewards.look().doorsOut() == 1);
+    assertInstanceOf(Waiting.class, ask(door(0)));
+    run.doors().get(2).start();
+    await("d0 out", () -> says(0, Doing.EMPTY));
+    kept();
+  }
+
+  /** In the middle of it, and with all at once: what was told yes holds. */
+  @Test
+  void aLeaderIsKilledThenAllStewards() throws Exception {
+    granted(door(0), "d0");
+    stewards.processes().get(stewards.leader()).kill();
+    assertInstanceOf(Waiting.class, ask(door(1)));
+    stewards.processes().forEach(DoorProcess::kill);
+    assertInstanceOf(Answer.Failed.class, operator.look(500));
+    stewards.mend();
+    await("back", () -> stewards.look() != null);
+    assertNotEquals(null, stage(door(0)));
+    giveBack(door(0), "d0");
+    await("d1", () -> says(1, Doing.EMPTY));
+    kept();
+  }
+
+  /** Cut off from the stewards and not from the backend: nobody is told that it is out until it knows. */
+  @Test
+  void aBackendIsNotOutWhileADoorThatWasCutOffMaySendThere() throws Exception {
+    stewards.door(1, Relay.Mode.SILENT);
+    granted(backend(0), "b0");
+    await("held up by d1 alone", () -> {
+      Standing s = stewards.look();
+      return s != null && s.held().get(0).size() == 1 && s.held().get(0).get(0).startsWith("d1/");
+    });
+    FleetRun.sleep(2_500);
+    assertEquals(Stage.GRANTED, stage(backend(0)));
+    stewards.door(1, Relay.Mode.WHOLE);
+    awaitOut(0);
+    FleetRun.sleep(500);
+    kept();
+  }
+
+  /** Stopped for longer than a lease; it goes on, and can give nothing away by what it believed. */
+  @Test
+  void aLeaderIsStoppedAndGoesOn() throws Exception {
+    int old = stewards.leader();
+    stewards.processes().get(old).stopped(true);
+    granted(door(0), "d0");
+    FleetRun.sleep(2_000);
+    stewards.processes().get(old).stopped(false);
+    assertInstanceOf(Waiting.class, ask(door(1)));
+    assertNotEquals(old, stewards.leader());
+    kept();
+  }
+
+  /** Replies that are up to a second late, and then one byte at a time. */
+  @Test
+  void linksAreSlowAndNotCut() throws Exception {
+    for (Relay.Mode mode : new Relay.Mode[] {Relay.Mode.LATE, Relay.Mode.TRICKLE}) {
+      for (int i = 0; i < 3; i++) {
+        stewards.door(i, mode);
+      }
+      granted(backend(1), "b1");
+      FleetRun.sleep(1_500);
+      stewards.mend();
+      awaitOut(1);
+      giveBack(backend(1), "b1");
+      await("back", () -> stage(backend(1)) == null);
+    }
+    kept();
+  }
+}
--- a/door/src/main/java/willowdoor/net/Attempt.java
+++ b/door/src/main/java/willowdoor/net/Attempt.java
@@ -10,6 +10,8 @@
 
   final FullHttpRequest message;
   final double timeoutMs;
+  /** Where it was sent. */
+  long backend;
   /** Null while the attempt has no connection yet. */
   BackendConnection connection;
   /** True once the request's last byte went to the kernel: from then on the backend may have run it. */
--- a/door/src/main/java/willowdoor/net/FrontDoor.java
+++ b/door/src/main/java/willowdoor/net/FrontDoor.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
 import java.util.logging.Logger;
 import willowdoor.membership.Out;
 import willowdoor.policy.GatewayApi.Request;
@@ -287,6 +288,21 @@
     return roster.listsAny();
   }
 
+  /** Has it hear the lists of backends as discovery tells them; on the loop, both. */
+  public void listed(Consumer<RosterNews> listener) {
+    roster.also(listener);
+  }
+
+  /** By what the fleet has agreed on a backend is out, or no longer; on the loop. */
+  public void agreed(long backend, boolean out) {
+    roster.agreed(backend, out);
+  }
+
+  /** Whether an attempt is out at the backend; on the loop, and it looks at all that is held. */
+  public boolean sendsTo(long backend) {
+    return driver.sendsTo(backend);
+  }
+
   /**
    * Leaves new connections, and this door's parts of ceilings, to whoever else holds the listening socket;
    * {@link #accept} takes them back.
--- a/door/src/main/java/willowdoor/net/MergedRoster.java
+++ b/door/src/main/java/willowdoor/net/MergedRoster.java
@@ -8,6 +8,8 @@
 import java.util.function.DoubleSupplier;
 import willowdoor.membership.Membership;
 import willowdoor.membership.MembershipEvent;
+import willowdoor.membership.MembershipEvent.AgreedBack;
+import willowdoor.membership.MembershipEvent.AgreedOut;
 import willowdoor.membership.MembershipEvent.Inherited;
 import willowdoor.membership.MembershipEvent.Listed;
 import willowdoor.membership.MembershipEvent.PutBack;
@@ -24,14 +26,24 @@
   private final Consumer<RosterNews> listener;
   private final Map<Long, InetSocketAddress> places = new HashMap<>();
   private long version;
+  /** Null where nobody else listens. */
+  private Consumer<RosterNews> also;
 
   MergedRoster(DoubleSupplier now, Consumer<RosterNews> listener) {
     this.now = now;
     this.listener = listener;
   }
 
+  /** Has it hear what discovery tells, as it is told, too. */
+  void also(Consumer<RosterNews> other) {
+    also = other;
+  }
+
   /** What discovery tells. */
   void heard(RosterNews news) {
+    if (also != null) {
+      also.accept(news);
+    }
     listener.accept(merge(news));
   }
 
@@ -56,6 +68,11 @@
     return said(new PutBack(RosterNews.number(id)));
   }
 
+  /** By what the fleet has agreed on it is out, or no longer. */
+  void agreed(long id, boolean out) {
+    said(out ? new AgreedOut(id) : new AgreedBack(id));
+  }
+
   /** Takes out what another process of this front door knows to be out. */
   void inherit(List<Out> out) {
     said(new Inherited(out));
--- a/door/src/main/java/willowdoor/net/ModuleDriver.java
+++ b/door/src/main/java/willowdoor/net/ModuleDriver.java
@@ -309,6 +309,12 @@
     }
   }
 
+  /** Whether an attempt is out at the backend. */
+  boolean sendsTo(long backend) {
+    return live.values().stream().flatMap(r -> r.attempts.stream())
+        .anyMatch(a -> a.backend == backend && !a.ended());
+  }
+
   /** Events that come up while an event is worked on wait for their turn: the module is not re-entered. */
   private void deliver(Event event) {
     inbox.add(event);
@@ -417,6 +423,7 @@
         attemptEnded(r, number, a.backend(), status, clock.now() - sentAt, answer, rest);
       }
     };
+    attempt.backend = a.backend();
     r.attempts.add(attempt);
     r.out++;
     backends.start(a.backend(), attempt);
--- a/emulator/src/main/java/willowdoor/emulator/agreement/StewardWorld.java
+++ b/emulator/src/main/java/willowdoor/emulator/agreement/StewardWorld.java
@@ -77,7 +77,7 @@
   void begin(int me) throws IOException {
     int life = lives.get(me) + 1;
     lives.set(me, life);
-    disks.set(me, new DiskStore(folder.resolve("s" + me + ".db")));
+    disks.set(me, new DiskStore(folder.resolve("s" + me + ".db"), false));
     Random own = new Random(random.nextLong());
     // Clocks that have nothing to do with each other.
     double ahead = own.nextInt(1_000_000);
--- a/policy/src/main/java/willowdoor/agreement/Command.java
+++ b/policy/src/main/java/willowdoor/agreement/Command.java
@@ -12,11 +12,21 @@
   /** The leader's time when it took the command. */
   double atMs();
 
+  /** The same, taken by a leader at that time; what only leaders make stays as it is. */
+  default Command at(double leaderMs) {
+    return this;
+  }
+
   /** The first of a term, as the leader changed: its clock counts from here, and every lease anew. */
   record Lead(double atMs) implements Command { }
 
   /** Other terms; what is out already stays out. */
-  record Configure(double atMs, Terms terms) implements Command { }
+  record Configure(double atMs, Terms terms) implements Command {
+    @Override
+    public Command at(double leaderMs) {
+      return new Configure(leaderMs, terms);
+    }
+  }
 
   /**
    * A process of a door begins.
@@ -24,10 +34,16 @@
    * @param door the name that all processes of this door have
    * @param incarnation which process it is, unlike any other
    * @param weight its part of the traffic, beside the other doors'
-   * @param alone whether it holds what only one process of the door can hold, so that all others have ended
+   * @param alone whether it holds what only one process of the door can hold, so that all others have ended;
+   *     told again once that is so
    */
   record Join(double atMs, String door, String incarnation, String zone, double weight, boolean alone)
-      implements Command { }
+      implements Command {
+    @Override
+    public Command at(double leaderMs) {
+      return new Join(leaderMs, door, incarnation, zone, weight, alone);
+    }
+  }
 
   /** Heartbeats that came together. */
   record Beats(double atMs, List<Beat> beats) implements Command {
@@ -58,18 +74,41 @@
   enum Doing { STARTING, READY, DRAINING, EMPTY, ENDED }
 
   /** A process has ended, and says so itself. */
-  record Leave(double atMs, String door, String incarnation) implements Command { }
+  record Leave(double atMs, String door, String incarnation) implements Command {
+    @Override
+    public Command at(double leaderMs) {
+      return new Leave(leaderMs, door, incarnation);
+    }
+  }
 
-  /** An operator vouches that a door is no more: it sends nothing. */
-  record Forget(double atMs, String door, String by) implements Command { }
+  /**
+   * An operator vouches that a door is no more: it sends nothing.
+   *
+   * @param request the asker's own name of this request: heard twice, it is done once
+   */
+  record Forget(double atMs, String request, String door, String by) implements Command {
+    @Override
+    public Command at(double leaderMs) {
+      return new Forget(leaderMs, request, door, by);
+    }
+  }
 
-  /** The list of backends, whole. */
-  record Sight(double atMs, List<Backend> backends) implements Command {
+  /**
+   * The list of backends, whole, as some door has heard it.
+   *
+   * @param version the list's own; an older one than was told within a lease is of a door that is behind
+   */
+  record Sight(double atMs, long version, List<Backend> backends) implements Command {
 
     /** Keeps a copy. */
     public Sight {
       backends = List.copyOf(backends);
     }
+
+    @Override
+    public Command at(double leaderMs) {
+      return new Sight(leaderMs, version, backends);
+    }
   }
 
   /**
@@ -87,10 +126,24 @@
    * @param force whether it is given over the budget
    */
   record Ask(double atMs, String request, Subject subject, String by, String reason, boolean force)
-      implements Command { }
+      implements Command {
+    @Override
+    public Command at(double leaderMs) {
+      return new Ask(leaderMs, request, subject, by, reason, force);
+    }
+  }
 
-  /** What was taken out goes back, or is not wanted out any more. */
-  record Return(double atMs, Subject subject, String by) implements Command { }
+  /**
+   * What was taken out goes back, or is not wanted out any more.
+   *
+   * @param permit the one that is given back: heard late once more, it ends no other
+   */
+  record Return(double atMs, Subject subject, long permit, String by) implements Command {
+    @Override
+    public Command at(double leaderMs) {
+      return new Return(leaderMs, subject, permit, by);
+    }
+  }
 
   /** Time passes. */
   record Tick(double atMs) implements Command { }
--- a/policy/src/main/java/willowdoor/agreement/DoorLease.java
+++ b/policy/src/main/java/willowdoor/agreement/DoorLease.java
@@ -9,26 +9,24 @@
  */
 public final class DoorLease {
 
-  private final double lengthMs;
+  private final double share;
   private double untilMs = Double.NEGATIVE_INFINITY;
 
   /**
    * None is held yet.
    *
-   * @param leaseMs the agreed length
    * @param drift the most that a clock runs wrong, as a part of the time that passes
    */
-  public DoorLease(double leaseMs, double drift) {
-    if (!(leaseMs > 0) || !(drift >= 0 && drift < 1)) {
-      throw new IllegalArgumentException("a lease of " + leaseMs + " ms with clocks wrong by " + drift
-          + " (expected: above 0, and from 0 to below 1)");
+  public DoorLease(double drift) {
+    if (!(drift >= 0 && drift < 1)) {
+      throw new IllegalArgumentException("clocks wrong by " + drift + " (expected: from 0 to below 1)");
     }
-    lengthMs = leaseMs * (1 - drift) / (1 + drift);
+    share = (1 - drift) / (1 + drift);
   }
 
-  /** A heartbeat that was sent at that time has been agreed on, answers in any order. */
-  public void agreed(double sentMs) {
-    untilMs = Math.max(untilMs, sentMs + lengthMs);
+  /** A heartbeat that was sent at that time has been agreed on for so long, answers in any order. */
+  public void agreed(double sentMs, double leaseMs) {
+    untilMs = Math.max(untilMs, sentMs + leaseMs * share);
   }
 
   /**
--- a/policy/src/main/java/willowdoor/agreement/DoorSide.java
+++ b/policy/src/main/java/willowdoor/agreement/DoorSide.java
@@ -46,11 +46,13 @@
   private static final int MOST_SENT = 16;
   /** Of a lease, between two heartbeats: some may be lost. */
   private static final double PACE = 1.0 / 6;
+  /** Until it is told how long a lease is. */
+  private static final double FIRST_PACE_MS = 200;
 
   private final String door;
   private final String incarnation;
   private final DoorLease lease;
-  private final double paceMs;
+  private double paceMs = FIRST_PACE_MS;
   private Doing doing = Doing.STARTING;
   private double beatAt = Double.NEGATIVE_INFINITY;
   private double heardAt = Double.NEGATIVE_INFINITY;
@@ -69,14 +71,12 @@
   /**
    * For a process of a door.
    *
-   * @param leaseMs the agreed length of a lease
    * @param drift the most that a clock runs wrong, as a part of the time that passes
    */
-  public DoorSide(String door, String incarnation, double leaseMs, double drift) {
+  public DoorSide(String door, String incarnation, double drift) {
     this.door = door;
     this.incarnation = incarnation;
-    lease = new DoorLease(leaseMs, drift);
-    paceMs = leaseMs * PACE;
+    lease = new DoorLease(drift);
   }
 
   /** Takes an event at its time. */
@@ -114,7 +114,8 @@
       actions.add(new SendJoin());
       return;
     }
-    lease.agreed(at);
+    lease.agreed(at, e.view().leaseMs());
+    paceMs = e.view().leaseMs() * PACE;
     heardAt = nowMs;
     // An answer that another has overtaken, or that was read too late, is not acted on.
     if (e.view().index() <= seen || !lease.holds(nowMs)) {
--- a/policy/src/main/java/willowdoor/agreement/FleetRecord.java
+++ b/policy/src/main/java/willowdoor/agreement/FleetRecord.java
@@ -5,6 +5,7 @@
 import java.util.Deque;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -57,6 +58,8 @@
   static final int MOST_BACKENDS = 10_000;
   /** The oldest goes first. */
   static final int MOST_NOTES = 1_000;
+  /** Remembered of what has ended; the oldest goes first. */
+  static final int MOST_OVER = 2_000;
 
   private Terms terms;
   /** How many commands it has taken. */
@@ -65,10 +68,15 @@
   /** The leader's time of the last command; none before the first leader. */
   private double leader = Double.NaN;
   private long lastPermit;
+  /** The version of the list of backends, and the record's time when it was told. */
+  private long sightVersion;
+  private double sightAt = Double.NEGATIVE_INFINITY;
   private final Map<String, Life> lives = new LinkedHashMap<>();
   private final Map<String, Backend> backends = new LinkedHashMap<>();
   private final Map<Long, Permit> permits = new TreeMap<>();
   private final Deque<Note> notes = new ArrayDeque<>();
+  /** Names of requests and of processes that have ended: a message of theirs that comes late does nothing. */
+  private final Set<String> over = new LinkedHashSet<>();
 
   /** Knows nothing yet. */
   public FleetRecord(Terms terms) {
@@ -82,16 +90,20 @@
     now = state.nowMs();
     leader = state.leaderMs();
     lastPermit = state.lastPermit();
+    sightVersion = state.sightVersion();
+    sightAt = state.sightMs();
     state.lives().forEach(x -> lives.put(x.name(), x));
     state.backends().forEach(x -> backends.put(x.name(), x));
     state.permits().forEach(x -> permits.put(x.id(), x));
     notes.addAll(state.notes());
+    over.addAll(state.over());
   }
 
   /** All that it knows. */
   public State state() {
-    return new State(terms, index, now, leader, lastPermit, List.copyOf(lives.values()),
-        List.copyOf(backends.values()), List.copyOf(permits.values()), List.copyOf(notes));
+    return new State(terms, index, now, leader, lastPermit, sightVersion, sightAt,
+        List.copyOf(lives.values()), List.copyOf(backends.values()), List.copyOf(permits.values()),
+        List.copyOf(notes), List.copyOf(over));
   }
 
   /** Takes the next command of the log. */
@@ -128,21 +140,38 @@
     } else if (command instanceof Leave e) {
       leave(e);
     } else if (command instanceof Sight e) {
-      backends.clear();
-      e.backends().stream().limit(MOST_BACKENDS).forEach(x -> backends.put(x.name(), x));
+      return sight(e);
     } else if (command instanceof Configure e) {
       terms = e.terms();
     }
     return new Done();
   }
 
+  /** One of an older version is believed where none newer came for a lease: the list counts anew. */
+  private Outcome sight(Sight e) {
+    if (e.version() < sightVersion && now - sightAt < terms.leaseMs()) {
+      return new Refused("version " + e.version() + " of the list of backends is older than " + sightVersion);
+    }
+    sightVersion = e.version();
+    sightAt = now;
+    backends.clear();
+    e.backends().stream().limit(MOST_BACKENDS).forEach(x -> backends.put(x.name(), x));
+    return new Done();
+  }
+
   private Outcome join(Join e) {
     Life life = new Life(e.door(), e.incarnation(), e.zone(), e.weight(), Doing.STARTING,
         now + terms.leaseMs(), 0, 0);
+    List<String> others = lives.values().stream().filter(x -> x.door().equals(e.door())
+        && !x.name().equals(life.name()) && (e.alone() || x.ended())).map(Life::name).toList();
+    others.forEach(this::end);
+    lives.keySet().removeAll(others);
     if (lives.containsKey(life.name())) {
       return new Done();
     }
-    lives.values().removeIf(x -> x.door().equals(e.door()) && (e.alone() || x.ended()));
+    if (over.contains(life.name())) {
+      return new Refused("process " + life.name() + " has ended");
+    }
     if (lives.size() >= MOST_LIVES) {
       return new Refused(MOST_LIVES + " processes of doors are known already");
     }
@@ -152,6 +181,7 @@
 
   /** The door stays known, as one that is out, until another process of it joins or it is forgotten. */
   private void leave(Leave e) {
+    end(e.door() + "/" + e.incarnation());
     lives.computeIfPresent(e.door() + "/" + e.incarnation(), (name, x) -> x.end());
     boolean others = lives.values().stream().anyMatch(x -> x.door().equals(e.door()) && !x.ended());
     lives.values().removeIf(x -> x.door().equals(e.door()) && x.ended() && others);
@@ -170,7 +200,7 @@
         beat.left().forEach(id -> permits.computeIfPresent(id, (i, permit) -> leaves(permit, name)));
       }
     }
-    return new Beaten(strangers);
+    return new Beaten(strangers, terms.leaseMs());
   }
 
   private static Permit leaves(Permit permit, String life) {
@@ -183,6 +213,10 @@
   }
 
   private Outcome forget(Forget e) {
+    if (over.contains(e.request())) {
+      return new Done();
+    }
+    end(e.request());
     if (!lives.values().removeIf(x -> x.door().equals(e.door()))) {
       return new Refused("no door is called " + e.door());
     }
@@ -194,6 +228,9 @@
     if (permitOf(e.request()) != null) {
       return null;
     }
+    if (over.contains(e.request())) {
+      return new Refused("request " + e.request() + " is over");
+    }
     Permit other = permitOf(e.subject());
     if (other != null) {
       return new Refused(e.subject() + " is " + other.stage().name().toLowerCase(java.util.Locale.ROOT)
@@ -216,11 +253,12 @@
 
   private Outcome giveBack(Return e) {
     Permit permit = permitOf(e.subject());
-    if (permit == null) {
-      return new Refused(e.subject() + " is not out on purpose");
+    if (permit == null || permit.id() != e.permit()) {
+      return new Refused("permit " + e.permit() + " is over" + (permit == null ? "" : "; " + e.subject()
+          + " is " + permit.stage().name().toLowerCase(java.util.Locale.ROOT) + " by permit " + permit.id()));
     }
     if (permit.stage() == Stage.WAITING) {
-      permits.remove(permit.id());
+      end(permit);
     } else {
       permits.put(permit.id(), permit.at(Stage.RETURNING, index));
     }
@@ -231,7 +269,7 @@
   private void settle() {
     for (Permit permit : List.copyOf(permits.values())) {
       if (permit.stage() == Stage.RETURNING && isBack(permit)) {
-        permits.remove(permit.id());
+        end(permit);
       } else if (permit.stage() == Stage.GRANTED && gone(permit)) {
         permits.put(permit.id(), permit.at(Stage.OUT, index));
       }
@@ -330,6 +368,17 @@
     return new Waiting(permit.id(), place, held == null ? "others wait before it" : held.why());
   }
 
+  /**
+   * What a process of a door is told.
+   *
+   * @param leaseMs what its heartbeat came to
+   */
+  public View view(String door, String incarnation, double leaseMs) {
+    Life life = lives.get(door + "/" + incarnation);
+    return new View(index, permits.values().stream().filter(x -> x.subject().kind() == Kind.BACKEND
+        ? x.holds() : x.subject().name().equals(door)).toList(), life != null && !life.ended(), leaseMs);
+  }
+
   /** The processes that hold up a backend's going out, as door/incarnation; none for what is out. */
   public List<String> holdUp(Subject backend) {
     Permit permit = permitOf(backend);
@@ -343,6 +392,17 @@
     return outs(kind).count();
   }
 
+  private void end(Permit permit) {
+    permits.remove(permit.id());
+    end(permit.request());
+  }
+
+  private void end(String name) {
+    if (over.add(name) && over.size() > MOST_OVER) {
+      over.remove(over.iterator().next());
+    }
+  }
+
   private void note(String by, String what) {
     if (notes.size() >= MOST_NOTES) {
       notes.removeFirst();
--- a/policy/src/main/java/willowdoor/agreement/Outcome.java
+++ b/policy/src/main/java/willowdoor/agreement/Outcome.java
@@ -17,8 +17,12 @@
   /** It may go out. */
   record Granted(long permit) implements Outcome { }
 
-  /** Heartbeats were taken, but not of these processes, which have to join first. */
-  record Beaten(List<String> strangers) implements Outcome {
+  /**
+   * Heartbeats were taken, but not of these processes, which have to join first.
+   *
+   * @param leaseMs for how long those that were taken count, by the terms that held then
+   */
+  record Beaten(List<String> strangers, double leaseMs) implements Outcome {
 
     /** Keeps a copy. */
     public Beaten {
--- a/policy/src/main/java/willowdoor/agreement/State.java
+++ b/policy/src/main/java/willowdoor/agreement/State.java
@@ -4,7 +4,8 @@
 
 /** All that a record knows, for a snapshot: a record that is made from it goes on as the first one would. */
 public record State(Terms terms, long index, double nowMs, double leaderMs, long lastPermit,
-    List<Life> lives, List<Command.Backend> backends, List<Permit> permits, List<Note> notes) {
+    long sightVersion, double sightMs, List<Life> lives, List<Command.Backend> backends,
+    List<Permit> permits, List<Note> notes, List<String> over) {
 
   /** Keeps copies. */
   public State {
@@ -12,5 +13,6 @@
     backends = List.copyOf(backends);
     permits = List.copyOf(permits);
     notes = List.copyOf(notes);
+    over = List.copyOf(over);
   }
 }
--- a/policy/src/main/java/willowdoor/agreement/Terms.java
+++ b/policy/src/main/java/willowdoor/agreement/Terms.java
@@ -9,6 +9,10 @@
  */
 public record Terms(Budget doors, Budget backends, double leaseMs) {
 
+  /** Of a record to which none were told yet: nothing may go out. */
+  public static final Terms NONE = new Terms(new Budget(Most.of(0), Most.of(0), 0),
+      new Budget(Most.of(0), Most.of(0), 0), 3_000);
+
   /** Refuses a lease that is none. */
   public Terms {
     if (!(leaseMs > 0 && leaseMs < Double.POSITIVE_INFINITY)) {
--- a/policy/src/main/java/willowdoor/agreement/View.java
+++ b/policy/src/main/java/willowdoor/agreement/View.java
@@ -8,8 +8,9 @@
  * @param index how many commands the record had taken, the heartbeat's among them
  * @param permits those of backends that are not waiting, and this door's own if it has one
  * @param known whether the record has this process; if not, it joins again
+ * @param leaseMs for how long the heartbeat counts, by the terms that held when it was agreed on
  */
-public record View(long index, List<Permit> permits, boolean known) {
+public record View(long index, List<Permit> permits, boolean known, double leaseMs) {
 
   /** Keeps a copy. */
   public View {
--- a/policy/src/main/java/willowdoor/life/InstanceLife.java
+++ b/policy/src/main/java/willowdoor/life/InstanceLife.java
@@ -15,7 +15,9 @@
 import willowdoor.life.LifeEvent.AllAnswered;
 import willowdoor.life.LifeEvent.Bound;
 import willowdoor.life.LifeEvent.Broken;
+import willowdoor.life.LifeEvent.ComeBack;
 import willowdoor.life.LifeEvent.EndSignal;
+import willowdoor.life.LifeEvent.GoOut;
 import willowdoor.life.LifeEvent.SuccessorLost;
 import willowdoor.life.LifeEvent.SuccessorReady;
 import willowdoor.life.LifeEvent.Warmed;
@@ -30,6 +32,8 @@
  *                                             ^                                     |  accept window over,
  *                                             +------- SuccessorLost (replaced) ----+  or a successor accepts
  *                                                                                   v
+ *                 READY <--ComeBack-- OUT <--GoOut-- READY; OUT ends and is replaced as READY is
+ *
  *                        STOPPED <--AllAnswered / last bound-- FAILING <--bound-- ANSWERING
  * </pre>
  *
@@ -49,8 +53,8 @@
   /** Exit code of an end whose last bound passed while clients had not read their answers. */
   public static final int EXIT_UNREAD = 3;
 
-  /** Where an instance is in its life. */
-  public enum Phase { STARTING, WARMING, READY, DRAINING, ANSWERING, FAILING, STOPPED }
+  /** Where an instance is in its life; OUT is READY with its clients sent away, as the fleet agreed on. */
+  public enum Phase { STARTING, WARMING, READY, OUT, DRAINING, ANSWERING, FAILING, STOPPED }
 
   /**
    * The bounds of an end, in milliseconds.
@@ -86,6 +90,8 @@
   /** A successor takes the connections. */
   private boolean left;
   private boolean hurried;
+  /** The fleet has it out. */
+  private boolean out;
   private double acceptUntil;
   private double answerUntil;
   private double lastUntil;
@@ -116,6 +122,11 @@
       successorReady(nowMs, actions);
     } else if (event instanceof SuccessorLost) {
       successorLost(actions);
+    } else if (event instanceof GoOut) {
+      out = true;
+      goOut(actions);
+    } else if (event instanceof ComeBack) {
+      comeBack(actions);
     } else if (event instanceof AllAnswered) {
       allAnswered(actions);
     } else if (event instanceof Woken) {
@@ -141,6 +152,23 @@
       phase = Phase.READY;
       actions.add(new Accept());
       actions.add(new BeFound());
+      goOut(actions);
+    }
+  }
+
+  /** Not while it starts or ends: then it is out already, and goes out, or not, when it is ready again. */
+  private void goOut(List<LifeAction> actions) {
+    if (out && phase == Phase.READY) {
+      phase = Phase.OUT;
+      actions.add(new BeginDrain());
+    }
+  }
+
+  private void comeBack(List<LifeAction> actions) {
+    out = false;
+    if (phase == Phase.OUT) {
+      phase = Phase.READY;
+      actions.add(new Resume());
     }
   }
 
@@ -148,7 +176,7 @@
     switch (phase) {
       case STARTING -> endWanted = true;
       case WARMING -> drainUnready(now, actions);
-      case READY -> {
+      case READY, OUT -> {
         replaced = false;
         drain(now, now + bounds.acceptMs(), actions);
       }
@@ -189,7 +217,7 @@
   }
 
   private void successorReady(double now, List<LifeAction> actions) {
-    if (phase == Phase.READY) {
+    if (phase == Phase.READY || phase == Phase.OUT) {
       replaced = true;
       left = true;
       actions.add(new LeaveListening());
@@ -207,6 +235,7 @@
       replaced = false;
       phase = Phase.READY;
       actions.add(new Resume());
+      goOut(actions);
     }
   }
 
--- a/policy/src/main/java/willowdoor/life/LifeEvent.java
+++ b/policy/src/main/java/willowdoor/life/LifeEvent.java
@@ -18,6 +18,12 @@
   /** The successor to which the listening socket was handed is gone. */
   record SuccessorLost() implements LifeEvent { }
 
+  /** By what the fleet has agreed on this instance goes out: clients are to go elsewhere. */
+  record GoOut() implements LifeEvent { }
+
+  /** It may take clients again. */
+  record ComeBack() implements LifeEvent { }
+
   /** Nothing that was taken is without its answer, and no client's connection is open. */
   record AllAnswered() implements LifeEvent { }
 
--- a/policy/src/main/java/willowdoor/membership/Membership.java
+++ b/policy/src/main/java/willowdoor/membership/Membership.java
@@ -5,6 +5,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import willowdoor.membership.MembershipEvent.AgreedBack;
+import willowdoor.membership.MembershipEvent.AgreedOut;
 import willowdoor.membership.MembershipEvent.Inherited;
 import willowdoor.membership.MembershipEvent.Listed;
 import willowdoor.membership.MembershipEvent.PutBack;
@@ -32,6 +34,8 @@
   private final Map<Long, BackendEntry> listed = new HashMap<>();
   /** When each was taken out that is out. */
   private final Map<Long, Double> out = new LinkedHashMap<>();
+  /** The same by what the fleet has agreed on, beside what operators say here: any of both has it out. */
+  private final Map<Long, Double> agreed = new LinkedHashMap<>();
   /** Taken for the start of those put back, until the lists tell one that came after they went out. */
   private final Map<Long, Back> back = new HashMap<>();
 
@@ -46,6 +50,10 @@
       return takeOut(nowMs, e.id());
     } else if (event instanceof PutBack e) {
       return putBack(nowMs, e.id());
+    } else if (event instanceof AgreedOut e) {
+      return agreedOut(nowMs, e.id());
+    } else if (event instanceof AgreedBack e) {
+      return backFrom(agreed, out, nowMs, e.id());
     } else {
       return inherited((Inherited) event);
     }
@@ -87,11 +95,24 @@
   }
 
   private Told putBack(double now, long id) {
-    Double since = out.remove(id);
+    return backFrom(out, agreed, now, id);
+  }
+
+  private Told agreedOut(double now, long id) {
+    if (agreed.size() >= MOST_OUT && !agreed.containsKey(id)) {
+      return new Told(false, false, List.of());
+    }
+    agreed.putIfAbsent(id, now);
+    back.remove(id);
+    return changed(List.of(id));
+  }
+
+  private Told backFrom(Map<Long, Double> one, Map<Long, Double> other, double now, long id) {
+    Double since = one.remove(id);
     if (since == null) {
       return new Told(listed.containsKey(id), false, List.of());
     }
-    if (listed.containsKey(id)) {
+    if (listed.containsKey(id) && !other.containsKey(id)) {
       back.put(id, new Back(since, now));
     }
     return changed(List.of(id));
@@ -117,7 +138,7 @@
       back.remove(e.id());
       return e;
     }
-    if (out.containsKey(e.id())) {
+    if (out.containsKey(e.id()) || agreed.containsKey(e.id())) {
       return with(e, Phase.DRAINING, e.startedMs());
     }
     Back b = back.get(e.id());
--- a/policy/src/test/java/willowdoor/life/InstanceLifeTest.java
+++ b/policy/src/test/java/willowdoor/life/InstanceLifeTest.java
@@ -22,7 +22,9 @@
 import willowdoor.life.LifeEvent.AllAnswered;
 import willowdoor.life.LifeEvent.Bound;
 import willowdoor.life.LifeEvent.Broken;
+import willowdoor.life.LifeEvent.ComeBack;
 import willowdoor.life.LifeEvent.EndSignal;
+import willowdoor.life.LifeEvent.GoOut;
 import willowdoor.life.LifeEvent.SuccessorLost;
 import willowdoor.life.LifeEvent.SuccessorReady;
 import willowdoor.life.LifeEvent.Warmed;
@@ -93,6 +95,38 @@
     then(4_001, new EndSignal());
   }
 
+  @Test
+  void goesOutAndComesBackAsTheFleetAgrees() {
+    ready();
+    then(1_000, new GoOut(), new BeginDrain());
+    then(1_001, new GoOut());
+    assertEquals(Phase.OUT, life.phase());
+    then(2_000, new ComeBack(), new Resume());
+    then(2_001, new ComeBack());
+    assertEquals(Phase.READY, life.phase());
+  }
+
+  @Test
+  void outItEndsAndIsReplacedAsOneThatIsReady() {
+    ready();
+    then(1_000, new GoOut(), new BeginDrain());
+    then(5_000, new SuccessorReady(), new LeaveListening(), new BeginDrain(), new WakeAt(5_500));
+    then(5_100, new SuccessorLost(), new Accept(), new Resume(), new BeginDrain());
+    assertEquals(Phase.OUT, life.phase());
+    then(6_000, new EndSignal(), new BeginDrain(), new WakeAt(6_500));
+    then(6_100, new ComeBack());
+    assertEquals(Phase.DRAINING, life.phase());
+  }
+
+  /** It learnt so before it was ready: it never takes clients as one that is not out. */
+  @Test
+  void outBeforeItWasReady() {
+    then(0, new Bound(), new WarmUp());
+    then(100, new GoOut());
+    then(700, new Warmed(), new Accept(), new BeFound(), new BeginDrain());
+    then(800, new ComeBack(), new Resume());
+  }
+
   @Test
   void anEndBeforeTheSocketIsHeldStillServesWhatWaitsThere() {
     then(0, new EndSignal());
--- a/policy/src/test/java/willowdoor/membership/MembershipTest.java
+++ b/policy/src/test/java/willowdoor/membership/MembershipTest.java
@@ -9,6 +9,8 @@
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
+import willowdoor.membership.MembershipEvent.AgreedBack;
+import willowdoor.membership.MembershipEvent.AgreedOut;
 import willowdoor.membership.MembershipEvent.Inherited;
 import willowdoor.membership.MembershipEvent.Listed;
 import willowdoor.membership.MembershipEvent.PutBack;
@@ -110,6 +112,30 @@
     assertTrue(membership.on(4, new TakeOut(0)).known());
   }
 
+  /** An operator's word here and the fleet's: it is back when neither has it out. */
+  @Test
+  void outByTwoWordsItIsBackWithTheSecond() {
+    membership.on(1, full(entry(1, Phase.SERVING, 0)));
+    membership.on(2_000, new TakeOut(1));
+    assertEquals(Phase.DRAINING, membership.on(2_100, new AgreedOut(1)).entries().get(0).phase());
+    assertEquals(Phase.DRAINING, membership.on(3_000, new PutBack(1)).entries().get(0).phase());
+    assertEquals(List.of(), membership.out(), "the other process hears of the fleet's word itself");
+    assertEquals(List.of(entry(1, Phase.SERVING, 4_000)), membership.on(4_000, new AgreedBack(1)).entries());
+    assertEquals(List.of(), membership.on(5_000, new AgreedBack(1)).entries());
+  }
+
+  /** The fleet knows it from another door's list. */
+  @Test
+  void whatTheFleetHasOutIsOutOnceItIsListed() {
+    membership.on(1, new AgreedOut(7));
+    assertEquals(Phase.DRAINING, membership.on(2, full(entry(7, Phase.SERVING, 0))).entries().get(0).phase());
+    for (int i = 0; i < Membership.MOST_OUT; i++) {
+      membership.on(3, new AgreedOut(i));
+    }
+    assertFalse(membership.on(4, new AgreedOut(Membership.MOST_OUT)).known());
+    assertTrue(membership.on(4, new AgreedOut(7)).known());
+  }
+
   /** Every order, with repeats, of six events that concern one backend, against what each rule says of it. */
   @Test
   void everyOrderOfAHandfulOfEventsKeepsTheRules() {
--- a/steward/src/main/java/willowdoor/steward/Codec.java
+++ b/steward/src/main/java/willowdoor/steward/Codec.java
@@ -12,11 +12,11 @@
 import willowdoor.agreement.Outcome;
 import willowdoor.agreement.State;
 
-/** Commands, outcomes and snapshots as JSON, each kind by its name in {@code is}. */
-final class Codec {
+/** Commands, outcomes, snapshots and what links carry as JSON, each kind by its name in {@code is}. */
+public final class Codec {
 
   /** No command may be longer, in bytes: some 1,000 heartbeats, or 10,000 backends. */
-  static final int MOST_BYTES = 2 << 20;
+  static final int MOST_BYTES = 1 << 20;
 
   private static final ObjectMapper JSON = mapper();
 
@@ -26,17 +26,29 @@
   @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "is")
   private interface ByName { }
 
+  /** The same for further families of messages, each sealed. */
+  public static ObjectMapper json(Class<?>... roots) {
+    ObjectMapper mapper = mapper();
+    for (Class<?> root : roots) {
+      byName(mapper, root);
+    }
+    return mapper;
+  }
+
+  private static void byName(ObjectMapper mapper, Class<?> root) {
+    mapper.addMixIn(root, ByName.class);
+    for (Class<?> one : root.getPermittedSubclasses()) {
+      mapper.registerSubtypes(new NamedType(one, one.getSimpleName()));
+    }
+  }
+
   private static ObjectMapper mapper() {
     ObjectMapper mapper = JsonMapper.builder().enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
         .enable(DeserializationFeature.FAIL_ON_NULL_CREATOR_PROPERTIES,
             DeserializationFeature.FAIL_ON_MISSING_CREATOR_PROPERTIES).build();
     mapper.getFactory().setStreamReadConstraints(StreamReadConstraints.builder().maxNestingDepth(20).build());
-    for (Class<?> root : new Class<?>[] {Command.class, Outcome.class}) {
-      mapper.addMixIn(root, ByName.class);
-      for (Class<?> one : root.getPermittedSubclasses()) {
-        mapper.registerSubtypes(new NamedType(one, one.getSimpleName()));
-      }
-    }
+    byName(mapper, Command.class);
+    byName(mapper, Outcome.class);
     return mapper;
   }
 
--- a/steward/src/main/java/willowdoor/steward/DiskStore.java
+++ b/steward/src/main/java/willowdoor/steward/DiskStore.java
@@ -34,12 +34,21 @@
 
   /** Opens the file, or makes it. */
   public DiskStore(Path path) throws IOException {
+    this(path, true);
+  }
+
+  /**
+   * The same.
+   *
+   * @param synced false where only a process may end, not its machine: nothing that was written is lost then
+   */
+  public DiskStore(Path path, boolean synced) throws IOException {
     try {
       file = DriverManager.getConnection("jdbc:sqlite:" + path);
       try (Statement s = file.createStatement()) {
         s.execute("PRAGMA locking_mode = EXCLUSIVE");
         s.execute("PRAGMA journal_mode = WAL");
-        s.execute("PRAGMA synchronous = FULL");
+        s.execute("PRAGMA synchronous = " + (synced ? "FULL" : "OFF"));
         s.execute("CREATE TABLE IF NOT EXISTS known (name TEXT PRIMARY KEY, value BLOB NOT NULL)");
         s.execute("CREATE TABLE IF NOT EXISTS log (idx INTEGER PRIMARY KEY, value BLOB NOT NULL)");
         s.execute("CREATE TABLE IF NOT EXISTS piece (idx INTEGER, piece INTEGER, pieces INTEGER NOT NULL,"
--- a/steward/src/main/java/willowdoor/steward/Machine.java
+++ b/steward/src/main/java/willowdoor/steward/Machine.java
@@ -6,8 +6,10 @@
 import java.util.List;
 import java.util.function.Consumer;
 import java.util.function.DoubleSupplier;
+import willowdoor.agreement.Command;
 import willowdoor.agreement.Command.Lead;
 import willowdoor.agreement.FleetRecord;
+import willowdoor.agreement.Outcome;
 import willowdoor.agreement.Terms;
 
 /** The record as the library's state machine: bytes of commands in, outcomes out, snapshots in pieces. */
@@ -17,11 +19,17 @@
   static final int CHUNK_BYTES = 256 << 10;
 
   private final DoubleSupplier now;
-  private FleetRecord record;
+  private final Runnable led;
+  private FleetRecord record = new FleetRecord(Terms.NONE);
 
-  Machine(Terms terms, DoubleSupplier now) {
+  /**
+   * For one steward.
+   *
+   * @param led run when a term's first entry has been agreed on, whoever leads
+   */
+  Machine(DoubleSupplier now, Runnable led) {
     this.now = now;
-    record = new FleetRecord(terms);
+    this.led = led;
   }
 
   FleetRecord record() {
@@ -30,7 +38,12 @@
 
   @Override
   public Object runOperation(long commitIndex, Object operation) {
-    return record.on(Codec.command((byte[]) operation));
+    Command command = Codec.command((byte[]) operation);
+    Outcome outcome = record.on(command);
+    if (command instanceof Lead) {
+      led.run();
+    }
+    return outcome;
   }
 
   @Override
--- a/steward/src/main/java/willowdoor/steward/Steward.java
+++ b/steward/src/main/java/willowdoor/steward/Steward.java
@@ -16,6 +16,7 @@
 import java.util.function.DoubleFunction;
 import java.util.function.Predicate;
 import willowdoor.agreement.Command;
+import willowdoor.agreement.Command.Configure;
 import willowdoor.agreement.FleetRecord;
 import willowdoor.agreement.Outcome;
 import willowdoor.agreement.Terms;
@@ -34,6 +35,9 @@
   private static final int ELECTION_MS = 1_000;
   /** Commands that wait for a majority; one more is refused by the library. */
   private static final int MOST_PENDING = 1_000;
+  /** Of commands that one message carries: each may be as long as a command may be. */
+  private static final int MOST_AT_ONCE = 8;
+  private static final double AGAIN_MS = 200;
 
   private final Surroundings around;
   private final Machine machine;
@@ -43,17 +47,18 @@
    * Begins with {@link #start}.
    *
    * @param members those who begin the record together, this one among them
+   * @param first the terms that it tells a record that has none, where it leads
    * @param send to another, with no answer and no promise that it arrives
    * @param reachable whether it may be worth sending to it
    * @param snapshotAfter so many commands
    * @param store its disk; what is on it goes before the members given here
    * @throws IOException if the disk can't be read
    */
-  public Steward(StewardId self, Collection<StewardId> members, Terms terms, Surroundings around,
+  public Steward(StewardId self, Collection<StewardId> members, Terms first, Surroundings around,
       BiConsumer<StewardId, byte[]> send, Predicate<StewardId> reachable, int snapshotAfter, DiskStore store)
       throws IOException {
     this.around = around;
-    machine = new Machine(terms, around::now);
+    machine = new Machine(around::now, () -> around.later(0, () -> configure(first)));
     Paced paced = new Paced(around, PACE);
     RestoredRaftState before = store.restored();
     RaftNode.RaftNodeBuilder builder = RaftNode.newBuilder();
@@ -65,7 +70,9 @@
     node = builder.setGroupId(Wire.GROUP).setStore(store)
         .setConfig(RaftConfig.newBuilder().setLeaderHeartbeatPeriodSecs(HEARTBEAT_SECS)
             .setLeaderHeartbeatTimeoutSecs(MISSED_SECS).setLeaderElectionTimeoutMillis(ELECTION_MS)
-            .setMaxPendingLogEntryCount(MOST_PENDING).setCommitCountToTakeSnapshot(snapshotAfter).build())
+            .setMaxPendingLogEntryCount(MOST_PENDING)
+            .setAppendEntriesRequestBatchSize(MOST_AT_ONCE).setCommitCountToTakeSnapshot(snapshotAfter)
+            .build())
         .setExecutor(paced).setClock(paced).setRandom(around.random()).setStateMachine(machine)
         .setTransport(new Transport() {
           @Override
@@ -85,6 +92,21 @@
     node.start();
   }
 
+  private void configure(Terms first) {
+    if (leads() && record().state().terms().equals(Terms.NONE)) {
+      propose(at -> new Configure(at, first)).whenComplete((done, failure) -> {
+        if (failure != null) {
+          around.later(AGAIN_MS, () -> configure(first));
+        }
+      });
+    }
+  }
+
+  /** Whether it can't go on: its disk failed, or it was put out of the group. */
+  public boolean ended() {
+    return RaftNodeStatus.isTerminal(node.getStatus());
+  }
+
   /** Takes part no longer. */
   public void stop() {
     node.terminate();
--- /dev/null
+++ b/steward/src/main/java/willowdoor/steward/link/Answer.java
@@ -0,0 +1,24 @@
+package willowdoor.steward.link;
+
+import willowdoor.agreement.Outcome;
+import willowdoor.agreement.View;
+
+/** What a {@link Call} came to. */
+public sealed interface Answer {
+
+  /** The command was agreed on, and came to this. */
+  record Came(Outcome outcome) implements Answer { }
+
+  /** The heartbeat was agreed on. */
+  record Seen(View view) implements Answer { }
+
+  /** How all stands. */
+  record Stands(Standing standing) implements Answer { }
+
+  /**
+   * Nothing is known of what became of it: it may be agreed on yet.
+   *
+   * @param again whether the same, asked again, may come to something
+   */
+  record Failed(String why, boolean again) implements Answer { }
+}
--- /dev/null
+++ b/steward/src/main/java/willowdoor/steward/link/Call.java
@@ -0,0 +1,16 @@
+package willowdoor.steward.link;
+
+import willowdoor.agreement.Command;
+
+/** What is asked of the stewards, at any of them. */
+public sealed interface Call {
+
+  /** Have a command agreed on; its time is the leader's, whatever it says. */
+  record Put(Command command) implements Call { }
+
+  /** Take a heartbeat, and tell what the record knows for this door. */
+  record Beat(Command.Beat beat) implements Call { }
+
+  /** Tell how all stands, by a majority's word. */
+  record Look() implements Call { }
+}
--- /dev/null
+++ b/steward/src/main/java/willowdoor/steward/link/DoorLink.java
@@ -0,0 +1,244 @@
+package willowdoor.steward.link;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.logging.Logger;
+import willowdoor.agreement.Command;
+import willowdoor.agreement.Command.Doing;
+import willowdoor.agreement.DoorAction;
+import willowdoor.agreement.DoorEvent;
+import willowdoor.agreement.DoorSide;
+import willowdoor.agreement.Outcome;
+import willowdoor.agreement.Subject;
+import willowdoor.steward.link.Answer.Came;
+import willowdoor.steward.link.Answer.Failed;
+import willowdoor.steward.link.Answer.Seen;
+import willowdoor.steward.link.LinkMessage.Hello;
+import willowdoor.steward.link.LinkMessage.Role;
+
+/**
+ * Drives one door's {@link DoorSide} over a link to the stewards, on a thread of its own: nothing of it is on
+ * the thread of requests. It decides nothing.
+ */
+public final class DoorLink implements AutoCloseable {
+
+  /** Which process of which door this is. */
+  public record Self(String group, String door, String incarnation, String zone, double weight) { }
+
+  /** What the record has a door do; called on this link's thread, which must not be held up. */
+  public interface Hands {
+    /** Send nothing more to the backend, and tell {@link #letGo} once no attempt is out at it. */
+    void takeOut(String backend);
+
+    /** The backend may be sent to again. */
+    void putBack(String backend);
+
+    /** Have clients go elsewhere. */
+    void drain();
+
+    /** Take clients again. */
+    void undrain();
+  }
+
+  private static final Logger LOG = Logger.getLogger(DoorLink.class.getName());
+  /** For the answer to anything; the door's own side answers an operator before that. */
+  private static final long LIMIT_MS = 600;
+  /** A list that the stewards did not take is told again after this. */
+  private static final long AGAIN_MS = 500;
+
+  private final Self self;
+  private final Hands hands;
+  private final EventLoopGroup group = OneThread.named("agreement");
+  private final EventLoop loop = group.next();
+  private final DoorSide side;
+  private final LinkClient link;
+  private final Map<String, CompletableFuture<Outcome>> asked = new HashMap<>();
+  private boolean alone;
+  private boolean closed;
+  private double wakeAt;
+  private long sightVersion;
+  /** Null where the stewards have it. */
+  private List<Command.Backend> sight;
+  private boolean sightUnderWay;
+
+  /**
+   * Begins at once.
+   *
+   * @param drift the most that a clock runs wrong, as a part of the time that passes
+   */
+  public DoorLink(Self self, List<InetSocketAddress> stewards, double drift, Hands hands) {
+    this.self = self;
+    this.hands = hands;
+    side = new DoorSide(self.door(), self.incarnation(), drift);
+    link = new LinkClient(loop, stewards, new Hello(1, LinkMessage.VERSION, self.group(), Role.DOOR,
+        self.door(), ""));
+    link.whenConnected(() -> {
+      tellSight();
+      on(new DoorEvent.Woken());
+    });
+    loop.execute(() -> {
+      link.start();
+      on(new DoorEvent.Woken());
+    });
+  }
+
+  /** What the instance does from here on. */
+  public void does(Doing doing) {
+    loop.execute(() -> on(new DoorEvent.Does(doing)));
+  }
+
+  /** No attempt is out at the backend any more. */
+  public void letGo(String backend) {
+    loop.execute(() -> on(new DoorEvent.LetGo(backend)));
+  }
+
+  /** This process holds what only one process of the door can hold. */
+  public void alone() {
+    loop.execute(() -> {
+      alone = true;
+      join();
+    });
+  }
+
+  /** The list of backends, whole, as this door has heard it. */
+  public void sight(long version, List<Command.Backend> backends) {
+    loop.execute(() -> {
+      sightVersion = version;
+      sight = List.copyOf(backends);
+      tellSight();
+    });
+  }
+
+  /** An operator asks here; answered within the second. */
+  public CompletableFuture<Outcome> ask(String request, Subject subject, String by, String reason,
+      boolean force) {
+    CompletableFuture<Outcome> answer = new CompletableFuture<>();
+    loop.execute(() -> {
+      CompletableFuture<Outcome> before = asked.putIfAbsent(request, answer);
+      if (before != null) {
+        before.whenComplete((outcome, failure) -> answer.complete(outcome));
+      }
+      on(new DoorEvent.Asked(request, subject, by, reason, force));
+    });
+    return answer;
+  }
+
+  /** Whether what needs agreement may begin now. */
+  public boolean inContact() throws InterruptedException {
+    return loop.submit(() -> side.inContact(now())).sync().getNow();
+  }
+
+  /**
+   * Says that this process has ended, if that can be said within the time, and is there no more. A process
+   * that can't say so stays known, and holds up what waits for its word, until another follows it.
+   */
+  @Override
+  public void close() {
+    try {
+      CompletableFuture<Answer> said = new CompletableFuture<>();
+      loop.execute(() -> {
+        closed = true;
+        link.ask(new Call.Put(new Command.Leave(0, self.door(), self.incarnation())), false, LIMIT_MS,
+            said::complete);
+      });
+      said.get(2 * LIMIT_MS, TimeUnit.MILLISECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    } catch (java.util.concurrent.ExecutionException | java.util.concurrent.TimeoutException e) {
+      LOG.warning("the stewards were not told of the end: " + e);
+    }
+    loop.execute(link::close);
+    group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+  }
+
+  private static double now() {
+    return System.nanoTime() / 1e6;
+  }
+
+  private void on(DoorEvent event) {
+    if (!closed) {
+      side.on(now(), event).forEach(this::execute);
+    }
+  }
+
+  private void execute(DoorAction action) {
+    if (action instanceof DoorAction.SendBeat e) {
+      link.ask(new Call.Beat(e.beat()), false, LIMIT_MS, answer -> {
+        if (answer instanceof Seen seen) {
+          on(new DoorEvent.Answered(e.beat().number(), seen.view()));
+        }
+      });
+    } else if (action instanceof DoorAction.SendJoin) {
+      join();
+    } else if (action instanceof DoorAction.SendAsk e) {
+      ask(e.asked());
+    } else if (action instanceof DoorAction.Tell e) {
+      CompletableFuture<Outcome> waiting = asked.remove(e.request());
+      if (waiting != null) {
+        waiting.complete(e.outcome());
+      }
+    } else if (action instanceof DoorAction.WakeAt e) {
+      wake(e.atMs());
+    } else if (action instanceof DoorAction.TakeOut e) {
+      hands.takeOut(e.backend());
+    } else if (action instanceof DoorAction.PutBack e) {
+      hands.putBack(e.backend());
+    } else if (action instanceof DoorAction.Drain) {
+      hands.drain();
+    } else if (action instanceof DoorAction.Undrain) {
+      hands.undrain();
+    }
+  }
+
+  private void join() {
+    link.ask(new Call.Put(new Command.Join(0, self.door(), self.incarnation(), self.zone(), self.weight(),
+        alone)), false, LIMIT_MS, answer -> {
+          if (answer instanceof Came came && came.outcome() instanceof Outcome.Refused no) {
+            LOG.warning("the stewards don't take this door: " + no.why());
+          }
+        });
+  }
+
+  private void ask(DoorEvent.Asked e) {
+    link.ask(new Call.Put(new Command.Ask(0, e.request(), e.subject(), e.by(), e.reason(), e.force())), false,
+        LIMIT_MS, answer -> {
+          // Another answer leaves open what became of it: the door's side says so in its time.
+          if (answer instanceof Came came) {
+            on(new DoorEvent.Said(e.request(), came.outcome()));
+          } else if (answer instanceof Failed failed) {
+            LOG.info(e.request() + ": " + failed.why());
+          }
+        });
+  }
+
+  private void tellSight() {
+    if (sight == null || sightUnderWay || closed) {
+      return;
+    }
+    List<Command.Backend> told = sight;
+    sightUnderWay = true;
+    link.ask(new Call.Put(new Command.Sight(0, sightVersion, told)), false, LIMIT_MS, answer -> {
+      sightUnderWay = false;
+      if (answer instanceof Came && sight == told) {
+        sight = null;
+      } else {
+        loop.schedule(this::tellSight, AGAIN_MS, TimeUnit.MILLISECONDS);
+      }
+    });
+  }
+
+  private void wake(double atMs) {
+    wakeAt = atMs;
+    loop.schedule(() -> {
+      if (wakeAt == atMs) {
+        on(new DoorEvent.Woken());
+      }
+    }, (long) Math.ceil(Math.max(0, atMs - now()) * 1_000) + 1, TimeUnit.MICROSECONDS);
+  }
+}
--- /dev/null
+++ b/steward/src/main/java/willowdoor/steward/link/LinkClient.java
@@ -0,0 +1,222 @@
+package willowdoor.steward.link;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.concurrent.Future;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+import willowdoor.steward.link.Answer.Failed;
+import willowdoor.steward.link.LinkMessage.Ask;
+import willowdoor.steward.link.LinkMessage.Hello;
+import willowdoor.steward.link.LinkMessage.Refused;
+import willowdoor.steward.link.LinkMessage.Reply;
+import willowdoor.steward.link.LinkMessage.Welcome;
+
+/**
+ * The side of a link that begins it: a connection to one of some stewards, which is begun again until it is
+ * closed. All on one loop.
+ *
+ * <p>A connection that tells nothing is no better than none: where a call has no answer in its time, another
+ * steward is turned to. Each call has exactly one answer, of a steward or that it failed here. At most
+ * {@value #MOST_ASKED} wait; what doesn't fit the connection is not sent.
+ */
+final class LinkClient {
+
+  static final int MOST_ASKED = 1_000;
+  /** So many bytes may wait for a peer that reads nothing. */
+  static final WriteBufferWaterMark MOST_WAITING = new WriteBufferWaterMark(1 << 20, 4 << 20);
+  private static final Logger LOG = Logger.getLogger(LinkClient.class.getName());
+  private static final int CONNECT_LIMIT_MS = 500;
+  private static final int HELLO_LIMIT_MS = 1_000;
+  private static final double LEAST_BACKOFF_MS = 20;
+  private static final double MOST_BACKOFF_MS = 400;
+
+  private record Waiting(Consumer<Answer> then, Future<?> limit) { }
+
+  private final EventLoop loop;
+  private final List<InetSocketAddress> stewards;
+  private final Hello hello;
+  private final int mostFrame;
+  private final Bootstrap bootstrap;
+  private final Map<Long, Waiting> asked = new HashMap<>();
+  private int at;
+  private double backoffMs = LEAST_BACKOFF_MS;
+  private long lastId;
+  /** Null while there is none that may be used. */
+  private Channel channel;
+  private Channel dialling;
+  private boolean closed;
+  private String refusal = "";
+  private Runnable connected = () -> { };
+
+  LinkClient(EventLoop loop, List<InetSocketAddress> stewards, Hello hello) {
+    this.loop = loop;
+    this.stewards = List.copyOf(stewards);
+    this.hello = hello;
+    mostFrame = Frames.MOST_CALL;
+    at = ThreadLocalRandom.current().nextInt(stewards.size());
+    bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_LIMIT_MS)
+        .option(ChannelOption.TCP_NODELAY, true).option(ChannelOption.WRITE_BUFFER_WATER_MARK, MOST_WAITING)
+        .handler(new ChannelInitializer<Channel>() {
+          @Override
+          protected void initChannel(Channel ch) {
+            Frames.add(ch.pipeline());
+            Frames.allow(ch.pipeline(), mostFrame);
+            ch.pipeline().addLast(new Link());
+          }
+        });
+  }
+
+  /** Runs it on each new connection that may be used. */
+  void whenConnected(Runnable then) {
+    connected = then;
+  }
+
+  void start() {
+    dial();
+  }
+
+  boolean usable() {
+    return channel != null;
+  }
+
+  /** Why the last connection was refused; empty where it was not. */
+  String refusal() {
+    return refusal;
+  }
+
+  /** Ends the connection; what waits fails. */
+  void close() {
+    closed = true;
+    if (dialling != null) {
+      dialling.close();
+    }
+    failAll("this process ends");
+  }
+
+  /** Passes on a message between stewards, or drops it: they are made for that. */
+  void pass(byte[] message) {
+    if (channel != null && channel.isWritable()) {
+      channel.writeAndFlush(message);
+    }
+  }
+
+  /**
+   * Asks.
+   *
+   * @param limitMs with no answer until then it has failed, and another steward is turned to
+   */
+  void ask(Call call, boolean passedOn, long limitMs, Consumer<Answer> then) {
+    if (channel == null || !channel.isWritable() || asked.size() >= MOST_ASKED) {
+      then.accept(new Failed(channel == null ? "no steward of " + stewards + " is reached"
+          + (refusal.isEmpty() ? "" : ": " + refusal) : "the link is full", true));
+      return;
+    }
+    long id = ++lastId;
+    asked.put(id, new Waiting(then, loop.schedule(() -> overdue(id, limitMs), limitMs,
+        TimeUnit.MILLISECONDS)));
+    channel.writeAndFlush(new Ask(id, passedOn, call));
+  }
+
+  private void overdue(long id, long limitMs) {
+    Waiting waiting = asked.remove(id);
+    if (waiting != null) {
+      Channel silent = channel;
+      waiting.then.accept(new Failed("no answer within " + limitMs + " ms", true));
+      if (silent != null && silent == channel) {
+        silent.close();
+      }
+    }
+  }
+
+  private void dial() {
+    if (closed || loop.isShuttingDown()) {
+      return;
+    }
+    InetSocketAddress steward = stewards.get(at);
+    ChannelFuture dialled = bootstrap.connect(steward);
+    dialling = dialled.channel();
+    dialled.addListener((ChannelFuture f) -> f.channel().closeFuture().addListener(ended -> {
+      if (channel == f.channel()) {
+        channel = null;
+        failAll("the connection to the steward at " + steward + " ended");
+      }
+      at = (at + 1) % stewards.size();
+      double wait = backoffMs * (0.5 + ThreadLocalRandom.current().nextDouble());
+      backoffMs = Math.min(MOST_BACKOFF_MS, backoffMs * 2);
+      if (!loop.isShuttingDown()) {
+        loop.schedule(this::dial, (long) wait, TimeUnit.MILLISECONDS);
+      }
+    }));
+  }
+
+  private void failAll(String why) {
+    List<Waiting> all = List.copyOf(asked.values());
+    asked.clear();
+    for (Waiting waiting : all) {
+      waiting.limit.cancel(false);
+      waiting.then.accept(new Failed(why, true));
+    }
+  }
+
+  private final class Link extends SimpleChannelInboundHandler<LinkMessage> {
+    private boolean welcome;
+
+    @Override
+    public void channelActive(ChannelHandlerContext ctx) {
+      ctx.writeAndFlush(hello);
+      ctx.executor().schedule(() -> {
+        if (!welcome) {
+          ctx.close();
+        }
+      }, HELLO_LIMIT_MS, TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, LinkMessage message) {
+      if (message instanceof Welcome && !welcome) {
+        welcome = true;
+        refusal = "";
+        backoffMs = LEAST_BACKOFF_MS;
+        channel = ctx.channel();
+        connected.run();
+      } else if (message instanceof Reply e) {
+        Waiting waiting = asked.remove(e.id());
+        if (waiting != null) {
+          waiting.limit.cancel(false);
+          waiting.then.accept(e.answer());
+        }
+      } else if (message instanceof Refused e) {
+        if (!refusal.equals(e.why())) {
+          LOG.warning("the steward at " + ctx.channel().remoteAddress() + " says: " + e.why());
+        }
+        refusal = e.why();
+        ctx.close();
+      } else {
+        throw new IllegalArgumentException("not understood from a steward: " + message);
+      }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+      LOG.log(Level.FINE, "a link ended", cause);
+      ctx.close();
+    }
+  }
+}
--- /dev/null
+++ b/steward/src/main/java/willowdoor/steward/link/OneThread.java
@@ -0,0 +1,18 @@
+package willowdoor.steward.link;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
+
+/** Loops of one thread that doesn't keep a process alive. */
+final class OneThread {
+
+  private OneThread() {
+  }
+
+  static EventLoopGroup named(String name) {
+    return new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory(name, true),
+        NioIoHandler.newFactory());
+  }
+}
--- /dev/null
+++ b/steward/src/main/java/willowdoor/steward/link/Operator.java
@@ -0,0 +1,68 @@
+package willowdoor.steward.link;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import willowdoor.agreement.Command;
+import willowdoor.steward.link.Answer.Failed;
+import willowdoor.steward.link.LinkMessage.Hello;
+import willowdoor.steward.link.LinkMessage.Role;
+
+/** An operator's command at the stewards: asks until one answers, or the time is up. */
+public final class Operator implements AutoCloseable {
+
+  private static final long CALL_LIMIT_MS = 1_000;
+  private static final long AGAIN_MS = 30;
+
+  private final EventLoopGroup group = OneThread.named("operator");
+  private final EventLoop loop = group.next();
+  private final LinkClient link;
+
+  /** One who is called by that name, at any of these stewards. */
+  public Operator(String group, String by, List<InetSocketAddress> stewards) {
+    link = new LinkClient(loop, stewards, new Hello(1, LinkMessage.VERSION, group, Role.OPERATOR, by, ""));
+    loop.execute(link::start);
+  }
+
+  /** Has a command agreed on. A request asked for again is the same request. */
+  public Answer put(Command command, long limitMs) throws InterruptedException {
+    return call(new Call.Put(command), limitMs);
+  }
+
+  /** How all stands, by a majority's word. */
+  public Answer look(long limitMs) throws InterruptedException {
+    return call(new Call.Look(), limitMs);
+  }
+
+  private Answer call(Call call, long limitMs) throws InterruptedException {
+    CompletableFuture<Answer> answer = new CompletableFuture<>();
+    long until = System.nanoTime() + limitMs * 1_000_000;
+    loop.execute(() -> attempt(call, until, answer));
+    try {
+      return answer.get(limitMs + 2 * CALL_LIMIT_MS, TimeUnit.MILLISECONDS);
+    } catch (ExecutionException | TimeoutException e) {
+      return new Failed("no answer within " + limitMs + " ms", true);
+    }
+  }
+
+  private void attempt(Call call, long until, CompletableFuture<Answer> answer) {
+    link.ask(call, false, CALL_LIMIT_MS, came -> {
+      if (came instanceof Failed failed && failed.again() && System.nanoTime() < until) {
+        loop.schedule(() -> attempt(call, until, answer), AGAIN_MS, TimeUnit.MILLISECONDS);
+      } else {
+        answer.complete(came);
+      }
+    });
+  }
+
+  @Override
+  public void close() {
+    loop.execute(link::close);
+    group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+  }
+}
--- /dev/null
+++ b/steward/src/main/java/willowdoor/steward/link/Standing.java
@@ -0,0 +1,32 @@
+package willowdoor.steward.link;
+
+import java.util.List;
+import willowdoor.agreement.Life;
+import willowdoor.agreement.Note;
+import willowdoor.agreement.Permit;
+import willowdoor.agreement.Terms;
+
+/**
+ * How the record stands.
+ *
+ * @param leader the steward that says so
+ * @param index how many commands the record had taken
+ * @param doors how many doors are known
+ * @param doorsOut how many of them are out, on purpose or by themselves
+ * @param backends how many backends are listed
+ * @param backendsOut how many of them are out
+ * @param lives the processes of doors
+ * @param held who holds up a backend's going out, for each permit as listed; none where nobody does
+ * @param notes what was written down, the oldest first
+ */
+public record Standing(String leader, long index, Terms terms, int doors, int doorsOut, int backends,
+    int backendsOut, List<Life> lives, List<Permit> permits, List<List<String>> held, List<Note> notes) {
+
+  /** Keeps copies. */
+  public Standing {
+    lives = List.copyOf(lives);
+    permits = List.copyOf(permits);
+    held = held.stream().map(List::copyOf).toList();
+    notes = List.copyOf(notes);
+  }
+}
--- /dev/null
+++ b/steward/src/main/java/willowdoor/steward/link/StewardProcess.java
@@ -0,0 +1,328 @@
+package willowdoor.steward.link;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+import willowdoor.agreement.Command;
+import willowdoor.agreement.FleetRecord;
+import willowdoor.agreement.Outcome;
+import willowdoor.agreement.Permit;
+import willowdoor.agreement.State;
+import willowdoor.agreement.Subject.Kind;
+import willowdoor.agreement.Terms;
+import willowdoor.steward.DiskStore;
+import willowdoor.steward.Steward;
+import willowdoor.steward.StewardId;
+import willowdoor.steward.Surroundings;
+import willowdoor.steward.link.Answer.Came;
+import willowdoor.steward.link.Answer.Failed;
+import willowdoor.steward.link.Answer.Seen;
+import willowdoor.steward.link.Answer.Stands;
+import willowdoor.steward.link.LinkMessage.Ask;
+import willowdoor.steward.link.LinkMessage.Hello;
+import willowdoor.steward.link.LinkMessage.Role;
+
+/**
+ * A steward with its disk, its links to the others, and the address at which they, doors and operators call.
+ * All on one thread of its own, so that a slow disk holds up nothing but this.
+ *
+ * <p>Whoever asks may ask any steward: one that doesn't lead passes the call on to the one that does, once.
+ * Heartbeats that come close together are agreed on together.
+ */
+public final class StewardProcess implements AutoCloseable, StewardServer.Host {
+
+  /**
+   * What an operator says of a steward.
+   *
+   * @param group the fleet's name, the same at all of its stewards and doors
+   * @param members those who begin the record together, with their addresses, this one among them
+   * @param first the terms of a record that was told none yet
+   * @param begin whether the disk may be a new one
+   */
+  public record Settings(String group, StewardId self, InetSocketAddress listen, Path store,
+      Map<StewardId, InetSocketAddress> members, Terms first, boolean begin) {
+
+    /** Keeps a copy. */
+    public Settings {
+      members = Map.copyOf(members);
+    }
+  }
+
+  private static final Logger LOG = Logger.getLogger(StewardProcess.class.getName());
+  /** Heartbeats wait so long for others. */
+  private static final long GATHER_MS = 20;
+  private static final int MOST_TOGETHER = 100;
+  /** Of heartbeats that wait; one more has failed. */
+  private static final int MOST_GATHERED = 2_000;
+  private static final long PASS_ON_LIMIT_MS = 800;
+  private static final int SNAPSHOT_AFTER = 10_000;
+  private static final long LOOK_MS = 100;
+
+  private record Gathered(Command.Beat beat, Consumer<Answer> answer) { }
+
+  private final Settings settings;
+  private final EventLoopGroup group = OneThread.named("steward");
+  private final EventLoop loop = group.next();
+  private final DiskStore store;
+  private final Map<StewardId, LinkClient> links = new HashMap<>();
+  private final List<Gathered> gathered = new ArrayList<>();
+  private final CompletableFuture<Integer> ended = new CompletableFuture<>();
+  private Steward steward;
+  private StewardServer server;
+
+  /**
+   * Takes part from here on.
+   *
+   * @throws IOException in plain words, where its disk or its address can't be had
+   */
+  public StewardProcess(Settings settings) throws IOException, InterruptedException {
+    this.settings = settings;
+    if (!settings.begin() && !Files.exists(settings.store())) {
+      group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+      throw new IOException("there is no record at " + settings.store() + " (expected: the one that this"
+          + " steward kept; --begin makes a new one, of a steward that has promised nothing yet. If the disk"
+          + " was lost, the others have to replace this steward by one with another disk number)");
+    }
+    store = new DiskStore(settings.store());
+    try {
+      start();
+    } catch (IOException | RuntimeException e) {
+      close();
+      throw e;
+    }
+  }
+
+  private void start() throws IOException, InterruptedException {
+    for (Map.Entry<StewardId, InetSocketAddress> other : settings.members().entrySet()) {
+      if (!other.getKey().equals(settings.self())) {
+        links.put(other.getKey(), new LinkClient(loop, List.of(other.getValue()),
+            new Hello(1, LinkMessage.VERSION, settings.group(), Role.STEWARD, settings.self().name(),
+                settings.self().store())));
+      }
+    }
+    steward = new Steward(settings.self(), settings.members().keySet(), settings.first(), new Surroundings() {
+      private final Random random = new Random();
+
+      @Override
+      public double now() {
+        return System.nanoTime() / 1e6;
+      }
+
+      @Override
+      public void later(double delayMs, Runnable task) {
+        if (!loop.isShuttingDown()) {
+          loop.schedule(task, (long) (delayMs * 1_000), TimeUnit.MICROSECONDS);
+        }
+      }
+
+      @Override
+      public Random random() {
+        return random;
+      }
+    }, (to, message) -> {
+      LinkClient link = links.get(to);
+      if (link != null) {
+        link.pass(message);
+      }
+    }, to -> links.containsKey(to) && links.get(to).usable(), SNAPSHOT_AFTER, store);
+    server = new StewardServer(loop, settings.listen(), settings.group(), settings.self().name(), this);
+    loop.submit(() -> {
+      links.values().forEach(LinkClient::start);
+      steward.start();
+    }).sync();
+    loop.scheduleWithFixedDelay(this::look, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
+  }
+
+  private void look() {
+    if (steward.ended() && !ended.isDone()) {
+      LOG.severe("steward " + settings.self().name() + " can't go on: its disk failed, or the others have put"
+          + " it out");
+      ended.complete(1);
+    }
+  }
+
+  /** Where it listens. */
+  public InetSocketAddress address() {
+    return server.address();
+  }
+
+  /** Completed with the exit code where it can't go on, or was told to end. */
+  public CompletableFuture<Integer> ended() {
+    return ended;
+  }
+
+  /** Ends in order. */
+  public void end() {
+    ended.complete(0);
+  }
+
+  @Override
+  public void close() throws IOException {
+    try {
+      loop.submit(() -> {
+        if (steward != null) {
+          steward.stop();
+        }
+        links.values().forEach(LinkClient::close);
+      }).sync();
+      group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).sync();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    store.close();
+  }
+
+  @Override
+  public String refuses(Hello hello) {
+    if (hello.role() != Role.STEWARD) {
+      return hello.name().isEmpty() ? "no name was told" : null;
+    }
+    StewardId other = new StewardId(hello.name(), hello.disk());
+    return links.containsKey(other) ? null : "no steward " + hello.name() + " with disk " + hello.disk()
+        + " is one of us (expected: one of " + names() + ")";
+  }
+
+  private List<String> names() {
+    return links.keySet().stream().map(x -> x.name() + " with disk " + x.store()).sorted().toList();
+  }
+
+  @Override
+  public void passed(byte[] message) {
+    try {
+      steward.handle(message);
+    } catch (IllegalArgumentException e) {
+      LOG.log(Level.WARNING, "passed over: {0}", e.getMessage());
+    }
+  }
+
+  @Override
+  public void asked(Hello by, Ask ask, Consumer<Answer> answer) {
+    String why = notAllowed(by, ask);
+    if (why != null) {
+      answer.accept(new Failed(why, false));
+    } else if (steward.leads()) {
+      lead(ask.call(), answer);
+    } else {
+      passOn(ask, answer);
+    }
+  }
+
+  /** A door speaks for itself only; an operator for no door; what leaders say nobody else does. */
+  private static String notAllowed(Hello by, Ask ask) {
+    if (by.role() == Role.STEWARD) {
+      return ask.passedOn() ? null : "a steward only passes on";
+    }
+    if (ask.passedOn()) {
+      return "only stewards pass on";
+    }
+    boolean door = by.role() == Role.DOOR;
+    if (ask.call() instanceof Call.Beat e) {
+      return door && e.beat().door().equals(by.name()) ? null : by.name() + " is not door " + e.beat().door();
+    }
+    if (!(ask.call() instanceof Call.Put put)) {
+      return null;
+    }
+    Command c = put.command();
+    boolean allowed = c instanceof Command.Join e ? door && e.door().equals(by.name())
+        : c instanceof Command.Leave e ? door && e.door().equals(by.name())
+        : c instanceof Command.Sight ? door
+        : c instanceof Command.Forget || c instanceof Command.Configure ? !door
+        : c instanceof Command.Ask || c instanceof Command.Return;
+    return allowed ? null : "a " + c.getClass().getSimpleName() + " is not for " + by.name() + " to ask for";
+  }
+
+  private void passOn(Ask ask, Consumer<Answer> answer) {
+    LinkClient link = steward.leader() == null ? null : links.get(steward.leader());
+    if (link == null || ask.passedOn()) {
+      answer.accept(new Failed("steward " + settings.self().name() + (steward.leader() == null
+          ? " knows no leader" : " doesn't lead"), true));
+    } else {
+      link.ask(ask.call(), true, PASS_ON_LIMIT_MS, answer);
+    }
+  }
+
+  private void lead(Call call, Consumer<Answer> answer) {
+    if (call instanceof Call.Beat e) {
+      gather(new Gathered(e.beat(), answer));
+    } else if (call instanceof Call.Put e) {
+      propose(e.command()::at, outcome -> answer.accept(new Came(outcome)), answer);
+    } else {
+      propose(Command.Tick::new, outcome -> answer.accept(new Stands(standing())), answer);
+    }
+  }
+
+  private void propose(java.util.function.DoubleFunction<Command> command, Consumer<Outcome> then,
+      Consumer<Answer> failed) {
+    CompletableFuture<Outcome> agreed;
+    try {
+      agreed = steward.propose(command);
+    } catch (IllegalArgumentException e) {
+      failed.accept(new Failed(e.getMessage(), false));
+      return;
+    }
+    agreed.whenComplete((outcome, failure) -> {
+      if (failure == null) {
+        then.accept(outcome);
+      } else {
+        failed.accept(new Failed("steward " + settings.self().name() + " could not have it agreed on: "
+            + failure, true));
+      }
+    });
+  }
+
+  private void gather(Gathered beat) {
+    if (gathered.size() >= MOST_GATHERED) {
+      beat.answer().accept(new Failed(MOST_GATHERED + " heartbeats wait already", true));
+      return;
+    }
+    gathered.add(beat);
+    if (gathered.size() == 1) {
+      loop.schedule(this::sayGathered, GATHER_MS, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private void sayGathered() {
+    for (int from = 0; from < gathered.size(); from += MOST_TOGETHER) {
+      List<Gathered> some = List.copyOf(gathered.subList(from, Math.min(gathered.size(), from
+          + MOST_TOGETHER)));
+      List<Command.Beat> beats = some.stream().map(Gathered::beat).toList();
+      propose(at -> new Command.Beats(at, beats), outcome -> {
+        double leaseMs = outcome instanceof Outcome.Beaten e ? e.leaseMs() : 0;
+        for (Gathered g : some) {
+          g.answer().accept(new Seen(steward.record().view(g.beat().door(), g.beat().incarnation(),
+              leaseMs)));
+        }
+      }, failed -> some.forEach(g -> g.answer().accept(failed)));
+    }
+    gathered.clear();
+  }
+
+  private Standing standing() {
+    FleetRecord record = steward.record();
+    State state = record.state();
+    Set<String> doors = new HashSet<>();
+    state.lives().forEach(x -> doors.add(x.door()));
+    Map<Permit, List<String>> held = new LinkedHashMap<>();
+    state.permits().forEach(x -> held.put(x, x.subject().kind() == Kind.BACKEND ? record.holdUp(x.subject())
+        : List.of()));
+    return new Standing(settings.self().name(), state.index(), state.terms(), doors.size(),
+        record.out(Kind.DOOR), state.backends().size(), record.out(Kind.BACKEND), state.lives(),
+        state.permits(), List.copyOf(held.values()), state.notes());
+  }
+}
--- /dev/null
+++ b/steward/src/test/java/willowdoor/steward/link/LinkTest.java
@@ -0,0 +1,190 @@
+package willowdoor.steward.link;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.EOFException;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import willowdoor.agreement.Budget;
+import willowdoor.agreement.Command;
+import willowdoor.agreement.Command.Doing;
+import willowdoor.agreement.Most;
+import willowdoor.agreement.Outcome;
+import willowdoor.agreement.Subject;
+import willowdoor.agreement.Subject.Kind;
+import willowdoor.agreement.Terms;
+import willowdoor.steward.StewardId;
+
+/** One steward, and what comes to its address. */
+@Timeout(60)
+class LinkTest {
+
+  private static final long LIMIT_MS = 10_000;
+  @TempDir
+  private Path folder;
+  private StewardProcess steward;
+
+  @BeforeEach
+  void start() throws Exception {
+    steward = new StewardProcess(settings(true));
+  }
+
+  @AfterEach
+  void close() throws Exception {
+    steward.close();
+  }
+
+  private StewardProcess.Settings settings(boolean begin) {
+    StewardId self = new StewardId("a", "1");
+    InetSocketAddress any = new InetSocketAddress("127.0.0.1", 0);
+    Budget one = new Budget(Most.of(1), Most.ANY, 0);
+    return new StewardProcess.Settings("f", self, any, folder.resolve("a.db"), Map.of(self, any),
+        new Terms(one, one, 1_500), begin);
+  }
+
+  private Operator operator(String fleet) {
+    return new Operator(fleet, "ana", List.of(steward.address()));
+  }
+
+  /** What it says to these frames, until it ends the connection. */
+  private String says(byte[]... frames) throws IOException {
+    try (Socket s = new Socket(steward.address().getAddress(), steward.address().getPort())) {
+      s.setSoTimeout((int) LIMIT_MS);
+      DataOutputStream out = new DataOutputStream(s.getOutputStream());
+      for (byte[] frame : frames) {
+        out.writeInt(frame.length);
+        out.write(frame);
+      }
+      DataInputStream in = new DataInputStream(s.getInputStream());
+      StringBuilder text = new StringBuilder();
+      try {
+        while (true) {
+          text.append(new String(in.readNBytes(in.readInt()), StandardCharsets.UTF_8)).append('\n');
+        }
+      } catch (EOFException e) {
+        return text.toString();
+      }
+    }
+  }
+
+  private static byte[] json(String text) {
+    return ('\0' + text).getBytes(StandardCharsets.UTF_8);
+  }
+
+  private static byte[] hello(int least, String group, String role, String name) {
+    return json("{\"is\":\"Hello\",\"least\":" + least + ",\"most\":9,\"group\":\"" + group
+        + "\",\"role\":\"" + role + "\",\"name\":\"" + name + "\",\"disk\":\"1\"}");
+  }
+
+  @Test
+  void whatIsNoLinkIsToldSo() throws Exception {
+    assertTrue(says(hello(2, "f", "DOOR", "d1")).contains("link versions 2 to 9 (expected: one up to 1)"));
+    assertTrue(says(hello(1, "g", "DOOR", "d1")).contains("a steward of \\\"f\\\", not of \\\"g\\\""));
+    assertTrue(says(hello(1, "f", "STEWARD", "b")).contains("no steward b with disk 1 is one of us"));
+    assertTrue(says(hello(1, "f", "DOOR", "")).contains("no name was told"));
+    assertTrue(says(json("{\"is\":\"Ask\",\"id\":1,\"passedOn\":false,\"call\":{\"is\":\"Look\"}}"))
+        .contains("the first message is Ask (expected: Hello)"));
+    assertTrue(says(json("{")).contains("not understood"));
+    assertTrue(says(new byte[] {7}).contains("a frame of kind 7 (expected: 0 or 1)"));
+    assertTrue(says(new byte[0]).contains("a frame of kind -1"));
+    assertTrue(says(json("x".repeat(Frames.MOST_FIRST))).contains("not understood"));
+    assertTrue(says(hello(1, "f", "DOOR", "d1"), new byte[] {1, 2}).contains("a message between stewards"));
+    assertTrue(says().contains("no hello within"));
+  }
+
+  /** Each speaks for itself. */
+  @Test
+  void nobodySpeaksForOthers() throws Exception {
+    try (Operator ana = operator("f")) {
+      Answer answer = ana.put(new Command.Join(0, "d1", "x", "a", 1, false), LIMIT_MS);
+      assertTrue(assertInstanceOf(Answer.Failed.class, answer).why().contains("a Join is not for ana"));
+      answer = ana.put(new Command.Lead(0), LIMIT_MS);
+      assertTrue(assertInstanceOf(Answer.Failed.class, answer).why().contains("a Lead is not for ana"));
+    }
+    try (Operator stranger = operator("g")) {
+      assertTrue(assertInstanceOf(Answer.Failed.class, stranger.look(500)).why().contains("not of \"g\""));
+    }
+  }
+
+  /** What was agreed on is on its disk; without it, it doesn't begin as one that has promised nothing. */
+  @Test
+  void comesBackWithItsDiskAndNotWithout() throws Exception {
+    long before;
+    try (Operator ana = operator("f")) {
+      ana.put(new Command.Forget(0, "f1", "d9", "ana"), LIMIT_MS);
+      before = assertInstanceOf(Answer.Stands.class, ana.look(LIMIT_MS)).standing().index();
+    }
+    steward.close();
+    steward = new StewardProcess(settings(false));
+    try (Operator ana = operator("f")) {
+      assertTrue(assertInstanceOf(Answer.Stands.class, ana.look(LIMIT_MS)).standing().index() > before);
+    }
+    steward.close();
+    Files.delete(folder.resolve("a.db"));
+    assertTrue(assertThrows(IOException.class, () -> new StewardProcess(settings(false))).getMessage()
+        .contains("there is no record at"));
+    steward = new StewardProcess(settings(true));
+  }
+
+  /** A door's whole way: joins, is told to go, says that it is empty, comes back, and leaves. */
+  @Test
+  void aDoorGoesOutAndComesBack() throws Exception {
+    CompletableFuture<Void> drained = new CompletableFuture<>();
+    CompletableFuture<Void> back = new CompletableFuture<>();
+    DoorLink door = new DoorLink(new DoorLink.Self("f", "d1", "x", "a", 1), List.of(steward.address()), 0.01,
+        new DoorLink.Hands() {
+          @Override
+          public void takeOut(String backend) { }
+
+          @Override
+          public void putBack(String backend) { }
+
+          @Override
+          public void drain() {
+            drained.complete(null);
+          }
+
+          @Override
+          public void undrain() {
+            back.complete(null);
+          }
+        });
+    Subject d1 = new Subject(Kind.DOOR, "d1");
+    try (Operator ana = operator("f")) {
+      door.does(Doing.READY);
+      while (!(ana.look(LIMIT_MS) instanceof Answer.Stands s && s.standing().lives().size() == 1
+          && s.standing().doorsOut() == 0)) {
+        Thread.sleep(10);
+      }
+      assertTrue(door.inContact());
+      Outcome.Granted granted = assertInstanceOf(Outcome.Granted.class,
+          door.ask("r1", d1, "ana", "disk", false).get(LIMIT_MS, TimeUnit.MILLISECONDS));
+      drained.get(LIMIT_MS, TimeUnit.MILLISECONDS);
+      door.does(Doing.EMPTY);
+      ana.put(new Command.Return(0, d1, granted.permit(), "ana"), LIMIT_MS);
+      back.get(LIMIT_MS, TimeUnit.MILLISECONDS);
+      door.does(Doing.READY);
+      door.close();
+      Standing after = assertInstanceOf(Answer.Stands.class, ana.look(LIMIT_MS)).standing();
+      assertEquals(Doing.ENDED, after.lives().get(0).doing());
+    }
+  }
+}
--- a/testkit/src/main/java/willowdoor/testkit/Ledger.java
+++ b/testkit/src/main/java/willowdoor/testkit/Ledger.java
@@ -73,7 +73,13 @@
     /** A door was told that a backend drains or is gone: subject is the door, other the backend. */
     TOLD_DRAIN,
     /** A door was told that a backend serves again: subject is the door, other the backend. */
-    TOLD_SERVING
+    TOLD_SERVING,
+    /** An operator was told that it may go out: subject is a door or backend, other the permit. */
+    PERMITTED,
+    /** An operator was told that nothing is sent to it any more: subject is a backend, other the permit. */
+    OUT,
+    /** An operator is about to have it come back: subject is a door or backend, other the permit. */
+    GIVEN_BACK
   }
 
   /** One entry. For a request's, subject is its id and other is the door or backend it was at. */
--- a/testkit/src/main/java/willowdoor/testkit/Rig.java
+++ b/testkit/src/main/java/willowdoor/testkit/Rig.java
@@ -29,7 +29,9 @@
   private final List<StandInAuthoriser> authorisers = new ArrayList<>();
   private EventLoopGroup authoriserLoop;
   private Judge.Authorisation authorisation;
+  private Judge.Budgets budgets;
   private ClientFleet fleet;
+  private int relays;
 
   public Rig(Terms terms, BackendPark.Make make, long seed) {
     this.terms = terms;
@@ -88,6 +90,16 @@
     authorisation = needed;
   }
 
+  /** Holds what operators were told to this too. */
+  public void budgets(Judge.Budgets kept) {
+    budgets = kept;
+  }
+
+  /** A link to the target that breaks when told to. */
+  public Relay relay(java.net.InetSocketAddress target) {
+    return new Relay(peerLoop, target, seed + ++relays);
+  }
+
   /** The client fleet of these doors; it asks nothing before it is told to. */
   public ClientFleet fleet(List<? extends Door> doors, ClientFleet.Load load) {
     fleet = new ClientFleet(clientLoop.next(), ledger, terms, doors, load, seed);
@@ -96,7 +108,7 @@
 
   /** Holds what happened to the rules; to be asked when all tries have ended. */
   public Judge.Verdict verdict() {
-    return new Judge(ledger, terms, make.shape(), authorisation).verdict();
+    return new Judge(ledger, terms, make.shape(), authorisation).budgets(budgets).verdict();
   }
 
   @Override
--- a/testkit/src/test/java/willowdoor/testkit/JudgeTest.java
+++ b/testkit/src/test/java/willowdoor/testkit/JudgeTest.java
@@ -72,6 +72,60 @@
     assertEquals(1, v.refused());
   }
 
+  private void permits(List<Rule> broken) {
+    Verdict v = new Judge(ledger, Terms.usual(), new Judge.BackendShape(2, 100))
+        .budgets(new Judge.Budgets(1, 1, x -> x.startsWith("d"), 5_000)).verdict();
+    assertEquals(broken, v.breaches().stream().map(Breach::rule).toList(), v::toString);
+  }
+
+  @Test
+  void findsMoreOutThanMayBe() {
+    machine(Kind.PERMITTED, 100, "d1", "1", "");
+    machine(Kind.PERMITTED, 150, "d1", "1", "");
+    machine(Kind.PERMITTED, 200, "b1", "2", "");
+    machine(Kind.GIVEN_BACK, 300, "d1", "1", "");
+    machine(Kind.PERMITTED, 400, "d2", "3", "");
+    permits(List.of());
+    machine(Kind.PERMITTED, 500, "d3", "4", "");
+    permits(List.of(Rule.BUDGET_KEPT));
+  }
+
+  @Test
+  void countsADoorThatWasKilledLongAgoAndNotOneThatIsBack() {
+    machine(Kind.KILLED, 100, "d1", "", "");
+    machine(Kind.STARTED, 200, "d1", "", "");
+    machine(Kind.KILLED, 300, "d2", "", "");
+    machine(Kind.PERMITTED, 5_200, "d3", "1", "");
+    permits(List.of());
+    machine(Kind.GIVEN_BACK, 5_250, "d3", "1", "");
+    machine(Kind.PERMITTED, 5_400, "d4", "2", "");
+    permits(List.of(Rule.BUDGET_KEPT));
+  }
+
+  @Test
+  void findsAPermitOfTwoAndTwoOfOne() {
+    machine(Kind.PERMITTED, 100, "d1", "1", "");
+    machine(Kind.GIVEN_BACK, 200, "d1", "1", "");
+    machine(Kind.PERMITTED, 300, "d2", "1", "");
+    permits(List.of(Rule.PERMIT_ONE_HOLDER));
+    machine(Kind.PERMITTED, 400, "d2", "2", "");
+    permits(List.of(Rule.PERMIT_ONE_HOLDER, Rule.PERMIT_ONE_HOLDER));
+  }
+
+  @Test
+  void findsWhatWasSentToOneThatIsOut() {
+    machine(Kind.OUT, 1_000, "b0", "1", "");
+    machine(Kind.GIVEN_BACK, 2_000, "b0", "1", "");
+    for (int at : new int[] {900, 2_100}) {
+      asked("r" + at, RequestKind.QUOTE, at);
+      served("r" + at, at, "b0");
+    }
+    permits(List.of());
+    asked("r", RequestKind.QUOTE, 1_500);
+    served("r", 1_500, "b0");
+    permits(List.of(Rule.SENT_TO_NONE_OUT));
+  }
+
   @Test
   void findsAnEffectThatRanTwice() {
     asked("r", RequestKind.BUY, 100);
