--- a/daemon/src/main/java/willowdoor/daemon/life/Agreement.java
+++ b/daemon/src/main/java/willowdoor/daemon/life/Agreement.java
@@ -2,8 +2,8 @@
 
 import io.netty.channel.EventLoop;
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
-import java.nio.channels.FileLock;
 import java.nio.channels.OverlappingFileLockException;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
@@ -13,7 +13,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.logging.Logger;
 import willowdoor.agreement.Command.Backend;
 import willowdoor.agreement.Command.Doing;
@@ -36,6 +38,7 @@
   private static final Logger LOG = Logger.getLogger(Agreement.class.getName());
   /** How often it looks at what is told by no event: attempts that end, backends that are warm by now. */
   private static final long LOOK_MS = 50;
+  private static final long SAY_SO_MS = 5_000;
 
   private final FrontDoor door;
   private final EventLoop loop;
@@ -50,7 +53,8 @@
   private boolean dirty;
   private Phase phase = Phase.STARTING;
   private FileChannel lockFile;
-  private FileLock lock;
+  /** Of this process's holding the lock; 0 while another holds it. */
+  private long generation;
 
   /**
    * Begins at once; on no loop.
@@ -64,9 +68,12 @@
     this.config = config;
     loop = door.loop();
     DaemonConfig.Agreement a = config.agreement();
-    lockFile = FileChannel.open(Path.of(a.lockFile()), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
+    lockFile = FileChannel.open(Path.of(a.lockFile()), StandardOpenOption.CREATE, StandardOpenOption.READ,
+        StandardOpenOption.WRITE);
+    generation = tried();
     link = new DoorLink(new DoorLink.Self(a.fleet(), config.instance().name(), incarnation,
-        config.instance().zone(), a.weight()), a.stewards(), a.drift(), this);
+        config.instance().zone(), a.weight()), a.stewards(), a.drift(),
+        Path.of(a.lockFile() + ".out"), generation, this);
     loop.submit(() -> {
       door.listed(this::heard);
       heard(config.backends().known());
@@ -74,6 +81,28 @@
     }).sync();
   }
 
+  /**
+   * Waits until it is known which backends are out; not for a loop. A door that has a file of it goes on by
+   * that. One that was never told has sent nothing yet that anybody would
+   * miss, and would send to what an operator was told is out.
+   */
+  void awaitTold() {
+    while (true) {
+      try {
+        link.told().get(SAY_SO_MS, TimeUnit.MILLISECONDS);
+        return;
+      } catch (TimeoutException e) {
+        LOG.warning("not ready: no steward of " + config.agreement().stewards() + " has told yet which"
+            + " backends are out, and no process of this door before this one has kept it");
+      } catch (ExecutionException e) {
+        throw new IllegalStateException(e);
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+        return;
+      }
+    }
+  }
+
   /** What the instance has come to; on the door's loop. */
   void changed(Phase other) {
     phase = other;
@@ -107,21 +136,29 @@
     if (dirty || cold.stream().anyMatch(id -> !isCold(listed.get(id)))) {
       tell();
     }
-    if (lock == null) {
-      lock = tried();
-      if (lock != null) {
-        link.alone();
+    if (generation == 0) {
+      generation = tried();
+      if (generation > 0) {
+        link.holds(generation);
       }
     }
     loop.schedule(this::look, LOOK_MS, TimeUnit.MILLISECONDS);
   }
 
-  /** Held by one process of this door at a time, until it has ended, however it ends. */
-  private FileLock tried() {
+  /** The lock is held by one process of this door at a time, until that has ended; 0 while by another. */
+  private long tried() {
     try {
-      return lockFile.tryLock();
+      if (lockFile.tryLock() == null) {
+        return 0;
+      }
+      ByteBuffer number = ByteBuffer.allocate(Long.BYTES);
+      long next = 1 + (lockFile.read(number, 0) == Long.BYTES ? number.getLong(0) : 0);
+      lockFile.write(ByteBuffer.allocate(Long.BYTES).putLong(0, next), 0);
+      lockFile.force(false);
+      return next;
     } catch (IOException | OverlappingFileLockException e) {
-      return null;
+      LOG.warning("the lock file " + config.agreement().lockFile() + ": " + e);
+      return 0;
     }
   }
 
--- a/daemon/src/main/java/willowdoor/daemon/life/Daemon.java
+++ b/daemon/src/main/java/willowdoor/daemon/life/Daemon.java
@@ -57,6 +57,9 @@
       @Override
       public void warmUp() {
         FrontDoor.warmUp(wired);
+        if (agreement != null) {
+          agreement.awaitTold();
+        }
         if (config.authorisation() != null) {
           LOG.info("warmed up by " + ExtAuthzGate.warmUp(AUTHORISATION_WARM_UP_MS) + " made-up checks");
         }
--- a/daemon/src/test/java/willowdoor/daemon/fleet/AgreedTest.java
+++ b/daemon/src/test/java/willowdoor/daemon/fleet/AgreedTest.java
@@ -194,6 +194,23 @@
     kept();
   }
 
+  /** Begun anew while no steward is reached, it goes by what the process before it kept. */
+  @Test
+  void aDoorThatIsStartedWithoutContactSendsToNoneThatIsOut() throws Exception {
+    granted(backend(0), "b0");
+    awaitOut(0);
+    stewards.door(1, Relay.Mode.CUT);
+    run.doors().get(1).kill();
+    run.doors().get(1).start();
+    await("d1 serves", () -> run.clients().up(1));
+    FleetRun.sleep(1_500);
+    stewards.door(1, Relay.Mode.WHOLE);
+    FleetRun.sleep(500);
+    giveBack(backend(0), "b0");
+    await("back", () -> stage(backend(0)) == null);
+    kept();
+  }
+
   /** Replies that are up to a second late, and then one byte at a time. */
   @Test
   void linksAreSlowAndNotCut() throws Exception {
--- /dev/null
+++ b/emulator/src/main/java/willowdoor/emulator/agreement/FleetWorld.java
@@ -0,0 +1,632 @@
+package willowdoor.emulator.agreement;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.Consumer;
+import willowdoor.agreement.Budget;
+import willowdoor.agreement.Command;
+import willowdoor.agreement.Command.Beat;
+import willowdoor.agreement.Command.Doing;
+import willowdoor.agreement.DoorAction;
+import willowdoor.agreement.DoorEvent;
+import willowdoor.agreement.DoorSide;
+import willowdoor.agreement.FleetRecord;
+import willowdoor.agreement.Life;
+import willowdoor.agreement.Most;
+import willowdoor.agreement.Outcome;
+import willowdoor.agreement.Permit;
+import willowdoor.agreement.Permit.Stage;
+import willowdoor.agreement.State;
+import willowdoor.agreement.Subject;
+import willowdoor.agreement.Subject.Kind;
+import willowdoor.agreement.Terms;
+import willowdoor.emulator.SimClock;
+
+/**
+ * A fleet that agrees on what goes out, in simulated time: the real record and the real doors' sides, with
+ * leaders that change and whose clocks have nothing to do with each other, links that lose, delay and repeat,
+ * processes that are killed, stopped and replaced, and operators who die. The log itself is taken for whole
+ * here; that it is, {@link StewardWorld} shows with the real library.
+ *
+ * <p>What must hold is looked at from above, by true time and by what each process truly does.
+ */
+public final class FleetWorld {
+
+  /** Mistakes that may be planted, to see that each is found. */
+  public enum Bug {
+    NONE, LEASE_FROM_RECEIPT, LEADER_TRUSTS_OLD_LEASES, FORGOTTEN_AT_DEATH, LET_GO_AT_ONCE,
+    LEFT_FOR_OTHERS, NOTHING_REMEMBERED, SERVES_BEFORE_TOLD, SUCCESSOR_GOES_BY_FILES, ASKED_ANEW,
+    RETURN_OF_ANY, ZOMBIE_BEATS, ALONE_TOO_SOON, LEAVES_TOO_SOON, CLOCK_BEYOND_DRIFT
+  }
+
+  private static final double LEASE_MS = 1_500;
+  private static final double DRIFT = 0.02;
+  private static final double MOST_DELAY_MS = 60;
+  private static final double TRAFFIC_MS = 40;
+  private static final int OUT_AT_ONCE = 2;
+  private static final int BACKENDS = 6;
+
+  private final SimClock clock = new SimClock();
+  private final Random random;
+  private final Bug bug;
+  private final int doors;
+  private final FleetRecord record;
+  private final List<Process> processes = new ArrayList<>();
+  private final Map<String, Map<String, Map<String, Long>>> files = new HashMap<>();
+  private final Map<String, Process> holders = new HashMap<>();
+  private final Map<String, Long> generations = new HashMap<>();
+  private final Set<String> cut = new HashSet<>();
+  private final List<String> breaches = new ArrayList<>();
+  /** Permits that operators were told and have not asked back, with their subjects. */
+  private final Map<Long, Subject> held = new LinkedHashMap<>();
+  private final Map<String, Double> countsAsDead = new HashMap<>();
+  private final Set<Long> seenGranted = new HashSet<>();
+  private Set<String> out = Set.of();
+  private double leaderRate = 1;
+  private double leaderAhead;
+  private boolean led;
+  private int term;
+  private boolean quiet;
+  private int incarnations;
+  private int granted;
+  private int told;
+
+  private FleetWorld(long seed, int doors, Bug bug) {
+    random = new Random(seed);
+    this.doors = doors;
+    this.bug = bug;
+    Budget budget = new Budget(Most.of(OUT_AT_ONCE), Most.ANY, 0);
+    record = new FleetRecord(new Terms(budget, budget, LEASE_MS));
+  }
+
+  /**
+   * What came of one schedule.
+   *
+   * @param breaches none if all held
+   * @param granted permits that were given
+   * @param told how often a backend was out
+   */
+  public record Result(List<String> breaches, int granted, int told) { }
+
+  /** Plays one schedule of some 30 s, with so many faults as chance has it. */
+  public static Result play(long seed, int doors, Bug bug) {
+    return new FleetWorld(seed, doors, bug).run();
+  }
+
+  private Result run() {
+    lead();
+    for (int i = 0; i < doors; i++) {
+      begin("d" + i, true);
+    }
+    clock.after(3_000, () -> {
+      operate("ana", 0);
+      operate("rui", 0);
+    });
+    clock.after(100, this::look);
+    int faults = 2 + random.nextInt(8);
+    for (int i = 0; i < faults; i++) {
+      clock.after(3_000 + random.nextInt(15_000), this::fault);
+    }
+    clock.runUntil(22_000);
+    quiet = true;
+    cut.clear();
+    processes.forEach(p -> p.stop(false));
+    clock.runUntil(26_000);
+    for (int i = 0; i < 20; i++) {
+      giveAllBack();
+      clock.runUntil(clock.now() + 1_000);
+    }
+    State end = record.state();
+    if (!end.permits().isEmpty() || record.out(Kind.DOOR) > 0 || record.out(Kind.BACKEND) > 0) {
+      breach("not all is back: " + end.permits() + ", doors out " + record.out(Kind.DOOR));
+    }
+    return new Result(List.copyOf(breaches), granted, told);
+  }
+
+  private void breach(String what) {
+    if (breaches.size() < 5) {
+      breaches.add(Math.round(clock.now()) + " ms: " + what);
+    }
+  }
+
+  private double leaderClock() {
+    return leaderAhead + leaderRate * clock.now();
+  }
+
+  private double drifting(double most) {
+    return 1 + most * (2 * random.nextDouble() - 1);
+  }
+
+  private void lead() {
+    term++;
+    led = true;
+    leaderRate = drifting(DRIFT);
+    leaderAhead = random.nextInt(1_000_000);
+    agree(bug == Bug.LEADER_TRUSTS_OLD_LEASES && term > 1 ? new Command.Tick(leaderClock())
+        : new Command.Lead(leaderClock()));
+    // Whoever is dead and was not known to be was given a whole lease anew.
+    State state = record.state();
+    countsAsDead.replaceAll((door, from) -> state.lives().stream().anyMatch(x -> x.door().equals(door)
+        && x.untilMs() > state.nowMs()) ? Math.max(from, clock.now() + LEASE_MS * (1 + 3 * DRIFT)) : from);
+  }
+
+  private void fault() {
+    int one = random.nextInt(doors);
+    double lasts = 200 + random.nextInt(5_000);
+    Process p = last("d" + one);
+    switch (random.nextInt(6)) {
+      case 0 -> {
+        led = false;
+        clock.after(200 + random.nextInt(1_500), this::lead);
+      }
+      case 1 -> {
+        if (!p.dead) {
+          p.kill();
+          clock.after(500 + random.nextInt(12_000), () -> begin(p.door, true));
+        }
+      }
+      case 2 -> {
+        p.stop(true);
+        clock.after(lasts, () -> p.stop(false));
+      }
+      case 3 -> {
+        if (!p.dead && p.serving) {
+          replace(p);
+        }
+      }
+      default -> {
+        cut.add(p.door);
+        clock.after(lasts, () -> cut.remove(p.door));
+      }
+    }
+  }
+
+  private Process last(String door) {
+    return processes.stream().filter(x -> x.door.equals(door)).reduce((a, b) -> b).orElseThrow();
+  }
+
+  private boolean lives(String door) {
+    return processes.stream().anyMatch(x -> x.door.equals(door) && !x.dead);
+  }
+
+  private Process begin(String door, boolean alone) {
+    if (lives(door) && alone) {
+      return null;
+    }
+    processes.removeIf(x -> x.door.equals(door) && x.dead);
+    Process p = new Process(door, "i" + ++incarnations);
+    processes.add(p);
+    countsAsDead.remove(door);
+    p.start();
+    return p;
+  }
+
+  private void replace(Process old) {
+    begin(old.door, false);
+    clock.after(1_500 + random.nextInt(1_000), old::end);
+  }
+
+  /** Has a command agreed on, over a link of this name; both ways may lose it, and it may come twice. */
+  private void ask(String from, Command command, Consumer<Outcome> then) {
+    double late = !quiet && random.nextDouble() < 0.05 ? random.nextInt(5_000) : -1;
+    deliver(from, command, then, random.nextDouble() * MOST_DELAY_MS);
+    if (late >= 0) {
+      deliver(from, command, x -> { }, late);
+    }
+  }
+
+  private void deliver(String from, Command command, Consumer<Outcome> then, double delay) {
+    if (lost(from)) {
+      return;
+    }
+    clock.after(delay, () -> {
+      int asked = term;
+      if (led) {
+        clock.after(random.nextDouble() * 10, () -> {
+          if (led && term == asked) {
+            Outcome outcome = agree(returnOfAny(command.at(leaderClock())));
+            if (!lost(from)) {
+              clock.after(random.nextDouble() * MOST_DELAY_MS, () -> then.accept(outcome));
+            }
+          }
+        });
+      }
+    });
+  }
+
+  private Command returnOfAny(Command command) {
+    if (bug == Bug.RETURN_OF_ANY && command instanceof Command.Return e) {
+      return record.state().permits().stream().filter(x -> x.subject().equals(e.subject())).findFirst()
+          .<Command>map(x -> new Command.Return(e.atMs(), e.subject(), x.id(), e.by())).orElse(command);
+    }
+    return command;
+  }
+
+  private boolean lost(String from) {
+    return cut.contains(from) || !quiet && random.nextDouble() < 0.03;
+  }
+
+  private Outcome agree(Command command) {
+    Outcome outcome = record.on(command);
+    State state = record.state();
+    Set<String> now = new HashSet<>();
+    for (Permit x : state.permits()) {
+      if (x.stage() == Stage.OUT && x.subject().kind() == Kind.BACKEND) {
+        now.add(x.subject().name());
+      }
+      if (x.stage() != Stage.WAITING && seenGranted.add(x.id())) {
+        granted++;
+        budget(state, x);
+      }
+    }
+    told += now.stream().filter(x -> !out.contains(x)).count();
+    out = now;
+    held.forEach((id, subject) -> {
+      if (state.permits().stream().noneMatch(x -> x.id() == id && x.subject().equals(subject)
+          && x.stage() != Stage.WAITING)) {
+        breach("permit " + id + " of " + subject + " is over, and nobody gave it back: " + command);
+      }
+    });
+    return outcome;
+  }
+
+  private void budget(State state, Permit given) {
+    Set<String> all = new HashSet<>();
+    state.permits().stream().filter(x -> x.stage() != Stage.WAITING
+        && x.subject().kind() == given.subject().kind()).forEach(x -> all.add(x.subject().name()));
+    if (given.subject().kind() == Kind.DOOR) {
+      countsAsDead.forEach((door, from) -> {
+        if (clock.now() > from) {
+          all.add(door);
+        }
+      });
+    }
+    if (all.size() > OUT_AT_ONCE) {
+      breach(given.subject() + " was let go while these are out: " + all);
+    }
+  }
+
+  /** No door believes in a lease that the stewards hold for over. */
+  private void look() {
+    State state = record.state();
+    double now = state.nowMs() + Math.max(0, led ? leaderClock() - state.leaderMs() : 0);
+    for (Process p : processes) {
+      if (!p.dead && p.side.inContact(p.clock())) {
+        Life life = state.lives().stream().filter(x -> x.door().equals(p.door)
+            && x.incarnation().equals(p.incarnation)).findFirst().orElse(null);
+        if (life != null && now >= life.untilMs()) {
+          breach(p.door + " believes in its lease, over for " + (now - life.untilMs()) + " ms");
+        }
+      }
+    }
+    if (bug == Bug.FORGOTTEN_AT_DEATH) {
+      state.lives().stream().filter(x -> now >= x.untilMs()).findFirst().ifPresent(x -> ask("bug",
+          new Command.Forget(0, "forget" + clock.now(), x.door(), "bug"), y -> { }));
+    }
+    clock.after(50, this::look);
+  }
+
+  private void operate(String name, int number) {
+    if (quiet) {
+      return;
+    }
+    Subject subject = random.nextBoolean() ? new Subject(Kind.DOOR, "d" + random.nextInt(doors))
+        : new Subject(Kind.BACKEND, "b" + random.nextInt(BACKENDS));
+    attempt(name, name + number, subject, clock.now() + 2_500, 0);
+    clock.after(1_500 + random.nextInt(3_000), () -> operate(name, number + 1));
+  }
+
+  /** Asks again until it is answered; gives up on waiting after a time; now and then its command dies. */
+  private void attempt(String name, String request, Subject subject, double until, int tries) {
+    boolean[] answered = {false};
+    String said = bug == Bug.ASKED_ANEW ? request + "-" + tries : request;
+    ask(name, new Command.Ask(0, said, subject, name, "test", false), outcome -> {
+          if (answered[0]) {
+            return;
+          }
+          answered[0] = true;
+          if (outcome instanceof Outcome.Granted e) {
+            if (seenGranted.contains(e.permit()) && stands(e.permit())) {
+              held.put(e.permit(), subject);
+              if (random.nextDouble() > 0.1) {
+                clock.after(500 + random.nextInt(2_000), () -> giveBack(name, subject, e.permit(), 0));
+              }
+            }
+          } else if (outcome instanceof Outcome.Waiting e) {
+            if (clock.now() > until) {
+              giveBack(name, subject, e.permit(), 0);
+            } else {
+              clock.after(200, () -> attempt(name, request, subject, until, tries));
+            }
+          }
+        });
+    clock.after(400, () -> {
+      if (!answered[0] && tries < 10) {
+        answered[0] = true;
+        attempt(name, request, subject, until, tries + 1);
+      }
+    });
+  }
+
+  /** An answer may come after others gave back what a dead command had left. */
+  private boolean stands(long permit) {
+    return record.state().permits().stream().anyMatch(x -> x.id() == permit && x.stage() != Stage.WAITING
+        && x.stage() != Stage.RETURNING);
+  }
+
+  private void giveBack(String name, Subject subject, long permit, int tries) {
+    held.remove(permit);
+    boolean[] answered = {false};
+    ask(name, new Command.Return(0, subject, permit, name), outcome -> answered[0] = true);
+    clock.after(400, () -> {
+      if (!answered[0] && tries < 10) {
+        giveBack(name, subject, permit, tries + 1);
+      }
+    });
+  }
+
+  private void giveAllBack() {
+    held.clear();
+    if (bug != Bug.ASKED_ANEW) {
+      record.state().permits().stream().filter(x -> x.stage() != Stage.RETURNING)
+          .forEach(x -> ask("tidy", new Command.Return(0, x.subject(), x.id(), "tidy"), y -> { }));
+    }
+  }
+
+  /** One process of a door. */
+  private final class Process {
+    private final String door;
+    private final String incarnation;
+    private final double rate;
+    private final double ahead = random.nextInt(1_000_000);
+    private final DoorSide side;
+    private final Set<String> away = new HashSet<>();
+    private final Map<String, Integer> pending = new HashMap<>();
+    private final List<Runnable> held = new ArrayList<>();
+    private final boolean knows;
+    private boolean stopped;
+    private boolean dead;
+    private boolean serving;
+    private boolean ready;
+    private boolean drains;
+    private long generation;
+    private boolean told;
+    private double wakeAt;
+
+    Process(String door, String incarnation) {
+      this.door = door;
+      this.incarnation = incarnation;
+      rate = bug == Bug.CLOCK_BEYOND_DRIFT ? 0.7 : drifting(DRIFT);
+      Map<String, Long> before = new HashMap<>();
+      boolean holds = takesLock();
+      if (holds && bug != Bug.NOTHING_REMEMBERED) {
+        files.getOrDefault(door, Map.of()).values().forEach(before::putAll);
+      }
+      knows = (holds || bug == Bug.SUCCESSOR_GOES_BY_FILES) && files.containsKey(door)
+          || bug == Bug.SERVES_BEFORE_TOLD;
+      side = new DoorSide(door, incarnation, DRIFT, before);
+      away.addAll(before.keySet());
+      before.keySet().forEach(x -> clock.after(0, () -> on(() -> lookWhetherLeft(x))));
+    }
+
+    double clock() {
+      return ahead + rate * clock.now();
+    }
+
+    /** Has this process do it, when it goes on. */
+    void on(Runnable what) {
+      if (stopped) {
+        held.add(what);
+      } else if (!dead) {
+        what.run();
+      }
+    }
+
+    private void tell(DoorEvent event) {
+      side.on(clock(), event).forEach(this::execute);
+    }
+
+    void start() {
+      tell(new DoorEvent.Woken());
+      sight();
+      waitForLock();
+      clock.after(300 + random.nextInt(600), () -> on(() -> {
+        ready = true;
+        serveIfTold();
+      }));
+    }
+
+    private void serveIfTold() {
+      if (ready && !serving && (knows || told)) {
+        serving = true;
+        tell(new DoorEvent.Does(doing()));
+        traffic();
+      }
+    }
+
+    private Doing doing() {
+      return !serving ? Doing.STARTING : drains ? Doing.EMPTY : Doing.READY;
+    }
+
+    /** Held by one process of the door until that is dead. */
+    private boolean takesLock() {
+      Process holder = holders.get(door);
+      if (holder != null && !holder.dead && bug != Bug.ALONE_TOO_SOON) {
+        return false;
+      }
+      holders.put(door, this);
+      generation = generations.merge(door, 1L, Long::sum);
+      return true;
+    }
+
+    private void waitForLock() {
+      if (generation == 0 && takesLock()) {
+        holds();
+      } else if (generation == 0) {
+        clock.after(50, () -> on(this::waitForLock));
+      }
+    }
+
+    private void holds() {
+      files.computeIfPresent(door, (name, all) -> all.containsKey(incarnation)
+          ? new HashMap<>(Map.of(incarnation, all.get(incarnation))) : all);
+      join();
+    }
+
+    private void join() {
+      ask(door, new Command.Join(0, door, incarnation, "z", 1, generation), x -> { });
+    }
+
+    private void sight() {
+      List<Command.Backend> all = new ArrayList<>();
+      for (int i = 0; i < BACKENDS; i++) {
+        all.add(new Command.Backend("b" + i, "z", 1, true));
+      }
+      ask(door, new Command.Sight(0, 1, all), x -> { });
+    }
+
+    void kill() {
+      dead = true;
+      held.clear();
+      if (!lives(door)) {
+        countsAsDead.put(door, clock.now() + LEASE_MS * (1 + 3 * DRIFT) + 3 * MOST_DELAY_MS + 5_000);
+      }
+      if (bug == Bug.ZOMBIE_BEATS) {
+        zombie(1_000_000);
+      }
+    }
+
+    private void zombie(long number) {
+      if (!quiet) {
+        ask(door, new Command.Beats(0, List.of(new Beat(door, incarnation, Doing.READY, number,
+            record.state().index(), Set.of()))), x -> { });
+        clock.after(300, () -> zombie(number + 1));
+      }
+    }
+
+    void stop(boolean on) {
+      stopped = on && !dead;
+      if (!on) {
+        List<Runnable> all = List.copyOf(held);
+        held.clear();
+        all.forEach(this::on);
+      }
+    }
+
+    /** Ends in order, in favour of another process. */
+    void end() {
+      on(() -> {
+        if (bug == Bug.LEAVES_TOO_SOON) {
+          ask(door, new Command.Leave(0, door, incarnation), x -> { });
+          clock.after(2_000, () -> on(this::ended));
+        } else {
+          serving = false;
+          tell(new DoorEvent.Does(Doing.DRAINING));
+          endWhenEmpty();
+        }
+      });
+    }
+
+    private void endWhenEmpty() {
+      if (pending.isEmpty()) {
+        ask(door, new Command.Leave(0, door, incarnation), x -> { });
+        ended();
+      } else {
+        clock.after(20, () -> on(this::endWhenEmpty));
+      }
+    }
+
+    private void ended() {
+      dead = true;
+      if (!lives(door)) {
+        clock.after(500, () -> begin(door, true));
+      }
+    }
+
+    private void traffic() {
+      if (!serving) {
+        return;
+      }
+      String backend = "b" + random.nextInt(BACKENDS);
+      if (!away.contains(backend)) {
+        pending.merge(backend, 1, Integer::sum);
+        Runnable arrives = () -> {
+          if (out.contains(backend)) {
+            breach(door + "/" + incarnation + " sends to " + backend + ", which is out");
+          }
+          clock.after(random.nextInt(60), () -> on(() -> {
+            if (pending.merge(backend, -1, Integer::sum) == 0) {
+              pending.remove(backend);
+            }
+          }));
+        };
+        // Written already, or when its connection is there.
+        double delay = random.nextDouble() * 60;
+        clock.after(delay, random.nextBoolean() ? arrives : () -> on(arrives));
+      }
+      clock.after(random.nextDouble() * 2 * TRAFFIC_MS, () -> on(this::traffic));
+    }
+
+    private void lookWhetherLeft(String backend) {
+      if (!away.contains(backend)) {
+        return;
+      }
+      if (!pending.containsKey(backend) || bug == Bug.LET_GO_AT_ONCE) {
+        tell(new DoorEvent.LetGo(backend));
+      } else {
+        clock.after(20, () -> on(() -> lookWhetherLeft(backend)));
+      }
+    }
+
+    private void execute(DoorAction action) {
+      if (action instanceof DoorAction.SendBeat e) {
+        beat(e.beat());
+      } else if (action instanceof DoorAction.SendJoin) {
+        join();
+      } else if (action instanceof DoorAction.WakeAt e) {
+        wakeAt = e.atMs();
+        clock.after((e.atMs() - clock()) / rate + 0.01, () -> on(() -> {
+          if (wakeAt == e.atMs()) {
+            tell(new DoorEvent.Woken());
+          }
+        }));
+      } else if (action instanceof DoorAction.Remember e) {
+        files.computeIfAbsent(door, x -> new HashMap<>()).put(incarnation, e.out());
+      } else if (action instanceof DoorAction.TakeOut e) {
+        away.add(e.backend());
+        lookWhetherLeft(e.backend());
+      } else if (action instanceof DoorAction.PutBack e) {
+        away.remove(e.backend());
+      } else if (action instanceof DoorAction.Told) {
+        told = true;
+        serveIfTold();
+      } else if (action instanceof DoorAction.Drain || action instanceof DoorAction.Undrain) {
+        drains = action instanceof DoorAction.Drain;
+        clock.after(100 + random.nextInt(300), () -> on(() -> tell(new DoorEvent.Does(doing()))));
+      }
+    }
+
+    private void beat(Beat beat) {
+      double sentAt = clock();
+      Set<Long> left = new HashSet<>(beat.left());
+      if (bug == Bug.LEFT_FOR_OTHERS) {
+        record.state().permits().forEach(x -> left.add(x.id()));
+      }
+      Beat said = new Beat(beat.door(), beat.incarnation(), beat.doing(), beat.number(), beat.seen(), left);
+      Command.Beats command = new Command.Beats(0, List.of(said));
+      ask(door, command, outcome -> {
+        if (outcome instanceof Outcome.Beaten e) {
+          var view = record.view(door, incarnation, e.leaseMs()
+              + (bug == Bug.LEASE_FROM_RECEIPT ? clock() - sentAt + MOST_DELAY_MS : 0));
+          on(() -> tell(new DoorEvent.Answered(beat.number(), view)));
+        }
+      });
+    }
+  }
+}
--- a/policy/src/main/java/willowdoor/agreement/Command.java
+++ b/policy/src/main/java/willowdoor/agreement/Command.java
@@ -34,14 +34,14 @@
    * @param door the name that all processes of this door have
    * @param incarnation which process it is, unlike any other
    * @param weight its part of the traffic, beside the other doors'
-   * @param alone whether it holds what only one process of the door can hold, so that all others have ended;
-   *     told again once that is so
+   * @param generation 0, or how many processes have held what only one process of the door can hold, this one
+   *     the last: those that held it before have ended. Told again once it holds it
    */
-  record Join(double atMs, String door, String incarnation, String zone, double weight, boolean alone)
+  record Join(double atMs, String door, String incarnation, String zone, double weight, long generation)
       implements Command {
     @Override
     public Command at(double leaderMs) {
-      return new Join(leaderMs, door, incarnation, zone, weight, alone);
+      return new Join(leaderMs, door, incarnation, zone, weight, generation);
     }
   }
 
@@ -52,6 +52,11 @@
     public Beats {
       beats = List.copyOf(beats);
     }
+
+    @Override
+    public Command at(double leaderMs) {
+      return new Beats(leaderMs, beats);
+    }
   }
 
   /**
@@ -82,7 +87,7 @@
   }
 
   /**
-   * An operator vouches that a door is no more: it sends nothing.
+   * An operator vouches that a door, or one process of it as door/incarnation, is no more: it sends nothing.
    *
    * @param request the asker's own name of this request: heard twice, it is done once
    */
--- a/policy/src/main/java/willowdoor/agreement/DoorAction.java
+++ b/policy/src/main/java/willowdoor/agreement/DoorAction.java
@@ -1,5 +1,7 @@
 package willowdoor.agreement;
 
+import java.util.Map;
+
 /** What a {@link DoorSide} has done. */
 public sealed interface DoorAction {
 
@@ -12,6 +14,21 @@
   /** Put an operator's request to the stewards. */
   record SendAsk(DoorEvent.Asked asked) implements DoorAction { }
 
+  /**
+   * Keep this where a process of this door that comes after finds it, before any {@link DoorEvent.LetGo}: it
+   * may serve before the stewards can tell it which backends are out, and would send there.
+   */
+  record Remember(Map<String, Long> out) implements DoorAction {
+
+    /** Keeps a copy. */
+    public Remember {
+      out = Map.copyOf(out);
+    }
+  }
+
+  /** The stewards have told for the first time which backends are out. */
+  record Told() implements DoorAction { }
+
   /** Send nothing more to the backend, and tell once no attempt is out at it. */
   record TakeOut(String backend) implements DoorAction { }
 
--- a/policy/src/main/java/willowdoor/agreement/DoorSide.java
+++ b/policy/src/main/java/willowdoor/agreement/DoorSide.java
@@ -11,11 +11,13 @@
 import willowdoor.agreement.Command.Doing;
 import willowdoor.agreement.DoorAction.Drain;
 import willowdoor.agreement.DoorAction.PutBack;
+import willowdoor.agreement.DoorAction.Remember;
 import willowdoor.agreement.DoorAction.SendAsk;
 import willowdoor.agreement.DoorAction.SendBeat;
 import willowdoor.agreement.DoorAction.SendJoin;
 import willowdoor.agreement.DoorAction.TakeOut;
 import willowdoor.agreement.DoorAction.Tell;
+import willowdoor.agreement.DoorAction.Told;
 import willowdoor.agreement.DoorAction.Undrain;
 import willowdoor.agreement.DoorAction.WakeAt;
 import willowdoor.agreement.DoorEvent.Answered;
@@ -72,8 +74,11 @@
    * For a process of a door.
    *
    * @param drift the most that a clock runs wrong, as a part of the time that passes
+   * @param remembered backends that were out, with their permits, by what a process before it kept: to this
+   *     one they are out from the start
    */
-  public DoorSide(String door, String incarnation, double drift) {
+  public DoorSide(String door, String incarnation, double drift, Map<String, Long> remembered) {
+    out.putAll(remembered);
     this.door = door;
     this.incarnation = incarnation;
     lease = new DoorLease(drift);
@@ -121,15 +126,22 @@
     if (e.view().index() <= seen || !lease.holds(nowMs)) {
       return;
     }
+    boolean first = seen == 0;
     seen = e.view().index();
-    backends(e.view().permits(), actions);
+    backends(e.view().permits(), first, actions);
+    if (first) {
+      actions.add(new Told());
+    }
     own(e.view().permits(), actions);
   }
 
-  private void backends(List<Permit> permits, List<DoorAction> actions) {
+  private void backends(List<Permit> permits, boolean first, List<DoorAction> actions) {
     Map<String, Long> now = permits.stream().filter(x -> x.subject().kind() == Kind.BACKEND
         && (x.stage() == Stage.GRANTED || x.stage() == Stage.OUT))
         .collect(Collectors.toMap(x -> x.subject().name(), Permit::id, Math::max, LinkedHashMap::new));
+    if (first || !now.equals(out)) {
+      actions.add(new Remember(now));
+    }
     for (String backend : List.copyOf(out.keySet())) {
       if (!now.containsKey(backend)) {
         out.remove(backend);
--- a/policy/src/main/java/willowdoor/agreement/FleetRecord.java
+++ b/policy/src/main/java/willowdoor/agreement/FleetRecord.java
@@ -36,8 +36,8 @@
  * thread and draws no chance: the same log gives the same record at every steward.
  *
  * <p>Its time goes by the leader's clock, by differences within a term: what passes between two leaders
- * counts as none, and {@link Lead} has every lease run its full length anew. So a steward's view of a lease
- * never ends before the door's own ({@link DoorLease}).
+ * counts as none, and {@link Lead} has every lease that is not over run its full length anew. So a steward's
+ * view of a lease never ends before the door's own ({@link DoorLease}).
  *
  * <p>What is out by itself counts against the budget as what is out on purpose does: a door of which no
  * process is ready and reached, a backend that does not serve. A permit ends when its subject is seen ready
@@ -118,7 +118,8 @@
 
   private void pass(Command command) {
     if (command instanceof Lead) {
-      lives.replaceAll((name, x) -> x.until(now + terms.leaseMs()));
+      // One that was over is over: to have it run anew would count a door as serving that is dead.
+      lives.replaceAll((name, x) -> now < x.untilMs() ? x.until(now + terms.leaseMs()) : x);
       leader = command.atMs();
     } else if (command.atMs() > leader) {
       now += command.atMs() - leader;
@@ -159,23 +160,31 @@
     return new Done();
   }
 
+  /**
+   * Who holds what one process can hold ends those that held it before, and nobody else: others may wait for
+   * it. Guards against a word of an earlier holder that comes late.
+   */
   private Outcome join(Join e) {
-    Life life = new Life(e.door(), e.incarnation(), e.zone(), e.weight(), Doing.STARTING,
-        now + terms.leaseMs(), 0, 0);
-    List<String> others = lives.values().stream().filter(x -> x.door().equals(e.door())
-        && !x.name().equals(life.name()) && (e.alone() || x.ended())).map(Life::name).toList();
-    others.forEach(this::end);
-    lives.keySet().removeAll(others);
-    if (lives.containsKey(life.name())) {
-      return new Done();
+    String name = e.door() + "/" + e.incarnation();
+    long holder = lives.values().stream().filter(x -> x.door().equals(e.door())).mapToLong(Life::generation)
+        .max().orElse(0);
+    if (over.contains(name) || e.generation() > 0 && e.generation() < holder) {
+      return new Refused("process " + name + " has ended");
     }
-    if (over.contains(life.name())) {
-      return new Refused("process " + life.name() + " has ended");
+    List<String> gone = lives.values().stream().filter(x -> x.door().equals(e.door())
+        && !x.name().equals(name) && (x.ended() || x.generation() > 0 && x.generation() < e.generation()))
+        .map(Life::name).toList();
+    gone.forEach(this::end);
+    lives.keySet().removeAll(gone);
+    if (lives.containsKey(name)) {
+      lives.computeIfPresent(name, (x, life) -> life.holds(Math.max(life.generation(), e.generation())));
+      return new Done();
     }
     if (lives.size() >= MOST_LIVES) {
       return new Refused(MOST_LIVES + " processes of doors are known already");
     }
-    lives.put(life.name(), life);
+    lives.put(name, new Life(e.door(), e.incarnation(), e.zone(), e.weight(), e.generation(), Doing.STARTING,
+        now + terms.leaseMs(), 0, 0));
     return new Done();
   }
 
@@ -217,10 +226,10 @@
       return new Done();
     }
     end(e.request());
-    if (!lives.values().removeIf(x -> x.door().equals(e.door()))) {
-      return new Refused("no door is called " + e.door());
+    if (!lives.values().removeIf(x -> x.door().equals(e.door()) || x.name().equals(e.door()))) {
+      return new Refused("no door or process is called " + e.door());
     }
-    note(e.by(), "has door " + e.door() + " forgotten: it counts as sending nothing");
+    note(e.by(), "has " + e.door() + " forgotten: it counts as sending nothing");
     return new Done();
   }
 
--- a/policy/src/main/java/willowdoor/agreement/Life.java
+++ b/policy/src/main/java/willowdoor/agreement/Life.java
@@ -5,12 +5,13 @@
 /**
  * One process of a door.
  *
+ * @param generation 0 until it holds what only one process of the door can hold, then that holding's number
  * @param untilMs in the record's time: reached at least until then
  * @param number of its last heartbeat
  * @param seen up to which command it knew the record when it said what it does
  */
-public record Life(String door, String incarnation, String zone, double weight, Doing doing, double untilMs,
-    long number, long seen) {
+public record Life(String door, String incarnation, String zone, double weight, long generation, Doing doing,
+    double untilMs, long number, long seen) {
 
   String name() {
     return door + "/" + incarnation;
@@ -25,14 +26,19 @@
   }
 
   Life until(double otherMs) {
-    return new Life(door, incarnation, zone, weight, doing, otherMs, number, seen);
+    return new Life(door, incarnation, zone, weight, generation, doing, otherMs, number, seen);
+  }
+
+  Life holds(long other) {
+    return new Life(door, incarnation, zone, weight, other, doing, untilMs, number, seen);
   }
 
   Life end() {
-    return new Life(door, incarnation, zone, weight, Doing.ENDED, untilMs, number, seen);
+    return new Life(door, incarnation, zone, weight, generation, Doing.ENDED, untilMs, number, seen);
   }
 
   Life says(Command.Beat beat, double until) {
-    return new Life(door, incarnation, zone, weight, beat.doing(), until, beat.number(), beat.seen());
+    return new Life(door, incarnation, zone, weight, generation, beat.doing(), until, beat.number(),
+        beat.seen());
   }
 }
--- a/policy/src/main/java/willowdoor/agreement/Outs.java
+++ b/policy/src/main/java/willowdoor/agreement/Outs.java
@@ -50,23 +50,24 @@
     }
   }
 
-  /** Null where it fits; one that is out already takes nothing from the budget. */
+  /**
+   * Null where it fits. One that is out by itself is not let go for nothing: it may only be out of reach, and
+   * would then go on purpose where it would have come back.
+   */
   Held holdsBack(String name) {
-    if (has(name)) {
-      return null;
-    }
+    int self = has(name) ? 0 : 1;
     int most = budget.inAll().among(all.size());
-    if (out.size() + 1 > most) {
+    if (out.size() + self > most) {
       return new Held(false, out.size() + " of " + all.size() + " are out, " + most + " may be" + names());
     }
     One one = all.get(name);
-    if (serving - one.weight < budget.leastWeight() - 1e-9) {
+    if (serving - self * one.weight < budget.leastWeight() - 1e-9) {
       return new Held(false, "weight " + serving + " serves, " + budget.leastWeight() + " must without it");
     }
     long inZone = all.values().stream().filter(x -> x.zone.equals(one.zone)).count();
     long outInZone = out.stream().filter(x -> all.get(x).zone.equals(one.zone)).count();
     int mostInZone = budget.inZone().among((int) inZone);
-    return outInZone + 1 > mostInZone ? new Held(true, outInZone + " of " + inZone + " are out in zone "
+    return outInZone + self > mostInZone ? new Held(true, outInZone + " of " + inZone + " are out in zone "
         + one.zone + ", " + mostInZone + " may be") : null;
   }
 
--- a/policy/src/test/java/willowdoor/agreement/DoorSideTest.java
+++ b/policy/src/test/java/willowdoor/agreement/DoorSideTest.java
@@ -5,18 +5,21 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 import willowdoor.agreement.Command.Beat;
 import willowdoor.agreement.Command.Doing;
 import willowdoor.agreement.DoorAction.Drain;
 import willowdoor.agreement.DoorAction.PutBack;
+import willowdoor.agreement.DoorAction.Remember;
 import willowdoor.agreement.DoorAction.SendAsk;
 import willowdoor.agreement.DoorAction.SendBeat;
 import willowdoor.agreement.DoorAction.SendJoin;
 import willowdoor.agreement.DoorAction.TakeOut;
 import willowdoor.agreement.DoorAction.Tell;
 import willowdoor.agreement.DoorAction.Undrain;
+import willowdoor.agreement.DoorAction.Told;
 import willowdoor.agreement.DoorAction.WakeAt;
 import willowdoor.agreement.DoorEvent.Answered;
 import willowdoor.agreement.DoorEvent.Asked;
@@ -31,7 +34,7 @@
 
 class DoorSideTest {
 
-  private final DoorSide side = new DoorSide("d1", "x", 0);
+  private final DoorSide side = new DoorSide("d1", "x", 0, Map.of());
   private final Subject own = new Subject(Kind.DOOR, "d1");
   private final Subject backend = new Subject(Kind.BACKEND, "b1");
   private double now = 1_000;
@@ -39,7 +42,8 @@
 
   /** What it does but for the next time to wake. */
   private List<DoorAction> on(DoorEvent event) {
-    return side.on(now, event).stream().filter(x -> !(x instanceof WakeAt)).toList();
+    return side.on(now, event).stream().filter(x -> !(x instanceof WakeAt || x instanceof Told
+        || x instanceof Remember)).toList();
   }
 
   private Beat beat() {
@@ -106,6 +110,32 @@
     assertEquals(Set.of(8L), beat().left());
   }
 
+  /** A process that follows another keeps out what that one let go, and says so for itself. */
+  @Test
+  void whatWasRememberedIsOutFromTheStart() {
+    DoorSide next = new DoorSide("d1", "y", 0, Map.of("b1", 7L, "b2", 8L));
+    next.on(now, new LetGo("b1"));
+    next.on(now, new LetGo("b2"));
+    Beat beat = beatOf(next.on(now + 500, new Woken()));
+    assertEquals(Set.of(7L, 8L), beat.left());
+    List<DoorAction> actions = next.on(now + 501, new Answered(beat.number(), new View(9,
+        List.of(permit(7, backend, Stage.OUT)), true, 3_000)));
+    assertEquals(List.of(new Remember(Map.of("b1", 7L)), new PutBack("b2"), new Told()),
+        actions.subList(0, 3));
+  }
+
+  /** Kept before the backend is let go, and no more often than it changes. */
+  @Test
+  void whatIsOutIsRememberedFirst() {
+    Beat sent = beat();
+    assertEquals(List.of(new Remember(Map.of("b1", 7L)), new TakeOut("b1"), new Told()), side.on(now,
+        new Answered(sent.number(), new View(1, List.of(permit(7, backend, Stage.GRANTED)), true, 3_000)))
+        .subList(0, 3));
+    sent = beat();
+    assertTrue(side.on(now, new Answered(sent.number(), new View(2, List.of(permit(7, backend, Stage.OUT)),
+        true, 3_000))).stream().allMatch(WakeAt.class::isInstance));
+  }
+
   @Test
   void drainsByItsPermitAndComesBack() {
     assertEquals(List.of(), told(permit(1, new Subject(Kind.DOOR, "d2"), Stage.GRANTED)));
--- a/policy/src/test/java/willowdoor/agreement/FleetRecordTest.java
+++ b/policy/src/test/java/willowdoor/agreement/FleetRecordTest.java
@@ -66,7 +66,7 @@
   private void doors(int n) {
     record.on(new Lead(at));
     for (int i = 1; i <= n; i++) {
-      join("d" + i, "x", i % 2 == 1 ? "a" : "b", false);
+      join("d" + i, "x", i % 2 == 1 ? "a" : "b", 1);
       says("d" + i, Doing.READY);
     }
   }
@@ -79,8 +79,8 @@
     record.on(new Sight(at, 1, all));
   }
 
-  private Outcome join(String door, String incarnation, String zone, boolean alone) {
-    return record.on(new Join(at, door, incarnation, zone, 1, alone));
+  private Outcome join(String door, String incarnation, String zone, long generation) {
+    return record.on(new Join(at, door, incarnation, zone, 1, generation));
   }
 
   private Outcome says(String door, Doing what, Long... left) {
@@ -174,7 +174,7 @@
     record.on(new Leave(at, "d1", "x"));
     id(ask("r1", door("d1")));
     waits(ask("r2", door("d2")));
-    join("d1", "y", "a", true);
+    join("d1", "y", "a", 2);
     says("d1", "y", Doing.READY, record.state().index());
     waits(record.told("r2"));
   }
@@ -189,7 +189,7 @@
     waits(ask("r2", door("d2")));
     giveBack(door("d1"));
     waits(record.told("r2"));
-    join("d1", "y", "a", true);
+    join("d1", "y", "a", 2);
     waits(record.told("r2"));
     says("d1", "y", Doing.READY, record.state().index());
     id(record.told("r2"));
@@ -273,7 +273,8 @@
     assertEquals(List.of("d2/x"), record.holdUp(backend("b1")));
     assertInstanceOf(Done.class, record.on(new Forget(at, "f" + ++beat, "d2", "ana")));
     assertEquals(Stage.OUT, stage(backend("b1")));
-    assertEquals("no door is called d2", refused(record.on(new Forget(at, "f" + ++beat, "d2", "ana"))));
+    assertEquals("no door or process is called d2",
+        refused(record.on(new Forget(at, "f" + ++beat, "d2", "ana"))));
     assertEquals(List.of("d2/x"), assertInstanceOf(Beaten.class, says("d2", Doing.READY)).strangers());
   }
 
@@ -283,7 +284,7 @@
     doors(1);
     backends(true, true);
     long id = id(ask("r1", backend("b1")));
-    join("d1", "y", "a", false);
+    join("d1", "y", "a", 0);
     says("d1", Doing.READY, id);
     assertEquals(List.of("d1/y"), record.holdUp(backend("b1")));
     record.on(new Leave(at, "d1", "y"));
@@ -350,9 +351,9 @@
   @Test
   void everythingIsBounded() {
     with(Most.of(0), Most.ANY, 0).record.on(new Lead(at));
-    IntStream.range(0, FleetRecord.MOST_LIVES).forEach(i -> join("d" + i, "x", "a", false));
-    assertTrue(refused(join("more", "x", "a", false)).startsWith("1000 processes"));
-    assertInstanceOf(Done.class, join("d1", "x", "a", false));
+    IntStream.range(0, FleetRecord.MOST_LIVES).forEach(i -> join("d" + i, "x", "a", 0));
+    assertTrue(refused(join("more", "x", "a", 0)).startsWith("1000 processes"));
+    assertInstanceOf(Done.class, join("d1", "x", "a", 0));
     record.on(new Sight(at, 1, IntStream.range(0, FleetRecord.MOST_BACKENDS + 5)
         .mapToObj(i -> new Backend("b" + i, "a", 1, true)).toList()));
     assertEquals(FleetRecord.MOST_BACKENDS, record.state().backends().size());
@@ -360,7 +361,7 @@
     assertTrue(refused(ask("more", backend("b5000"))).startsWith("1000 permits"));
     IntStream.range(0, FleetRecord.MOST_NOTES + 1).forEach(i -> {
       record.on(new Forget(at, "f" + i, "d" + (i + 1) % 1_000, "ana"));
-      join("d" + (i + 1) % 1_000, "x", "a", false);
+      join("d" + (i + 1) % 1_000, "x", "a", 0);
     });
     assertEquals(FleetRecord.MOST_NOTES, record.state().notes().size());
   }
@@ -378,14 +379,15 @@
     assertEquals(0, record.state().backends().size());
   }
 
-  /** A process that took a door over is the only one once the other has let go of what one can hold. */
+  /** Whoever holds it ends those that held it before, not one that waits for it. */
   @Test
-  void aProcessThatIsAloneLaterEndsTheOthers() {
+  void theHolderEndsThoseBeforeItOnly() {
     doors(1);
-    join("d1", "y", "a", false);
-    assertEquals(2, record.state().lives().size());
-    join("d1", "y", "a", true);
-    assertEquals(List.of("y"), record.state().lives().stream().map(Life::incarnation).toList());
+    join("d1", "y", "a", 0);
+    join("d1", "z", "a", 0);
+    assertEquals(3, record.state().lives().size());
+    join("d1", "y", "a", 2);
+    assertEquals(List.of("y", "z"), record.state().lives().stream().map(Life::incarnation).toList());
     assertTrue(record.view("d1", "y", LEASE).known());
     assertFalse(record.view("d1", "x", LEASE).known());
   }
@@ -407,6 +409,34 @@
     return record.view(door, "x", LEASE).permits().stream().map(Permit::request).toList();
   }
 
+  /** Out of reach, it may serve all the same, and would go where it would have come back. */
+  @Test
+  void oneThatIsOutByItselfIsNotLetGoOverTheBudget() {
+    doors(4);
+    id(ask("r1", door("d1")));
+    at += LEASE + 1;
+    says("d1", Doing.DRAINING);
+    says("d3", Doing.READY);
+    says("d4", Doing.READY);
+    assertEquals("2 of 4 are out, 1 may be: d1, d2", waits(ask("r2", door("d2"))).why());
+  }
+
+  /** A new leader gives time to those that count as reached, and nobody back what is over. */
+  @Test
+  void aNewLeaderRevivesNoLeaseThatIsOver() {
+    doors(3);
+    at += LEASE - 1;
+    says("d1", Doing.READY);
+    at += 2;
+    says("d1", Doing.READY);
+    at = 50;
+    record.on(new Lead(at));
+    assertEquals(2, record.out(Kind.DOOR));
+    at += LEASE - 1;
+    record.on(new Command.Tick(at));
+    assertEquals(2, record.out(Kind.DOOR));
+  }
+
   /** Until it is told by what it decides. */
   @Test
   void aRecordWithoutTermsGrantsNothing() {
@@ -431,15 +461,19 @@
         refused(record.on(new Return(at, door("d1"), first, "ana"))));
     assertEquals(Stage.GRANTED, stage(door("d1")));
     record.on(new Command.Leave(at, "d2", "x"));
-    join("d2", "y", "a", false);
-    assertEquals("process d2/x has ended", refused(join("d2", "x", "a", false)));
-    join("d2", "z", "a", true);
-    assertEquals("process d2/y has ended", refused(join("d2", "y", "a", false)));
+    join("d2", "y", "a", 0);
+    assertEquals("process d2/x has ended", refused(join("d2", "x", "a", 0)));
+    join("d2", "y", "a", 3);
+    join("d2", "z", "a", 4);
+    assertEquals("process d2/y has ended", refused(join("d2", "y", "a", 0)));
+    assertEquals("process d2/v has ended", refused(join("d2", "v", "a", 2)), "held it before, heard late");
     Forget forget = new Forget(at, "f", "d2", "ana");
     record.on(forget);
-    join("d2", "w", "a", false);
+    join("d2", "w", "a", 0);
     record.on(forget);
     assertTrue(record.view("d2", "w", LEASE).known());
+    record.on(new Forget(at, "g", "d2/w", "ana"));
+    assertFalse(record.view("d2", "w", LEASE).known());
   }
 
   @Test
@@ -525,7 +559,7 @@
       case 2:
         return new Leave(at, door, "x");
       case 3:
-        return new Join(at, door, random.nextBoolean() ? "x" : "y", "a", 1, random.nextBoolean());
+        return new Join(at, door, random.nextBoolean() ? "x" : "y", "a", 1, random.nextInt(3));
       case 4:
         at = random.nextInt(5_000);
         return new Lead(at);
--- a/steward/src/main/java/willowdoor/steward/link/DoorLink.java
+++ b/steward/src/main/java/willowdoor/steward/link/DoorLink.java
@@ -2,7 +2,10 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
+import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -59,7 +62,12 @@
   private final DoorSide side;
   private final LinkClient link;
   private final Map<String, CompletableFuture<Outcome>> asked = new HashMap<>();
-  private boolean alone;
+  private final Remembered remembered;
+  private final CompletableFuture<Void> told = new CompletableFuture<>();
+  /** What is yet to be kept; null where all is. Until then no backend is said to be let go. */
+  private Map<String, Long> unsaved;
+  private final List<String> unsaid = new ArrayList<>();
+  private long generation;
   private boolean closed;
   private double wakeAt;
   private long sightVersion;
@@ -71,11 +79,21 @@
    * Begins at once.
    *
    * @param drift the most that a clock runs wrong, as a part of the time that passes
+   * @param files where processes of this door keep which backends are out: the beginning of the files' names
+   * @param generation of its holding what only one process of the door can hold; 0 while another holds it.
+   *     Only a holder goes by what was kept: another process that lives may have agreed to more since
    */
-  public DoorLink(Self self, List<InetSocketAddress> stewards, double drift, Hands hands) {
+  public DoorLink(Self self, List<InetSocketAddress> stewards, double drift, Path files, long generation,
+      Hands hands) {
     this.self = self;
     this.hands = hands;
-    side = new DoorSide(self.door(), self.incarnation(), drift);
+    remembered = new Remembered(files, self.incarnation());
+    this.generation = generation;
+    Map<String, Long> before = generation > 0 ? remembered.read() : null;
+    if (before != null) {
+      told.complete(null);
+    }
+    side = new DoorSide(self.door(), self.incarnation(), drift, before == null ? Map.of() : before);
     link = new LinkClient(loop, stewards, new Hello(1, LinkMessage.VERSION, self.group(), Role.DOOR,
         self.door(), ""));
     link.whenConnected(() -> {
@@ -84,6 +102,9 @@
     });
     loop.execute(() -> {
       link.start();
+      if (before != null) {
+        before.keySet().forEach(hands::takeOut);
+      }
       on(new DoorEvent.Woken());
     });
   }
@@ -95,13 +116,20 @@
 
   /** No attempt is out at the backend any more. */
   public void letGo(String backend) {
-    loop.execute(() -> on(new DoorEvent.LetGo(backend)));
+    loop.execute(() -> {
+      if (unsaved == null) {
+        on(new DoorEvent.LetGo(backend));
+      } else {
+        unsaid.add(backend);
+      }
+    });
   }
 
-  /** This process holds what only one process of the door can hold. */
-  public void alone() {
+  /** This process holds what only one process of the door can hold, by this number. */
+  public void holds(long number) {
     loop.execute(() -> {
-      alone = true;
+      generation = number;
+      remembered.alone();
       join();
     });
   }
@@ -129,6 +157,14 @@
     return answer;
   }
 
+  /**
+   * Completed when it is known which backends are out, by the stewards or by what one before this one kept.
+   * A door that serves earlier may send to one that an operator was told is out.
+   */
+  public CompletableFuture<Void> told() {
+    return told;
+  }
+
   /** Whether what needs agreement may begin now. */
   public boolean inContact() throws InterruptedException {
     return loop.submit(() -> side.inContact(now())).sync().getNow();
@@ -185,6 +221,11 @@
       }
     } else if (action instanceof DoorAction.WakeAt e) {
       wake(e.atMs());
+    } else if (action instanceof DoorAction.Remember e) {
+      unsaved = e.out();
+      save();
+    } else if (action instanceof DoorAction.Told) {
+      told.complete(null);
     } else if (action instanceof DoorAction.TakeOut e) {
       hands.takeOut(e.backend());
     } else if (action instanceof DoorAction.PutBack e) {
@@ -196,9 +237,28 @@
     }
   }
 
+  private void save() {
+    if (unsaved == null || closed) {
+      return;
+    }
+    try {
+      remembered.write(unsaved);
+      unsaved = null;
+      if (generation > 0) {
+        remembered.alone();
+      }
+      List<String> ready = List.copyOf(unsaid);
+      unsaid.clear();
+      ready.forEach(x -> on(new DoorEvent.LetGo(x)));
+    } catch (IOException e) {
+      LOG.warning("what is out can't be kept, so no backend is said to be let go: " + e.getMessage());
+      loop.schedule(this::save, AGAIN_MS, TimeUnit.MILLISECONDS);
+    }
+  }
+
   private void join() {
     link.ask(new Call.Put(new Command.Join(0, self.door(), self.incarnation(), self.zone(), self.weight(),
-        alone)), false, LIMIT_MS, answer -> {
+        generation)), false, LIMIT_MS, answer -> {
           if (answer instanceof Came came && came.outcome() instanceof Outcome.Refused no) {
             LOG.warning("the stewards don't take this door: " + no.why());
           }
--- a/steward/src/test/java/willowdoor/steward/link/LinkTest.java
+++ b/steward/src/test/java/willowdoor/steward/link/LinkTest.java
@@ -114,7 +114,7 @@
   @Test
   void nobodySpeaksForOthers() throws Exception {
     try (Operator ana = operator("f")) {
-      Answer answer = ana.put(new Command.Join(0, "d1", "x", "a", 1, false), LIMIT_MS);
+      Answer answer = ana.put(new Command.Join(0, "d1", "x", "a", 1, 0), LIMIT_MS);
       assertTrue(assertInstanceOf(Answer.Failed.class, answer).why().contains("a Join is not for ana"));
       answer = ana.put(new Command.Lead(0), LIMIT_MS);
       assertTrue(assertInstanceOf(Answer.Failed.class, answer).why().contains("a Lead is not for ana"));
@@ -150,7 +150,7 @@
     CompletableFuture<Void> drained = new CompletableFuture<>();
     CompletableFuture<Void> back = new CompletableFuture<>();
     DoorLink door = new DoorLink(new DoorLink.Self("f", "d1", "x", "a", 1), List.of(steward.address()), 0.01,
-        new DoorLink.Hands() {
+        folder.resolve("d1"), 1, new DoorLink.Hands() {
           @Override
           public void takeOut(String backend) { }
 
