Agreement: a steward inside a daemon, stewards replaced one at a time, the cost run

Need: a newcomer has no machine for a steward of its own; a steward whose disk was lost could not be replaced, as it may not begin anew under its old name.

Change: - `[agreement] steward = FILE` runs a steward inside a daemon, on threads of its own. In an upgrade the new process begins it again and again until the old one's disk and address are free.

Not yet run: the cost run's figures, 100 kills of the leader.

--- a/daemon/src/main/java/willowdoor/daemon/agreement/PermitsCommand.java
+++ b/daemon/src/main/java/willowdoor/daemon/agreement/PermitsCommand.java
@@ -23,6 +23,8 @@
 import willowdoor.agreement.Subject;
 import willowdoor.agreement.Subject.Kind;
 import willowdoor.net.RosterNews;
+import willowdoor.steward.Steward;
+import willowdoor.steward.StewardId;
 import willowdoor.steward.link.Answer;
 import willowdoor.steward.link.Operator;
 import willowdoor.steward.link.Standing;
@@ -31,7 +33,7 @@
 @Command(name = "permits", mixinStandardHelpOptions = true, description =
     "Takes doors and backends out of the fleet, never too many at once, and back.",
     subcommands = {PermitsCommand.Ask.class, PermitsCommand.Return.class, PermitsCommand.Forget.class,
-        PermitsCommand.Status.class},
+        PermitsCommand.Part.class, PermitsCommand.Status.class},
     footer = {"", "Exit codes: 0 yes; 1 no answer from the stewards, nothing is known of what became of it; "
         + "2 bad command line; 3 no; 4 it waits for its turn"})
 public final class PermitsCommand {
@@ -174,6 +176,32 @@
     }
   }
 
+  @Command(name = "steward", mixinStandardHelpOptions = true, description = {
+      "Changes a steward's part. One that is new first listens, then votes; one that is gone leaves.",
+      "Its address is in the others' files before."})
+  static final class Part implements Callable<Integer> {
+    @Parameters(index = "0", paramLabel = "NAME")
+    private String name;
+    @Parameters(index = "1", paramLabel = "PART", description = "${COMPLETION-CANDIDATES}")
+    private Steward.Change change;
+    @Option(names = "--disk", defaultValue = "1", description = "Default: ${DEFAULT-VALUE}.")
+    private int disk;
+    @Mixin
+    private At at;
+
+    @Override
+    public Integer call() throws InterruptedException {
+      try (Operator operator = at.operator()) {
+        Answer answer = operator.part(new StewardId(name, Integer.toString(disk)), change, at.limitMs);
+        if (!(answer instanceof Answer.Votes e)) {
+          return at.say(answer);
+        }
+        at.spec.commandLine().getOut().println("yes; these vote: " + e.voting());
+        return 0;
+      }
+    }
+  }
+
   @Command(name = "status", mixinStandardHelpOptions = true, description =
       "How all stands, by a majority's word.")
   static final class Status implements Callable<Integer> {
--- a/daemon/src/main/java/willowdoor/daemon/agreement/StewardCommand.java
+++ b/daemon/src/main/java/willowdoor/daemon/agreement/StewardCommand.java
@@ -6,9 +6,11 @@
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
+import picocli.CommandLine.ParameterException;
 import picocli.CommandLine.Spec;
 import willowdoor.daemon.config.ConfigException;
 import willowdoor.daemon.config.StewardConfig;
+import willowdoor.net.ReplacedFile;
 import willowdoor.net.Signals;
 import willowdoor.steward.link.StewardProcess;
 
@@ -26,12 +28,19 @@
       "Never for one whose disk was lost: it would forget its votes."})
   private boolean begin;
 
+  @Option(names = "--join", description = {
+      "The record's file may be new: this steward joins those who have the record, under a name or disk",
+      "number that was never theirs, and takes part once it was added (permits steward)."})
+  private boolean join;
+
   @Spec
   private CommandSpec spec;
 
   @Override
   public Integer call() throws InterruptedException {
-    try (StewardProcess steward = new StewardProcess(StewardConfig.read(config, begin))) {
+    ReplacedFile replaced = new ReplacedFile(config);
+    try (StewardProcess steward = new StewardProcess(StewardConfig.read(config, start()))) {
+      replaced.onHangUp(() -> reload(steward));
       Signals.handle("TERM", steward::end);
       Signals.handle("INT", steward::end);
       spec.commandLine().getOut().println("steward at " + steward.address());
@@ -44,6 +53,22 @@
     }
   }
 
+  private StewardProcess.Start start() {
+    if (begin && join) {
+      throw new ParameterException(spec.commandLine(), "--begin and --join (expected: one of them at most)");
+    }
+    return begin ? StewardProcess.Start.BEGIN : join ? StewardProcess.Start.JOIN : StewardProcess.Start.GO_ON;
+  }
+
+  /** Members and their addresses, nothing else; a bad file changes nothing. */
+  private void reload(StewardProcess steward) {
+    try {
+      steward.reload(StewardConfig.read(config, StewardProcess.Start.GO_ON).members());
+    } catch (ConfigException | IOException e) {
+      spec.commandLine().getErr().println("willowdoor: nothing is reloaded: " + e.getMessage());
+    }
+  }
+
   private int fail(Exception e, int code) {
     spec.commandLine().getErr().println("willowdoor: " + e.getMessage());
     return code;
--- a/daemon/src/main/java/willowdoor/daemon/config/DaemonConfig.java
+++ b/daemon/src/main/java/willowdoor/daemon/config/DaemonConfig.java
@@ -70,9 +70,10 @@
    * @param drift the most that a clock runs wrong, as a part of the time that passes
    * @param weight this door's part of the traffic, beside the other doors'
    * @param lockFile held by one process of this door at a time
+   * @param steward the configuration of a steward inside this daemon, or empty for none
    */
   public record Agreement(String fleet, List<InetSocketAddress> stewards, double drift, double weight,
-      String lockFile) { }
+      String lockFile, String steward) { }
 
   /** What the process may hold. */
   public record Limits(int descriptors, int memoryMb) { }
@@ -216,8 +217,9 @@
       if (on && lock.isEmpty()) {
         a.problem("lock_file", null, "a file that one process of this door holds at a time");
       }
+      String steward = a.text("steward", "");
       a.end();
-      return on ? new Agreement(fleet, stewards, drift, weight, lock) : null;
+      return on ? new Agreement(fleet, stewards, drift, weight, lock, steward) : null;
     }
 
     private static double answerMs(Section e, double accept) {
--- a/daemon/src/main/java/willowdoor/daemon/config/StewardConfig.java
+++ b/daemon/src/main/java/willowdoor/daemon/config/StewardConfig.java
@@ -31,9 +31,10 @@
   /**
    * Reads a file.
    *
-   * @param begin whether the steward's disk may be a new one
+   * @param start what is known of the steward's disk
    */
-  public static StewardProcess.Settings read(Path file, boolean begin) throws IOException, ConfigException {
+  public static StewardProcess.Settings read(Path file, StewardProcess.Start start)
+      throws IOException, ConfigException {
     String text;
     try {
       text = Files.readString(file);
@@ -45,7 +46,7 @@
     toml.errors().forEach(e -> problems.add(new Problem("syntax", e.position().line(),
         String.valueOf(e.getMessage()).lines().findFirst().orElse(""), "TOML 1.0")));
     StewardProcess.Settings settings = problems.isEmpty()
-        ? read(new Section("", toml, 0, problems, Section.newEffective()), begin) : null;
+        ? read(new Section("", toml, 0, problems, Section.newEffective()), start) : null;
     if (!problems.isEmpty()) {
       problems.sort(null);
       throw new ConfigException(file, problems);
@@ -53,7 +54,7 @@
     return settings;
   }
 
-  private static StewardProcess.Settings read(Section root, boolean begin) {
+  private static StewardProcess.Settings read(Section root, StewardProcess.Start start) {
     Section s = root.table("steward");
     String name = s.text("name", null);
     String fleet = s.text("fleet", "fleet");
@@ -76,7 +77,7 @@
     Terms terms = terms(root.table("terms"));
     root.end();
     return self == null ? null : new StewardProcess.Settings(fleet, self, members.get(self), Path.of(store),
-        members, terms, begin);
+        members, terms, start);
   }
 
   private static Terms terms(Section t) {
--- a/daemon/src/main/java/willowdoor/daemon/fleet/AgreedCommand.java
+++ b/daemon/src/main/java/willowdoor/daemon/fleet/AgreedCommand.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.Callable;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -20,22 +21,27 @@
 import willowdoor.net.RosterNews;
 import willowdoor.testkit.BackendPark;
 import willowdoor.testkit.ClientFleet;
+import willowdoor.testkit.DoorProcess;
 import willowdoor.testkit.Judge;
 import willowdoor.testkit.Judge.Verdict;
+import willowdoor.testkit.Ledger;
 import willowdoor.testkit.Terms;
 
 /** Runs stewards and doors under load, breaks what is between them, and judges what came of it. */
 @Command(name = "agreed", mixinStandardHelpOptions = true, description = {
     "Runs stewards and doors, each a process, under load, with operators who take doors and backends out.",
     "  schedules  links and processes break by seeds; what operators and requests met is judged",
-    "  leader     how long nothing is agreed on after the leader was killed"})
+    "  leader     how long nothing is agreed on after the leader was killed",
+    "  cost       side by side: without agreement and with it"})
 public final class AgreedCommand implements Callable<Integer> {
 
-  enum Run { schedules, leader }
+  enum Run { schedules, leader, cost }
 
   private static final double WITHIN_MS = 5_000;
   private static final long TIDY_LIMIT_MS = 30_000;
   private static final int BUDGET = 2;
+  private static final long COST_WARM_MS = 15_000;
+  private static final long COST_MS = 30_000;
   /** Longer than any lease lasts through the elections of one schedule, and any answer is late. */
   private static final double LAPSE_MS = 15_000;
 
@@ -63,6 +69,12 @@
     out.printf("%d stewards, %d doors, %.0f requests/s, at most %d doors and %d backends out, from seed %d%n",
         stewards, doors, rate, BUDGET, BUDGET, seed);
     out.flush();
+    if (what == Run.cost) {
+      for (boolean on : new boolean[] {false, true, false, true}) {
+        cost(on);
+      }
+      return 0;
+    }
     try (FleetRun run = new FleetRun(Terms.usual(), new BackendPark.Make(8, 4, 32, 5, 10), doors, seed);
         Stewards keepers = new Stewards(run, stewards, "lease_ms = 1500\ndoors_out = " + BUDGET
             + "\nbackends_out = " + BUDGET + "\n")) {
@@ -74,6 +86,50 @@
     }
   }
 
+  private void cost(boolean on) throws IOException, InterruptedException {
+    try (FleetRun run = new FleetRun(Terms.usual(), new BackendPark.Make(8, 4, 32, 5, 10), doors, seed);
+        Stewards keepers = on ? new Stewards(run, stewards, "") : null) {
+      if (on) {
+        keepers.start();
+      }
+      run.start(new ClientFleet.Load(rate, 40, 0.1, 5, 1));
+      run.clients().begin();
+      Thread.sleep(COST_WARM_MS);
+      double from = run.rig().ledger().now();
+      double doorCpu = cpu(run.doors());
+      double keeperCpu = on ? cpu(keepers.processes()) : 0;
+      long[] passed = on ? keepers.passed() : new long[2];
+      long index = on ? keepers.look().index() : 0;
+      Thread.sleep(COST_MS);
+      double seconds = (run.rig().ledger().now() - from) / 1_000;
+      doorCpu = cpu(run.doors()) - doorCpu;
+      Histogram took = new Histogram(3);
+      double begun = from;
+      run.rig().ledger().histories().forEach((id, history) -> {
+        double asked = history.get(0).atMs();
+        history.stream().filter(e -> e.kind() == Ledger.Kind.ANSWERED && e.amount() == 200 && asked > begun)
+            .forEach(e -> took.recordValue((long) ((e.atMs() - asked) * 1_000)));
+      });
+      out.printf(Locale.ROOT, "agreement %s: %.0f answers/s, p50 %.2f ms, p99 %.2f ms; doors %.2f ms of CPU"
+          + " an answer, %.1f%% of a core a door%n", on ? "on " : "off", took.getTotalCount() / seconds,
+          took.getValueAtPercentile(50) / 1e3, took.getValueAtPercentile(99) / 1e3,
+          doorCpu * 1_000 / took.getTotalCount(), doorCpu / seconds / doors * 100);
+      if (on) {
+        long[] after = keepers.passed();
+        out.printf(Locale.ROOT, "  stewards: %.1f%% of a core together, %.0f commands/s; %.0f bytes/s a door,"
+            + " %.0f between stewards; %d KiB on the first one's disk%n",
+            (cpu(keepers.processes()) - keeperCpu) / seconds * 100,
+            (keepers.look().index() - index) / seconds, (after[0] - passed[0]) / seconds / doors,
+            (after[1] - passed[1]) / seconds, keepers.stored(0) / 1_024);
+      }
+      out.flush();
+    }
+  }
+
+  private static double cpu(List<DoorProcess> processes) {
+    return processes.stream().mapToDouble(DoorProcess::cpuSeconds).sum();
+  }
+
   private Map<Subject, String> subjects() {
     Map<Subject, String> all = new LinkedHashMap<>();
     IntStream.range(0, doors).forEach(i -> all.put(new Subject(Kind.DOOR, "d" + i), "d" + i));
--- a/daemon/src/main/java/willowdoor/daemon/fleet/Stewards.java
+++ b/daemon/src/main/java/willowdoor/daemon/fleet/Stewards.java
@@ -152,6 +152,32 @@
     }
   }
 
+  /** Bytes between doors and stewards so far, and between stewards. */
+  long[] passed() {
+    long[] sums = new long[2];
+    for (Relay[] door : doors) {
+      for (Relay link : door) {
+        sums[0] += link.passed();
+      }
+    }
+    for (Relay[] steward : between) {
+      for (Relay link : steward) {
+        sums[1] += link == null ? 0 : link.passed();
+      }
+    }
+    return sums;
+  }
+
+  /** Bytes of a steward's record on its disk. */
+  long stored(int steward) throws IOException {
+    long sum = 0;
+    for (String end : new String[] {"", "-wal"}) {
+      Path file = run.folder().resolve("s" + steward + ".db" + end);
+      sum += Files.exists(file) ? Files.size(file) : 0;
+    }
+    return sum;
+  }
+
   /** All links whole, all processes there and going on. */
   void mend() {
     for (int i = 0; i < processes.size(); i++) {
--- a/daemon/src/main/java/willowdoor/daemon/life/Daemon.java
+++ b/daemon/src/main/java/willowdoor/daemon/life/Daemon.java
@@ -10,6 +10,7 @@
 import java.util.logging.Logger;
 import willowdoor.daemon.config.ConfigException;
 import willowdoor.daemon.config.DaemonConfig;
+import willowdoor.daemon.config.StewardConfig;
 import willowdoor.extauthz.ExtAuthzGate;
 import willowdoor.fairgate.FairGate;
 import willowdoor.fairness.FairCounts;
@@ -22,6 +23,7 @@
 import willowdoor.net.FrontDoor;
 import willowdoor.net.Gate;
 import willowdoor.net.GateChain;
+import willowdoor.steward.link.StewardProcess;
 import willowdoor.valkey.ValkeyStore;
 
 /**
@@ -45,6 +47,7 @@
   private FairGate fair;
   /** Null where the fleet agrees on nothing. */
   private volatile Agreement agreement;
+  private InnerSteward steward;
 
   private Daemon(DaemonConfig config, Path file) throws InterruptedException {
     this.config = config;
@@ -139,17 +142,36 @@
   /** Without agreement none of its classes is loaded. */
   private void agree() throws IOException, InterruptedException {
     if (config.agreement() != null) {
+      if (!config.agreement().steward().isEmpty()) {
+        steward = new InnerSteward(settings(Path.of(config.agreement().steward())));
+      }
       agreement = new Agreement(door, instance, config, ProcessHandle.current().pid() + "-"
           + Long.toHexString(new SecureRandom().nextLong()));
     }
   }
 
+  /**
+   * A lone steward may begin on an empty disk, as there is nobody to whom it could have promised anything.
+   * One of several has to be begun by {@code willowdoor steward --begin}.
+   */
+  private static StewardProcess.Settings settings(Path file) throws IOException {
+    try {
+      StewardProcess.Settings read = StewardConfig.read(file, StewardProcess.Start.GO_ON);
+      return read.members().size() > 1 ? read : StewardConfig.read(file, StewardProcess.Start.BEGIN);
+    } catch (ConfigException e) {
+      throw new IOException("agreement.steward: " + e.getMessage(), e);
+    }
+  }
+
   /** Waits for the end, and tells the fleet of it; the exit code. */
   public int awaitEnd() {
     int code = ended().join();
     if (agreement != null) {
       agreement.close();
     }
+    if (steward != null) {
+      steward.close();
+    }
     return code;
   }
 
@@ -225,6 +247,9 @@
     if (gate != null) {
       gate.close();
     }
+    if (steward != null) {
+      steward.close();
+    }
     door.stop();
   }
 
--- /dev/null
+++ b/daemon/src/test/java/willowdoor/daemon/fleet/InnerStewardTest.java
@@ -0,0 +1,79 @@
+package willowdoor.daemon.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.function.Predicate;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import willowdoor.agreement.Command.Ask;
+import willowdoor.agreement.Command.Return;
+import willowdoor.agreement.Outcome.Granted;
+import willowdoor.agreement.Permit.Stage;
+import willowdoor.agreement.Subject;
+import willowdoor.agreement.Subject.Kind;
+import willowdoor.net.RosterNews;
+import willowdoor.steward.link.Answer;
+import willowdoor.steward.link.Operator;
+import willowdoor.steward.link.Standing;
+import willowdoor.testkit.BackendPark;
+import willowdoor.testkit.ClientFleet;
+import willowdoor.testkit.Judge;
+import willowdoor.testkit.StandIns;
+import willowdoor.testkit.Terms;
+
+/** A newcomer's fleet: one daemon, with the steward inside. */
+@Timeout(120)
+class InnerStewardTest {
+
+  private static final long LIMIT_MS = 20_000;
+
+  private static void await(Operator operator, String what, Predicate<Standing> condition) {
+    assertTrue(FleetRun.until(() -> {
+      try {
+        return operator.look(1_000) instanceof Answer.Stands s && condition.test(s.standing());
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+        return false;
+      }
+    }, LIMIT_MS), what);
+  }
+
+  /** The process is replaced, then killed: what was agreed on is there, nothing goes to what is out. */
+  @Test
+  void outlivesItsDaemonsProcess() throws Exception {
+    try (FleetRun run = new FleetRun(Terms.usual(), new BackendPark.Make(3, 4, 32, 5, 10), 1, 7)) {
+      String address = StandIns.text(run.address(0, 7_101));
+      Path file = Files.writeString(run.folder().resolve("steward.toml"), "[steward]\nname = \"a\"\nstore = "
+          + '"' + run.folder().resolve("a.db") + "\"\n[[member]]\nname = \"a\"\naddress = \"" + address
+          + "\"\n[terms]\nlease_ms = 1500\n");
+      run.more("[agreement]\nenabled = true\nstewards = [\"" + address + "\"]\nsteward = \"" + file + "\"\n");
+      run.rig().budgets(new Judge.Budgets(1, 1, x -> x.startsWith("d"), 15_000));
+      run.start(new ClientFleet.Load(40, 10, 0.1, 5, 1));
+      run.clients().begin();
+      Subject b0 = new Subject(Kind.BACKEND, Long.toHexString(RosterNews.number("b0")));
+      try (Operator ana = new Operator("fleet", "ana", List.of(run.address(0, 7_101)))) {
+        await(ana, "all known", s -> s.backends() == 3 && s.doorsOut() == 0);
+        Answer answer = ana.put(new Ask(0, "r1", b0, "ana", "disk", false), LIMIT_MS);
+        Granted granted = assertInstanceOf(Granted.class,
+            assertInstanceOf(Answer.Came.class, answer).outcome());
+        await(ana, "out", s -> s.permits().get(0).stage() == Stage.OUT);
+        run.rig().ledger().machine(willowdoor.testkit.Ledger.Kind.OUT, "b0", "");
+        assertTrue(run.replace(0, LIMIT_MS), () -> "replaced");
+        await(ana, "out after the upgrade",
+            s -> s.permits().get(0).stage() == Stage.OUT && s.doorsOut() == 0);
+        run.doors().get(0).kill();
+        run.doors().get(0).start();
+        await(ana, "out after the kill", s -> s.permits().get(0).stage() == Stage.OUT && s.doorsOut() == 0);
+        run.rig().ledger().machine(willowdoor.testkit.Ledger.Kind.GIVEN_BACK, "b0", "");
+        ana.put(new Return(0, b0, granted.permit(), "ana"), LIMIT_MS);
+        await(ana, "back", s -> s.permits().isEmpty());
+      }
+      Judge.Verdict verdict = run.finish();
+      assertTrue(verdict.kept(), verdict::toString);
+    }
+  }
+}
--- a/emulator/src/main/java/willowdoor/emulator/agreement/StewardWorld.java
+++ b/emulator/src/main/java/willowdoor/emulator/agreement/StewardWorld.java
@@ -48,6 +48,7 @@
       new PriorityQueue<>(Comparator.comparingDouble(Task::at).thenComparingLong(Task::order));
   private final List<Task> held = new ArrayList<>();
 
+  private List<StewardId> initial = List.of();
   private final Path folder;
   private final int snapshotAfter;
   private final Terms terms;
@@ -68,11 +69,23 @@
       disks.add(null);
       lives.add(0);
     }
+    initial = List.copyOf(ids);
     for (int i = 0; i < n; i++) {
       begin(i);
     }
   }
 
+  /** One more, which joins those who are there. */
+  int join() throws IOException {
+    int me = ids.size();
+    ids.add(new StewardId("s" + me, "disk" + me));
+    stewards.add(null);
+    disks.add(null);
+    lives.add(0);
+    begin(me);
+    return me;
+  }
+
   /** Begins a steward's process on what is on its disk. */
   void begin(int me) throws IOException {
     int life = lives.get(me) + 1;
@@ -81,7 +94,7 @@
     Random own = new Random(random.nextLong());
     // Clocks that have nothing to do with each other.
     double ahead = own.nextInt(1_000_000);
-    stewards.set(me, new Steward(ids.get(me), ids, terms, new Surroundings() {
+    stewards.set(me, new Steward(ids.get(me), initial, terms, new Surroundings() {
       @Override
       public double now() {
         return now + ahead;
--- a/emulator/src/test/java/willowdoor/emulator/agreement/StewardWorldTest.java
+++ b/emulator/src/test/java/willowdoor/emulator/agreement/StewardWorldTest.java
@@ -29,6 +29,7 @@
 import willowdoor.agreement.Subject;
 import willowdoor.agreement.Subject.Kind;
 import willowdoor.steward.Steward;
+import willowdoor.steward.StewardId;
 
 class StewardWorldTest {
 
@@ -149,6 +150,49 @@
     assertEquals(100, world.stewards.get(away).record().state().permits().size());
   }
 
+  private static void changed(StewardWorld world, Set<Integer> not, StewardId who, Steward.Change change) {
+    double limit = world.now + 20_000;
+    while (world.now < limit) {
+      int leader = world.leader(not);
+      if (leader >= 0) {
+        CompletableFuture<List<StewardId>> answer = world.stewards.get(leader).change(who, change);
+        world.until(world.now + 1_000, answer::isDone);
+        if (answer.isDone() && !answer.isCompletedExceptionally()) {
+          return;
+        }
+      }
+      world.run(50);
+    }
+    throw new AssertionError(who + " not changed to " + change + " in 20 s");
+  }
+
+  /** A disk is lost. Another takes its place without a stop; then the old ones go one by one. */
+  @Test
+  void stewardsAreReplacedOneAtATime() throws Exception {
+    StewardWorld world = begun(3, 6, 1, 20);
+    world.agreed(Set.of(), backends(3));
+    assertInstanceOf(Granted.class, world.agreed(Set.of(), ask("r1", "b1")));
+    Set<Integer> gone = new java.util.HashSet<>();
+    for (int old = 2; old >= 0; old--) {
+      world.kill(old);
+      gone.add(old);
+      for (int i = 0; i < 30; i++) {
+        world.agreed(gone, Command.Tick::new);
+      }
+      StewardId fresh = world.ids.get(world.join());
+      changed(world, gone, fresh, Steward.Change.LISTEN);
+      changed(world, gone, fresh, Steward.Change.VOTE);
+      changed(world, gone, world.ids.get(old), Steward.Change.LEAVE);
+    }
+    assertInstanceOf(Waiting.class, world.agreed(gone, ask("r2", "b2")));
+    int leader = world.leader(gone);
+    assertEquals(3, world.stewards.get(leader).voting().size());
+    assertEquals(1, world.stewards.get(leader).record().out(Kind.BACKEND));
+    world.kill(leader);
+    gone.add(leader);
+    assertInstanceOf(Granted.class, world.agreed(gone, ask("r1", "b1")));
+  }
+
   /** Links that lose and delay, splits, processes that stand still: one record, and what was told holds. */
   @Test
   void whatWasToldHoldsThroughFaultsByChance() throws Exception {
--- a/steward/src/main/java/willowdoor/steward/Steward.java
+++ b/steward/src/main/java/willowdoor/steward/Steward.java
@@ -1,5 +1,6 @@
 package willowdoor.steward;
 
+import io.microraft.MembershipChangeMode;
 import io.microraft.RaftConfig;
 import io.microraft.RaftEndpoint;
 import io.microraft.RaftNode;
@@ -46,7 +47,8 @@
   /**
    * Begins with {@link #start}.
    *
-   * @param members those who begin the record together, this one among them
+   * @param members those who begin the record together, this one among them; for one that joins them later
+   *     the others, and it takes part once it was added ({@link #change})
    * @param first the terms that it tells a record that has none, where it leads
    * @param send to another, with no answer and no promise that it arrives
    * @param reachable whether it may be worth sending to it
@@ -132,12 +134,50 @@
    */
   public CompletableFuture<Outcome> propose(DoubleFunction<Command> command) {
     if (!leads()) {
-      return CompletableFuture.failedFuture(new NotLeaderException(node.getLocalEndpoint(),
-          node.getTerm().getLeaderEndpoint()));
+      return notLeading();
     }
     return node.<Outcome>replicate(Codec.bytes(command.apply(around.now()))).thenApply(x -> x.getResult());
   }
 
+  /** How a steward's part changes. */
+  public enum Change {
+    /** It hears what is agreed on and has no vote: to catch up by. */
+    LISTEN,
+    /** It has a vote. */
+    VOTE,
+    /** It takes part no longer. */
+    LEAVE
+  }
+
+  /**
+   * Has a steward's part changed, one at a time; fails as {@link #propose} does, and while another change is
+   * not over. One whose disk was lost takes part again under another disk's name only.
+   *
+   * @return those who vote then
+   */
+  public CompletableFuture<List<StewardId>> change(StewardId who, Change change) {
+    if (!leads()) {
+      return notLeading();
+    }
+    MembershipChangeMode mode = switch (change) {
+      case LISTEN -> MembershipChangeMode.ADD_LEARNER;
+      case VOTE -> MembershipChangeMode.ADD_OR_PROMOTE_TO_FOLLOWER;
+      case LEAVE -> MembershipChangeMode.REMOVE_MEMBER;
+    };
+    return node.changeMembership(who, mode, node.getCommittedMembers().getLogIndex())
+        .thenApply(x -> voting());
+  }
+
+  /** Those who vote, as far as this one knows. */
+  public List<StewardId> voting() {
+    return node.getCommittedMembers().getVotingMembers().stream().map(StewardId.class::cast).toList();
+  }
+
+  private <T> CompletableFuture<T> notLeading() {
+    return CompletableFuture.failedFuture(new NotLeaderException(node.getLocalEndpoint(),
+        node.getTerm().getLeaderEndpoint()));
+  }
+
   /** Whether it believes that it leads; what it proposes shows whether it does. */
   public boolean leads() {
     return node.getLocalEndpoint().equals(node.getTerm().getLeaderEndpoint());
--- a/steward/src/main/java/willowdoor/steward/link/Answer.java
+++ b/steward/src/main/java/willowdoor/steward/link/Answer.java
@@ -1,7 +1,9 @@
 package willowdoor.steward.link;
 
+import java.util.List;
 import willowdoor.agreement.Outcome;
 import willowdoor.agreement.View;
+import willowdoor.steward.StewardId;
 
 /** What a {@link Call} came to. */
 public sealed interface Answer {
@@ -12,6 +14,15 @@
   /** The heartbeat was agreed on. */
   record Seen(View view) implements Answer { }
 
+  /** The part was changed; these vote now. */
+  record Votes(List<StewardId> voting) implements Answer {
+
+    /** Keeps a copy. */
+    public Votes {
+      voting = List.copyOf(voting);
+    }
+  }
+
   /** How all stands. */
   record Stands(Standing standing) implements Answer { }
 
--- a/steward/src/main/java/willowdoor/steward/link/Call.java
+++ b/steward/src/main/java/willowdoor/steward/link/Call.java
@@ -1,6 +1,8 @@
 package willowdoor.steward.link;
 
 import willowdoor.agreement.Command;
+import willowdoor.steward.Steward;
+import willowdoor.steward.StewardId;
 
 /** What is asked of the stewards, at any of them. */
 public sealed interface Call {
@@ -11,6 +13,9 @@
   /** Take a heartbeat, and tell what the record knows for this door. */
   record Beat(Command.Beat beat) implements Call { }
 
+  /** Have a steward's part changed. */
+  record Part(StewardId who, Steward.Change change) implements Call { }
+
   /** Tell how all stands, by a majority's word. */
   record Look() implements Call { }
 }
--- a/steward/src/main/java/willowdoor/steward/link/Operator.java
+++ b/steward/src/main/java/willowdoor/steward/link/Operator.java
@@ -9,6 +9,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import willowdoor.agreement.Command;
+import willowdoor.steward.Steward;
+import willowdoor.steward.StewardId;
 import willowdoor.steward.link.Answer.Failed;
 import willowdoor.steward.link.LinkMessage.Hello;
 import willowdoor.steward.link.LinkMessage.Role;
@@ -34,6 +36,11 @@
     return call(new Call.Put(command), limitMs);
   }
 
+  /** Has a steward's part changed. */
+  public Answer part(StewardId who, Steward.Change change, long limitMs) throws InterruptedException {
+    return call(new Call.Part(who, change), limitMs);
+  }
+
   /** How all stands, by a majority's word. */
   public Answer look(long limitMs) throws InterruptedException {
     return call(new Call.Look(), limitMs);
--- a/steward/src/main/java/willowdoor/steward/link/StewardProcess.java
+++ b/steward/src/main/java/willowdoor/steward/link/StewardProcess.java
@@ -34,6 +34,7 @@
 import willowdoor.steward.link.Answer.Failed;
 import willowdoor.steward.link.Answer.Seen;
 import willowdoor.steward.link.Answer.Stands;
+import willowdoor.steward.link.Answer.Votes;
 import willowdoor.steward.link.LinkMessage.Ask;
 import willowdoor.steward.link.LinkMessage.Hello;
 import willowdoor.steward.link.LinkMessage.Role;
@@ -53,10 +54,10 @@
    * @param group the fleet's name, the same at all of its stewards and doors
    * @param members those who begin the record together, with their addresses, this one among them
    * @param first the terms of a record that was told none yet
-   * @param begin whether the disk may be a new one
+   * @param start what is known of its disk
    */
   public record Settings(String group, StewardId self, InetSocketAddress listen, Path store,
-      Map<StewardId, InetSocketAddress> members, Terms first, boolean begin) {
+      Map<StewardId, InetSocketAddress> members, Terms first, Start start) {
 
     /** Keeps a copy. */
     public Settings {
@@ -64,6 +65,16 @@
     }
   }
 
+  /** What is known of a steward's disk as it starts. */
+  public enum Start {
+    /** It holds the record. */
+    GO_ON,
+    /** It may be new: this one begins the record, with the others. */
+    BEGIN,
+    /** It may be new: this one joins those who have the record, and is added by them. */
+    JOIN
+  }
+
   private static final Logger LOG = Logger.getLogger(StewardProcess.class.getName());
   /** Heartbeats wait so long for others. */
   private static final long GATHER_MS = 20;
@@ -81,6 +92,7 @@
   private final EventLoop loop = group.next();
   private final DiskStore store;
   private final Map<StewardId, LinkClient> links = new HashMap<>();
+  private final Map<StewardId, InetSocketAddress> addresses = new HashMap<>();
   private final List<Gathered> gathered = new ArrayList<>();
   private final CompletableFuture<Integer> ended = new CompletableFuture<>();
   private Steward steward;
@@ -93,11 +105,11 @@
    */
   public StewardProcess(Settings settings) throws IOException, InterruptedException {
     this.settings = settings;
-    if (!settings.begin() && !Files.exists(settings.store())) {
+    if (settings.start() == Start.GO_ON && !Files.exists(settings.store())) {
       group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
       throw new IOException("there is no record at " + settings.store() + " (expected: the one that this"
           + " steward kept; --begin makes a new one, of a steward that has promised nothing yet. If the disk"
-          + " was lost, the others have to replace this steward by one with another disk number)");
+          + " was lost, count its disk number up, --join with that, and have the others add it)");
     }
     store = new DiskStore(settings.store());
     try {
@@ -109,14 +121,12 @@
   }
 
   private void start() throws IOException, InterruptedException {
-    for (Map.Entry<StewardId, InetSocketAddress> other : settings.members().entrySet()) {
-      if (!other.getKey().equals(settings.self())) {
-        links.put(other.getKey(), new LinkClient(loop, List.of(other.getValue()),
-            new Hello(1, LinkMessage.VERSION, settings.group(), Role.STEWARD, settings.self().name(),
-                settings.self().store())));
-      }
+    settings.members().forEach(this::link);
+    Set<StewardId> first = new HashSet<>(settings.members().keySet());
+    if (settings.start() == Start.JOIN) {
+      first.remove(settings.self());
     }
-    steward = new Steward(settings.self(), settings.members().keySet(), settings.first(), new Surroundings() {
+    steward = new Steward(settings.self(), first, settings.first(), new Surroundings() {
       private final Random random = new Random();
 
       @Override
@@ -149,6 +159,35 @@
     loop.scheduleWithFixedDelay(this::look, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
   }
 
+  private LinkClient link(StewardId other, InetSocketAddress address) {
+    if (other.equals(settings.self())) {
+      return null;
+    }
+    LinkClient link = new LinkClient(loop, List.of(address), new Hello(1, LinkMessage.VERSION,
+        settings.group(), Role.STEWARD, settings.self().name(), settings.self().store()));
+    LinkClient before = links.put(other, link);
+    if (before != null) {
+      before.close();
+    }
+    addresses.put(other, address);
+    return link;
+  }
+
+  /**
+   * Takes further stewards, and other addresses of those it knows, from a configuration that was replaced.
+   * Who votes is not changed by that, but by {@link Call.Part}.
+   */
+  public void reload(Map<StewardId, InetSocketAddress> members) {
+    loop.execute(() -> members.forEach((other, address) -> {
+      if (!address.equals(addresses.get(other))) {
+        LinkClient link = link(other, address);
+        if (link != null) {
+          link.start();
+        }
+      }
+    }));
+  }
+
   private void look() {
     if (steward.ended() && !ended.isDone()) {
       LOG.severe("steward " + settings.self().name() + " can't go on: its disk failed, or the others have put"
@@ -235,6 +274,9 @@
     if (ask.call() instanceof Call.Beat e) {
       return door && e.beat().door().equals(by.name()) ? null : by.name() + " is not door " + e.beat().door();
     }
+    if (ask.call() instanceof Call.Part) {
+      return door ? "a steward's part is not for " + by.name() + " to change" : null;
+    }
     if (!(ask.call() instanceof Call.Put put)) {
       return null;
     }
@@ -262,6 +304,8 @@
       gather(new Gathered(e.beat(), answer));
     } else if (call instanceof Call.Put e) {
       propose(e.command()::at, outcome -> answer.accept(new Came(outcome)), answer);
+    } else if (call instanceof Call.Part e) {
+      answered(steward.change(e.who(), e.change()), voting -> answer.accept(new Votes(voting)), answer);
     } else {
       propose(Command.Tick::new, outcome -> answer.accept(new Stands(standing())), answer);
     }
@@ -276,6 +320,10 @@
       failed.accept(new Failed(e.getMessage(), false));
       return;
     }
+    answered(agreed, then, failed);
+  }
+
+  private <T> void answered(CompletableFuture<T> agreed, Consumer<T> then, Consumer<Answer> failed) {
     agreed.whenComplete((outcome, failure) -> {
       if (failure == null) {
         then.accept(outcome);
--- a/steward/src/test/java/willowdoor/steward/link/LinkTest.java
+++ b/steward/src/test/java/willowdoor/steward/link/LinkTest.java
@@ -57,7 +57,7 @@
     InetSocketAddress any = new InetSocketAddress("127.0.0.1", 0);
     Budget one = new Budget(Most.of(1), Most.ANY, 0);
     return new StewardProcess.Settings("f", self, any, folder.resolve("a.db"), Map.of(self, any),
-        new Terms(one, one, 1_500), begin);
+        new Terms(one, one, 1_500), begin ? StewardProcess.Start.BEGIN : StewardProcess.Start.GO_ON);
   }
 
   private Operator operator(String fleet) {
--- a/testkit/src/main/java/willowdoor/testkit/Relay.java
+++ b/testkit/src/main/java/willowdoor/testkit/Relay.java
@@ -18,6 +18,7 @@
 import java.util.HashSet;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 
 /**
  * A link between two processes that breaks when told to: whoever connects here is connected to the target.
@@ -55,6 +56,7 @@
   private final Channel listening;
   private final Set<Channel> open = new HashSet<>();
   private final java.util.Random random;
+  private final AtomicLong passed = new AtomicLong();
   private volatile Mode mode = Mode.WHOLE;
 
   /** A whole one. */
@@ -77,6 +79,11 @@
     return (InetSocketAddress) listening.localAddress();
   }
 
+  /** Bytes that came through, both ways together. */
+  public long passed() {
+    return passed.get();
+  }
+
   /** Has it be so from here on. */
   public void set(Mode other) {
     mode = other;
@@ -159,6 +166,7 @@
         int size = drop ? 1 : first.readableBytes();
         to.writeAndFlush(first.readRetainedSlice(size));
         bytes -= size;
+        passed.addAndGet(size);
         if (!first.isReadable()) {
           waiting.poll().release();
           if (mode == Mode.LATE) {
