--- a/steward/src/main/java/willowdoor/steward/StewardId.java
+++ b/steward/src/main/java/willowdoor/steward/StewardId.java
@@ -1,5 +1,6 @@
 package willowdoor.steward;
 
+import com.fasterxml.jackson.annotation.JsonIgnore;
 import io.microraft.RaftEndpoint;
 
 /**
@@ -12,6 +13,7 @@
 public record StewardId(String name, String store) implements RaftEndpoint {
 
   @Override
+  @JsonIgnore
   public Object getId() {
     return name + "@" + store;
   }
