Test of a door started without contact: of its zone, and down before it is up

Two things: the clients had not yet missed the killed door when "it serves" was asked, and the backend was of the other zone, where this door sends last. Now the backend is of its own zone, and the door is missed first.

Seen: red with the plant (sent to b1 6.7 s after it was told out), green without.

--- a/daemon/src/test/java/willowdoor/daemon/fleet/AgreedTest.java
+++ b/daemon/src/test/java/willowdoor/daemon/fleet/AgreedTest.java
@@ -197,17 +197,19 @@
   /** Begun anew while no steward is reached, it goes by what the process before it kept. */
   @Test
   void aDoorThatIsStartedWithoutContactSendsToNoneThatIsOut() throws Exception {
-    granted(backend(0), "b0");
-    awaitOut(0);
+    // Of its own zone, where it would send first.
+    granted(backend(1), "b1");
+    awaitOut(1);
     stewards.door(1, Relay.Mode.CUT);
     run.doors().get(1).kill();
+    await("d1 is missed", () -> !run.clients().up(1));
     run.doors().get(1).start();
     await("d1 serves", () -> run.clients().up(1));
     FleetRun.sleep(1_500);
     stewards.door(1, Relay.Mode.WHOLE);
     FleetRun.sleep(500);
-    giveBack(backend(0), "b0");
-    await("back", () -> stage(backend(0)) == null);
+    giveBack(backend(1), "b1");
+    await("back", () -> stage(backend(1)) == null);
     kept();
   }
 
