--- a/daemon/src/main/java/willowdoor/daemon/fleet/AgreedCommand.java
+++ b/daemon/src/main/java/willowdoor/daemon/fleet/AgreedCommand.java
@@ -99,7 +99,7 @@
       double doorCpu = cpu(run.doors());
       double keeperCpu = on ? cpu(keepers.processes()) : 0;
       long[] passed = on ? keepers.passed() : new long[2];
-      long index = on ? keepers.look().index() : 0;
+      long index = on ? keepers.awaitLook().index() : 0;
       Thread.sleep(COST_MS);
       double seconds = (run.rig().ledger().now() - from) / 1_000;
       doorCpu = cpu(run.doors()) - doorCpu;
@@ -119,7 +119,7 @@
         out.printf(Locale.ROOT, "  stewards: %.1f%% of a core together, %.0f commands/s; %.0f bytes/s a door,"
             + " %.0f between stewards; %d KiB on the first one's disk%n",
             (cpu(keepers.processes()) - keeperCpu) / seconds * 100,
-            (keepers.look().index() - index) / seconds, (after[0] - passed[0]) / seconds / doors,
+            (keepers.awaitLook().index() - index) / seconds, (after[0] - passed[0]) / seconds / doors,
             (after[1] - passed[1]) / seconds, keepers.stored(0) / 1_024);
       }
       out.flush();
--- a/daemon/src/main/java/willowdoor/daemon/fleet/Stewards.java
+++ b/daemon/src/main/java/willowdoor/daemon/fleet/Stewards.java
@@ -107,6 +107,16 @@
     }
   }
 
+  /** The same, asked until somebody says so. */
+  Standing awaitLook() {
+    Standing standing = look();
+    while (standing == null) {
+      FleetRun.sleep(50);
+      standing = look();
+    }
+    return standing;
+  }
+
   Operator operator(String by) {
     return new Operator("fleet", by,
         IntStream.range(0, processes.size()).mapToObj(this::address).toList());
