Agreement: a link between stewards that says nothing is begun again

Cause: what goes between stewards is answered over another link, so a connection whose other end was gone without a word (a machine that lost its network, then its process) was written into until TCP gave up, minutes later; calls had a limit, the stewards' own messages had none.

Change: each link is asked whether it is there every 0.5 s, and begun again where no answer comes in 2 s. A schedule that doesn't come back prints what the stewards said.

--- a/daemon/src/main/java/willowdoor/daemon/fleet/AgreedCommand.java
+++ b/daemon/src/main/java/willowdoor/daemon/fleet/AgreedCommand.java
@@ -138,7 +138,7 @@
     return all;
   }
 
-  private int schedules(FleetRun run, Stewards keepers) throws InterruptedException {
+  private int schedules(FleetRun run, Stewards keepers) throws InterruptedException, IOException {
     Map<Subject, String> subjects = subjects();
     AgreedOperator.Counts counts = new AgreedOperator.Counts();
     int untidy = 0;
@@ -163,6 +163,12 @@
       if (!AgreedOperator.tidy(keepers, run.rig().ledger(), subjects, TIDY_LIMIT_MS)) {
         untidy++;
         out.println("BREACH: not all is back " + TIDY_LIMIT_MS + " ms after all is whole: " + keepers.look());
+        for (int k = 0; k < stewards; k++) {
+          out.printf("steward %d %s, and printed last:%n", k, keepers.processes().get(k).alive() ? "lives"
+              : "is dead");
+          keepers.log(k).lines().skip(Math.max(0, keepers.log(k).lines().count() - 12)).forEach(out::println);
+        }
+        out.flush();
       }
     }
     Verdict verdict = run.finish();
--- a/steward/src/main/java/willowdoor/steward/link/Call.java
+++ b/steward/src/main/java/willowdoor/steward/link/Call.java
@@ -16,6 +16,9 @@
   /** Have a steward's part changed. */
   record Part(StewardId who, Steward.Change change) implements Call { }
 
+  /** Say that the link is there. */
+  record Ping() implements Call { }
+
   /** Tell how all stands, by a majority's word. */
   record Look() implements Call { }
 }
--- a/steward/src/main/java/willowdoor/steward/link/StewardProcess.java
+++ b/steward/src/main/java/willowdoor/steward/link/StewardProcess.java
@@ -84,6 +84,8 @@
   private static final long PASS_ON_LIMIT_MS = 800;
   private static final int SNAPSHOT_AFTER = 10_000;
   private static final long LOOK_MS = 100;
+  private static final long PING_MS = 500;
+  private static final long PING_LIMIT_MS = 2_000;
 
   private record Gathered(Command.Beat beat, Consumer<Answer> answer) { }
 
@@ -157,6 +159,7 @@
       steward.start();
     }).sync();
     loop.scheduleWithFixedDelay(this::look, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
+    loop.scheduleWithFixedDelay(this::ping, PING_MS, PING_MS, TimeUnit.MILLISECONDS);
   }
 
   private LinkClient link(StewardId other, InetSocketAddress address) {
@@ -188,6 +191,15 @@
     }));
   }
 
+  /**
+   * What goes between stewards is answered over another link, so one whose other end is gone without a word
+   * would be written into for minutes. A link that doesn't answer in time is begun again.
+   */
+  private void ping() {
+    links.values().stream().filter(LinkClient::usable)
+        .forEach(x -> x.ask(new Call.Ping(), false, PING_LIMIT_MS, answer -> { }));
+  }
+
   private void look() {
     if (steward.ended() && !ended.isDone()) {
       LOG.severe("steward " + settings.self().name() + " can't go on: its disk failed, or the others have put"
@@ -253,7 +265,9 @@
   @Override
   public void asked(Hello by, Ask ask, Consumer<Answer> answer) {
     String why = notAllowed(by, ask);
-    if (why != null) {
+    if (ask.call() instanceof Call.Ping) {
+      answer.accept(new Came(new Outcome.Done()));
+    } else if (why != null) {
       answer.accept(new Failed(why, false));
     } else if (steward.leads()) {
       lead(ask.call(), answer);
--- a/steward/src/test/java/willowdoor/steward/link/LinkTest.java
+++ b/steward/src/test/java/willowdoor/steward/link/LinkTest.java
@@ -9,7 +9,9 @@
 import java.io.DataOutputStream;
 import java.io.EOFException;
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -110,6 +112,29 @@
     assertTrue(says().contains("no hello within"));
   }
 
+  /** A peer that is gone without a word: what is written to it goes nowhere, and nothing ends. */
+  @Test
+  void aLinkToAStewardThatSaysNothingIsBegunAgain() throws Exception {
+    try (ServerSocket mute = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
+      steward.close();
+      StewardId self = new StewardId("a", "1");
+      InetSocketAddress any = new InetSocketAddress("127.0.0.1", 0);
+      StewardProcess.Settings one = settings(true);
+      steward = new StewardProcess(new StewardProcess.Settings("f", self, any, folder.resolve("two.db"),
+          Map.of(self, any, new StewardId("b", "1"), new InetSocketAddress("127.0.0.1", mute.getLocalPort())),
+          one.first(), StewardProcess.Start.BEGIN));
+      mute.setSoTimeout((int) LIMIT_MS);
+      try (Socket first = mute.accept()) {
+        byte[] welcome = json("{\"is\":\"Welcome\",\"version\":1,\"steward\":\"b\"}");
+        DataOutputStream out = new DataOutputStream(first.getOutputStream());
+        out.writeInt(welcome.length);
+        out.write(welcome);
+        out.flush();
+        mute.accept().close();
+      }
+    }
+  }
+
   /** Each speaks for itself. */
   @Test
   void nobodySpeaksForOthers() throws Exception {
