Review: the door's lock off the loop of requests; one reader of TOML files

Seen on reading the change once more: a daemon that took over tried the door's lock file each 50 ms on its loop of requests, and synced it there once it had it. Now a thread of its own waits for it, and exists only meanwhile. StewardConfig had its own copy of how a file is read, without the bound on its size and the check of its encoding; both readers now stand on TomlFile.

Measured: DaemonConfigTest, StewardConfigTest, InnerStewardTest (an upgrade waits for the lock), AgreedTest, TakeOverTest, ArchitectureTest and checkstyle green.

--- a/daemon/src/main/java/willowdoor/daemon/config/DaemonConfig.java
+++ b/daemon/src/main/java/willowdoor/daemon/config/DaemonConfig.java
@@ -2,9 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.charset.CharacterCodingException;
 import java.nio.file.Files;
-import java.nio.file.NoSuchFileException;
 import java.nio.file.InvalidPathException;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -14,8 +12,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
-import org.tomlj.Toml;
-import org.tomlj.TomlParseResult;
 import willowdoor.extauthz.ExtAuthzSettings;
 import willowdoor.fairgate.FairGate;
 import willowdoor.fairness.FairSettings;
@@ -87,7 +83,6 @@
   /** Keys that a reload takes; any other that has changed needs a restart. */
   public static final Set<String> RELOADABLE = Set.of("discovery.address", "counter.address");
 
-  private static final int LARGEST_FILE = 1 << 20;
   private static final int MOST_TABLES = 256;
   private static final int MOST_BACKENDS = 10_000;
   private static final double MOST_MS = 3_600_000;
@@ -97,38 +92,12 @@
 
   /** Reads a file. */
   public static DaemonConfig read(Path file) throws IOException, ConfigException {
-    try {
-      if (Files.size(file) > LARGEST_FILE) {
-        throw new IOException(file + " has " + Files.size(file) + " bytes (expected: at most " + LARGEST_FILE
-            + ")");
-      }
-      return parse(file, Files.readString(file));
-    } catch (NoSuchFileException e) {
-      throw new IOException("there is no file " + file, e);
-    } catch (CharacterCodingException e) {
-      throw new IOException(file + " is not UTF-8 text", e);
-    }
+    return parse(file, TomlFile.text(file));
   }
 
   /** Reads a text; the file is named in errors only. */
   public static DaemonConfig parse(Path file, String text) throws ConfigException {
-    TomlParseResult toml = Toml.parse(text);
-    List<Problem> problems = new ArrayList<>();
-    toml.errors().forEach(e -> problems.add(
-        new Problem("syntax", e.position().line(), firstLine(e.getMessage()), "TOML 1.0")));
-    DaemonConfig config = null;
-    if (problems.isEmpty()) {
-      config = new Reader(toml, problems).read();
-    }
-    if (!problems.isEmpty()) {
-      problems.sort(null);
-      throw new ConfigException(file, problems);
-    }
-    return config;
-  }
-
-  private static String firstLine(String text) {
-    return String.valueOf(text).lines().findFirst().orElse("");
+    return TomlFile.parse(file, text, (root, effective) -> new Reader(root, effective).read());
   }
 
   /** Keys whose values differ, with those that are in one of both only. */
@@ -154,13 +123,12 @@
 
   /** Reads one file's tables in the order of the records. */
   static final class Reader {
-    private final List<Problem> problems;
-    private final Map<String, Object> effective = Section.newEffective();
+    private final Map<String, Object> effective;
     private final Section root;
 
-    Reader(TomlParseResult toml, List<Problem> problems) {
-      this.problems = problems;
-      root = new Section("", toml, 0, problems, effective);
+    Reader(Section root, Map<String, Object> effective) {
+      this.root = root;
+      this.effective = effective;
     }
 
     DaemonConfig read() {
--- a/daemon/src/main/java/willowdoor/daemon/config/StewardConfig.java
+++ b/daemon/src/main/java/willowdoor/daemon/config/StewardConfig.java
@@ -2,17 +2,11 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.file.Files;
-import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import org.tomlj.Toml;
-import org.tomlj.TomlParseResult;
 import willowdoor.agreement.Budget;
 import willowdoor.agreement.Most;
 import willowdoor.agreement.Terms;
@@ -35,23 +29,7 @@
    */
   public static StewardProcess.Settings read(Path file, StewardProcess.Start start)
       throws IOException, ConfigException {
-    String text;
-    try {
-      text = Files.readString(file);
-    } catch (NoSuchFileException e) {
-      throw new IOException("there is no file " + file, e);
-    }
-    TomlParseResult toml = Toml.parse(text);
-    List<Problem> problems = new ArrayList<>();
-    toml.errors().forEach(e -> problems.add(new Problem("syntax", e.position().line(),
-        String.valueOf(e.getMessage()).lines().findFirst().orElse(""), "TOML 1.0")));
-    StewardProcess.Settings settings = problems.isEmpty()
-        ? read(new Section("", toml, 0, problems, Section.newEffective()), start) : null;
-    if (!problems.isEmpty()) {
-      problems.sort(null);
-      throw new ConfigException(file, problems);
-    }
-    return settings;
+    return TomlFile.parse(file, TomlFile.text(file), (root, effective) -> read(root, start));
   }
 
   private static StewardProcess.Settings read(Section root, StewardProcess.Start start) {
--- /dev/null
+++ b/daemon/src/main/java/willowdoor/daemon/config/TomlFile.java
@@ -0,0 +1,61 @@
+package willowdoor.daemon.config;
+
+import java.io.IOException;
+import java.nio.charset.CharacterCodingException;
+import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BiFunction;
+import org.tomlj.Toml;
+import org.tomlj.TomlParseResult;
+
+/** Reads a configuration's file: all that is wrong with it is told at once. */
+final class TomlFile {
+
+  private static final int LARGEST_FILE = 1 << 20;
+
+  private TomlFile() {
+  }
+
+  /** The text of a file of {@value #LARGEST_FILE} bytes at most. */
+  static String text(Path file) throws IOException {
+    try {
+      if (Files.size(file) > LARGEST_FILE) {
+        throw new IOException(file + " has " + Files.size(file) + " bytes (expected: at most " + LARGEST_FILE
+            + ")");
+      }
+      return Files.readString(file);
+    } catch (NoSuchFileException e) {
+      throw new IOException("there is no file " + file, e);
+    } catch (CharacterCodingException e) {
+      throw new IOException(file + " is not UTF-8 text", e);
+    }
+  }
+
+  /**
+   * What a reader makes of a text; it looks for all that it knows, and notes what is wrong.
+   *
+   * @param file named in errors only
+   * @param reader given the whole file as a section, and where each effective value is noted
+   */
+  static <T> T parse(Path file, String text, BiFunction<Section, Map<String, Object>, T> reader)
+      throws ConfigException {
+    TomlParseResult toml = Toml.parse(text);
+    List<Problem> problems = new ArrayList<>();
+    toml.errors().forEach(e -> problems.add(new Problem("syntax", e.position().line(),
+        String.valueOf(e.getMessage()).lines().findFirst().orElse(""), "TOML 1.0")));
+    T read = null;
+    if (problems.isEmpty()) {
+      Map<String, Object> effective = Section.newEffective();
+      read = reader.apply(new Section("", toml, 0, problems, effective), effective);
+    }
+    if (!problems.isEmpty()) {
+      problems.sort(null);
+      throw new ConfigException(file, problems);
+    }
+    return read;
+  }
+}
--- a/daemon/src/main/java/willowdoor/daemon/life/Agreement.java
+++ b/daemon/src/main/java/willowdoor/daemon/life/Agreement.java
@@ -52,9 +52,7 @@
   private long version;
   private boolean dirty;
   private Phase phase = Phase.STARTING;
-  private FileChannel lockFile;
-  /** Of this process's holding the lock; 0 while another holds it. */
-  private long generation;
+  private final FileChannel lockFile;
 
   /**
    * Begins at once; on no loop.
@@ -70,10 +68,15 @@
     DaemonConfig.Agreement a = config.agreement();
     lockFile = FileChannel.open(Path.of(a.lockFile()), StandardOpenOption.CREATE, StandardOpenOption.READ,
         StandardOpenOption.WRITE);
-    generation = tried();
+    long generation = tried();
     link = new DoorLink(new DoorLink.Self(a.fleet(), config.instance().name(), incarnation,
         config.instance().zone(), a.weight()), a.stewards(), a.drift(),
         Path.of(a.lockFile() + ".out"), generation, this);
+    if (generation == 0) {
+      Thread waiting = new Thread(this::waitForLock, "door-lock");
+      waiting.setDaemon(true);
+      waiting.start();
+    }
     loop.submit(() -> {
       door.listed(this::heard);
       heard(config.backends().known());
@@ -103,6 +106,22 @@
     }
   }
 
+  /** Tries until the process that holds the lock has ended; on a thread of its own, as it is file work. */
+  private void waitForLock() {
+    try {
+      long generation = 0;
+      while (generation == 0 && lockFile.isOpen()) {
+        Thread.sleep(LOOK_MS);
+        generation = tried();
+      }
+      if (generation > 0) {
+        link.holds(generation);
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   /** What the instance has come to; on the door's loop. */
   void changed(Phase other) {
     phase = other;
@@ -136,12 +155,6 @@
     if (dirty || cold.stream().anyMatch(id -> !isCold(listed.get(id)))) {
       tell();
     }
-    if (generation == 0) {
-      generation = tried();
-      if (generation > 0) {
-        link.holds(generation);
-      }
-    }
     loop.schedule(this::look, LOOK_MS, TimeUnit.MILLISECONDS);
   }
 
