Releases: attempts are counted over all releases, as doors tell them apart by number

Cause: a release's attempts began with 1 again, and a door remembers the last attempt that it began and that came to nothing. After one that failed, a second release at the same door began nothing (1 is not above 1) and was halted at once for the failure of the first. Found by `released bad`: the second bad version halted without one start of it in the launches. Ruled out: the launch script, as nothing was started. Lines: Rollout.begin (attempts 0), DoorSide.follow. Change: a release goes on with the number of steps before it. Measured: ReleaseRecordTest.attemptsOfALaterReleaseAreOthers; RolloutTest and ReleaseRecordTest green.

--- a/daemon/src/main/java/willowdoor/daemon/fleet/ReleasedCommand.java
+++ b/daemon/src/main/java/willowdoor/daemon/fleet/ReleasedCommand.java
@@ -36,7 +36,8 @@
 
   enum Run { schedules, good, bad, broken }
 
-  private static final long RELEASE_LIMIT_MS = 600_000;
+  private static final long RELEASE_LIMIT_MS = 300_000;
+  private static final long BEGIN_LIMIT_MS = 30_000;
   private static final long TIDY_LIMIT_MS = 180_000;
   private static final double WITHIN_MS = 8_000;
   private static final long CUT_MS = 20_000;
@@ -162,7 +163,7 @@
   private void bad(ReleaseRun run, String version) throws InterruptedException {
     long from = System.nanoTime();
     begin(run, plan(ReleaseRun.OLD, version));
-    FleetRun.until(() -> run.launches().began(version) > 0, RELEASE_LIMIT_MS);
+    FleetRun.until(() -> run.launches().began(version) > 0, BEGIN_LIMIT_MS);
     long began = System.nanoTime();
     Release still = run.awaitStill(RELEASE_LIMIT_MS);
     if (still == null || still.mode() != Mode.HALTED) {
--- a/policy/src/main/java/willowdoor/agreement/FleetRecord.java
+++ b/policy/src/main/java/willowdoor/agreement/FleetRecord.java
@@ -348,7 +348,7 @@
     try {
       Rollout next = Rollout.begin(id, e.request(), e.by(), e.plan(), now, e.plan().of() == Plan.Of.DOORS
           ? seen(null) : backends.values().stream().map(x -> seen(x, e.plan().from(), null)).toList(),
-              started(e));
+              started(e), last == null ? 0 : last.attempts());
       if (last != null) {
         ended.addLast(last);
       }
--- a/policy/src/main/java/willowdoor/rollout/Release.java
+++ b/policy/src/main/java/willowdoor/rollout/Release.java
@@ -14,7 +14,7 @@
  * @param why what brought it to its mode, in words
  * @param wave which of the plan's waves, from 0
  * @param bakesSince when the wave was complete; below 0 where it isn't
- * @param attempts how many steps have begun
+ * @param attempts how many steps have begun, in this release and all before it
  * @param order of the doors
  * @param versions what each door was seen to have last
  * @param steps those under way
--- a/policy/src/main/java/willowdoor/rollout/Rollout.java
+++ b/policy/src/main/java/willowdoor/rollout/Rollout.java
@@ -53,10 +53,11 @@
    *
    * @param seen the doors, in an order that is the same wherever the record is
    * @param started of backends, when each has started
+   * @param attempts how many steps releases before it began: a door tells attempts apart by their numbers
    * @throws IllegalArgumentException in words, where the doors have other versions than the plan's
    */
   public static Rollout begin(long id, String request, String by, Plan plan, double nowMs, List<Seen> seen,
-      Map<String, Double> started) {
+      Map<String, Double> started, long attempts) {
     if (seen.isEmpty()) {
       throw new IllegalArgumentException("no door is known");
     }
@@ -67,8 +68,7 @@
       }
     }
     return new Rollout(new Release(id, request, by, plan, Course.FORWARD, Mode.GOING, "begun by " + by, 0,
-        -1, 0,
-        inTurns(seen), Map.of(), List.of(), started, Evidence.none(nowMs)));
+        -1, attempts, inTurns(seen), Map.of(), List.of(), started, Evidence.none(nowMs)));
   }
 
   /** Zones by turns, so that the first waves have doors of all of them. */
--- a/policy/src/main/java/willowdoor/rollout/Step.java
+++ b/policy/src/main/java/willowdoor/rollout/Step.java
@@ -3,7 +3,7 @@
 /**
  * A door's change from one version to another.
  *
- * @param attempt counted up over the release, never used again
+ * @param attempt counted up over all releases, never used again
  * @param version that the door is to have
  * @param sinceMs when it came to its state
  * @param since the command by which it did
--- a/policy/src/test/java/willowdoor/agreement/ReleaseRecordTest.java
+++ b/policy/src/test/java/willowdoor/agreement/ReleaseRecordTest.java
@@ -204,6 +204,24 @@
     assertEquals(0, release().evidence().allReleased().refused(), release()::toString);
   }
 
+  /** A door that failed once would otherwise be taken to have failed again, and not begin. */
+  @Test
+  void attemptsOfALaterReleaseAreOthers() {
+    start("r1");
+    says("d1", "x", Doing.EMPTY, Report.NONE);
+    long first = attempt("d1", "x");
+    Report failed = new Report(first, first, Tally.NONE);
+    says("d1", "x", Doing.EMPTY, failed);
+    assertEquals(Mode.HALTED, release().mode());
+    says("d1", "x", Doing.READY, failed);
+    steer("b1", 1, Steering.BACK);
+    assertEquals(Mode.ENDED, release().mode());
+    start("r2");
+    says("d1", "x", Doing.EMPTY, failed);
+    assertEquals(Mode.GOING, release().mode(), release()::toString);
+    assertTrue(attempt("d1", "x") > first);
+  }
+
   @Test
   void aRecordFromASnapshotGoesOnAsTheFirst() {
     start("r1");
