Test of figures after a silence: it could not fail, as its evidence was begun anew

Cause: with the guard taken out on purpose (Life.reached in FleetRecord.compare) the test stayed green: the bake ended in the same command and began the evidence anew. Change: a bake of a minute. Seen: red without the guard, green with it. Also seen red, each by taking its guard out: DoorSideTest.aSuccessorServesOnlyWhileItsAttemptStands, RolloutTest.aHaltTakesBackWhatHasNotBegunAndWaitsForWhatHas (two guards), ReleaseRecordTest.attemptsOfALaterReleaseAreOthers.

--- a/policy/src/test/java/willowdoor/agreement/ReleaseRecordTest.java
+++ b/policy/src/test/java/willowdoor/agreement/ReleaseRecordTest.java
@@ -191,7 +191,9 @@
 
   @Test
   void figuresAfterASilenceCountForNothing() {
-    start("r1");
+    // Long enough that what is compared isn't begun anew meanwhile.
+    record.on(new StartRelease(at, "r1", new Plan(Plan.Of.DOORS, "1", "2", List.of(0.5, 1.0), 60_000, 2_000,
+        20_000, 1_000, Comparison.USUAL), "ana"));
     replaced("d1");
     at += 1_200;
     says("d1", "y", Doing.READY, new Report(0, 0, new Tally(10, 0, 0, 0)));
