Rig: doors end with the process that runs them, also where that is told to end

Cause: a run that was ended by a signal left its doors and stewards behind. Backends of a later run had the ports of the earlier one's, and got the old doors' requests: FleetTest was red once with "no client sent a request null", one each second at b4, which is a door of another fleet. Change: a hook at the end of the process ends what DoorProcess started.

--- a/testkit/src/main/java/willowdoor/testkit/DoorProcess.java
+++ b/testkit/src/main/java/willowdoor/testkit/DoorProcess.java
@@ -8,6 +8,8 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import willowdoor.testkit.Ledger.Entry;
@@ -20,6 +22,12 @@
 public final class DoorProcess implements Door {
 
   private static final double TICKS_PER_S = 100;
+  /** Ended with this process, also where that is told to end: left behind they would ask others' backends. */
+  private static final Set<DoorProcess> ALL = ConcurrentHashMap.newKeySet();
+
+  static {
+    Runtime.getRuntime().addShutdownHook(new Thread(() -> ALL.forEach(DoorProcess::close), "end-of-doors"));
+  }
 
   private final String name;
   private final InetSocketAddress address;
@@ -46,6 +54,7 @@
     this.command = command;
     this.environment = environment;
     this.log = log;
+    ALL.add(this);
   }
 
   @Override
@@ -234,5 +243,6 @@
   /** Ends every process of it at once, without a word in the ledger: the run is over. */
   public synchronized void close() {
     end();
+    ALL.remove(this);
   }
 }
