End: where deadlines are short, connections end and all is answered before SIGKILL

Cause: after SIGTERM a door kept its clients' connections for 2.6 s and failed what was left at 3.3 s, whatever the deadlines. SIGKILL comes no sooner than the longest deadline and 0.7 s, so where that is 1.42 s it comes at 2.12 s, and what had come on a kept connection is lost. Lines: FrontDoor.KEEP_MS, ANSWER_MS.

Change: EndTimes: kept until 1.1 s before SIGKILL at the earliest, answered as failed 0.4 s before it; 2.6 s and 3.3 s as before where the longest deadline is 3 s or more.

--- a/door/src/main/java/willowdoor/net/FrontDoor.java
+++ b/door/src/main/java/willowdoor/net/FrontDoor.java
@@ -29,18 +29,14 @@
 public final class FrontDoor {
 
   private static final Logger LOG = Logger.getLogger(FrontDoor.class.getName());
-  /** After SIGTERM new connections go on coming for up to 0.4 s. */
-  private static final long ACCEPT_MS = 550;
-  /** SIGKILL comes no sooner than 3.7 s after SIGTERM where deadlines are long: all is answered by then. */
-  private static final long ANSWER_MS = 3_300;
-  /** Connections are kept for so long: a front sends on these, and on no other, till it has noticed. */
-  private static final long KEEP_MS = 2_600;
+  private static final long ACCEPT_MS = EndTimes.ACCEPT_MS;
   private static final long POLL_MS = 10;
 
   private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, Transport.BEST.ioHandler());
   final EventLoop loop = group.next();
   private final Clock clock = new Clock();
   private final CountDownLatch drained = new CountDownLatch(1);
+  private EndTimes end;
   private ModuleDriver driver;
   private ClientServer clients;
   private CounterStore counter;
@@ -168,6 +164,7 @@
     counter.start();
     roster = new MergedRoster(clock::now, driver::onRoster);
     driver.start(counter, roster.merge(config.known()));
+    end = EndTimes.of(config.settings().classes());
     discovery = new DiscoveryClient(loop, clock, config.discovery(), config.known().version(), roster::heard);
     discovery.start();
   }
@@ -397,7 +394,7 @@
       }
     }, ACCEPT_MS + POLL_MS, POLL_MS, TimeUnit.MILLISECONDS);
     try {
-      if (!drained.await(ANSWER_MS, TimeUnit.MILLISECONDS)) {
+      if (!drained.await(end.answerMs(), TimeUnit.MILLISECONDS)) {
         loop.submit(driver::failAll).sync();
         drained.await(ACCEPT_MS / 2, TimeUnit.MILLISECONDS);
       }
@@ -413,7 +410,7 @@
     loop.schedule(() -> {
       beginDrain();
       stopAccepting();
-    }, KEEP_MS, TimeUnit.MILLISECONDS);
+    }, end.keepMs(), TimeUnit.MILLISECONDS);
   }
 
   /** Another process listens at the same address: clients come there from their next connection on. */
