--- a/policy/src/main/java/willowdoor/agreement/FleetRecord.java
+++ b/policy/src/main/java/willowdoor/agreement/FleetRecord.java
@@ -386,7 +386,7 @@
 
   /** What a release wishes for is done as if somebody had asked for it, until it wishes for nothing more. */
   private void carryOn() {
-    for (int turn = 0; rollout != null && turn < MOST_TURNS; turn++) {
+    for (int turn = 0; rollout != null && rollout.state().mode() != Mode.ENDED && turn < MOST_TURNS; turn++) {
       Mode before = rollout.state().mode();
       List<Wish> wishes = rollout.settle(now, index, seenNow(rollout.state()));
       if (rollout.state().mode() != before) {
