Agreement: a steward that names a silent leader begins its node anew from its disk

What it says when it goes on meets a pre-vote that has just begun; the follower names it again and never begins another vote. The library's inside was not read.

LeaderWatch counts looks (ten of 200 ms) at a leader that is named and silent; then the node is ended and begun anew from what its disk holds, as by a kill and a start; what it had proposed has failed. Looks, not time, as a stopped process must not take its own silence for the leader's; twice as many looks where it brought no word.

StewardWorldTest, LinkTest, AgreedTest (9) green.

--- a/emulator/src/test/java/willowdoor/emulator/agreement/StewardWorldTest.java
+++ b/emulator/src/test/java/willowdoor/emulator/agreement/StewardWorldTest.java
@@ -193,6 +193,40 @@
     assertInstanceOf(Granted.class, world.agreed(gone, ask("r1", "b1")));
   }
 
+  /**
+   * A leader stands still for about as long as it takes to be missed, so that what it says then meets a vote
+   * that has just begun; later it dies. Whoever is left chooses another.
+   */
+  @Test
+  void afterALeaderThatStoodStillAndThenDiedAnotherLeads() throws Exception {
+    for (long seed = 1; seed <= Long.getLong("willowdoor.seeds", 20); seed++) {
+      Random random = new Random(seed);
+      StewardWorld world = begun(3 + 2 * random.nextInt(2), seed, 1, 30);
+      world.mostDelayMs = 5 + random.nextInt(60);
+      world.agreed(Set.of(), backends(1));
+      Set<Integer> dead = new java.util.HashSet<>();
+      for (int more = (world.ids.size() - 1) / 2; more >= 0; more--) {
+        for (int i = 0; i < 10; i++) {
+          int still = world.leader(dead);
+          if (still >= 0) {
+            world.stop(still);
+            world.run(400 + random.nextInt(300));
+            world.goOn(still);
+          }
+          world.run(100 + random.nextInt(400));
+        }
+        assertTrue(world.until(world.now + 10_000, () -> world.leader(dead) >= 0),
+            "seed " + seed + ", " + dead + " dead: nobody leads");
+        world.agreed(dead, Command.Tick::new);
+        if (more > 0) {
+          int leader = world.leader(dead);
+          world.kill(leader);
+          dead.add(leader);
+        }
+      }
+    }
+  }
+
   /** Links that lose and delay, splits, processes that stand still: one record, and what was told holds. */
   @Test
   void whatWasToldHoldsThroughFaultsByChance() throws Exception {
--- a/steward/src/main/java/willowdoor/steward/DiskStore.java
+++ b/steward/src/main/java/willowdoor/steward/DiskStore.java
@@ -264,11 +264,20 @@
     }
   }
 
+  /** What was not flushed is lost, as by a kill. */
+  void forget() throws IOException {
+    try {
+      file.rollback();
+    } catch (SQLException e) {
+      throw failed(e);
+    }
+  }
+
   /** What was not flushed is lost, as by a kill. */
   @Override
   public void close() throws IOException {
+    forget();
     try {
-      file.rollback();
       file.close();
     } catch (SQLException e) {
       throw failed(e);
--- a/steward/src/main/java/willowdoor/steward/Steward.java
+++ b/steward/src/main/java/willowdoor/steward/Steward.java
@@ -6,7 +6,9 @@
 import io.microraft.RaftNode;
 import io.microraft.RaftNodeStatus;
 import io.microraft.exception.NotLeaderException;
+import io.microraft.model.message.AppendEntriesRequest;
 import io.microraft.model.message.AppendEntriesSuccessResponse;
+import io.microraft.model.message.InstallSnapshotRequest;
 import io.microraft.model.message.RaftMessage;
 import io.microraft.model.message.VoteResponse;
 import io.microraft.persistence.RestoredRaftState;
@@ -18,6 +20,8 @@
 import java.util.function.BiConsumer;
 import java.util.function.DoubleFunction;
 import java.util.function.Predicate;
+import java.util.logging.Level;
+import java.util.logging.Logger;
 import willowdoor.agreement.Command;
 import willowdoor.agreement.Command.Configure;
 import willowdoor.agreement.FleetRecord;
@@ -30,6 +34,7 @@
  */
 public final class Steward {
 
+  private static final Logger LOG = Logger.getLogger(Steward.class.getName());
   /** By this the library's seconds are shorter: heartbeats each 0.1 s, a leader missed after 0.5 s. */
   static final double PACE = 10;
   private static final int HEARTBEAT_SECS = 1;
@@ -43,9 +48,20 @@
   private static final double AGAIN_MS = 200;
 
   private final Surroundings around;
-  private final Machine machine;
-  private final RaftNode node;
+  private final Collection<StewardId> members;
+  private final StewardId self;
+  private final Terms first;
+  private final BiConsumer<StewardId, byte[]> send;
+  private final Predicate<StewardId> reachable;
+  private final int snapshotAfter;
   private final DiskStore store;
+  private final LeaderWatch watch = new LeaderWatch();
+  private Machine machine;
+  private RaftNode node;
+  /** While it is begun anew; then its node has ended, but it hasn't. */
+  private boolean beginsAnew;
+  private boolean failed;
+  private boolean stopped;
 
   /**
    * Begins with {@link #start}.
@@ -62,9 +78,19 @@
   public Steward(StewardId self, Collection<StewardId> members, Terms first, Surroundings around,
       BiConsumer<StewardId, byte[]> send, Predicate<StewardId> reachable, int snapshotAfter, DiskStore store)
       throws IOException {
+    this.self = self;
+    this.members = List.copyOf(members);
+    this.first = first;
     this.around = around;
+    this.send = send;
+    this.reachable = reachable;
+    this.snapshotAfter = snapshotAfter;
     this.store = store;
-    machine = new Machine(around::now, () -> around.later(0, () -> configure(first)));
+    make();
+  }
+
+  private void make() throws IOException {
+    machine = new Machine(around::now, () -> around.later(0, this::configure));
     Paced paced = new Paced(around, PACE);
     RestoredRaftState before = store.restored();
     RaftNode.RaftNodeBuilder builder = RaftNode.newBuilder();
@@ -112,13 +138,45 @@
   /** Takes part from here on. */
   public void start() {
     node.start();
+    look();
   }
 
-  private void configure(Terms first) {
+  private void look() {
+    if (stopped || ended()) {
+      return;
+    }
+    if (!beginsAnew && watch.look(leader() != null && !leads())) {
+      beginAnew();
+    }
+    around.later(LeaderWatch.LOOK_MS, this::look);
+  }
+
+  /** As a kill and a start would: what was not flushed is lost, what was proposed here has failed. */
+  private void beginAnew() {
+    LOG.warning("nothing was heard of the leader " + leader().name() + ", and no vote was begun: the node is"
+        + " begun anew from its disk");
+    beginsAnew = true;
+    node.terminate().whenComplete((done, failure) -> around.later(0, () -> {
+      if (stopped) {
+        return;
+      }
+      try {
+        store.forget();
+        make();
+        node.start();
+      } catch (IOException e) {
+        LOG.log(Level.SEVERE, "the node can't be begun anew", e);
+        failed = true;
+      }
+      beginsAnew = false;
+    }));
+  }
+
+  private void configure() {
     if (leads() && record().state().terms().equals(Terms.NONE)) {
       propose(at -> new Configure(at, first)).whenComplete((done, failure) -> {
         if (failure != null) {
-          around.later(AGAIN_MS, () -> configure(first));
+          around.later(AGAIN_MS, this::configure);
         }
       });
     }
@@ -126,11 +184,12 @@
 
   /** Whether it can't go on: its disk failed, or it was put out of the group. */
   public boolean ended() {
-    return RaftNodeStatus.isTerminal(node.getStatus());
+    return failed || !beginsAnew && RaftNodeStatus.isTerminal(node.getStatus());
   }
 
   /** Takes part no longer. */
   public void stop() {
+    stopped = true;
     node.terminate();
   }
 
@@ -146,6 +205,10 @@
     } else if (read instanceof VoteResponse e && e.isGranted()) {
       store.heard((StewardId) e.getSender(), e.getTerm(), 0);
     }
+    if ((read instanceof AppendEntriesRequest || read instanceof InstallSnapshotRequest)
+        && read.getTerm() >= node.getTerm().getTerm()) {
+      watch.heard();
+    }
     if (!RaftNodeStatus.isTerminal(node.getStatus())) {
       node.handle(read);
     }
