Stand-ins: one that goes and comes back at once has its address again

CounterLossTest failed once with 'Address already in use' (0.14 s into a test whose counter is taken away and put back; a whole verify with builds beside it), ValkeyCountsTest once before. Not another process: nobody connects from 127.0.0.2. A channel that is registered with a selector gives its port back when that selector is asked next, after its close is told. StandIns.listen tries again for up to 5 s where the address is still held; all four stand-ins that come back use it.

--- a/testkit/src/main/java/willowdoor/testkit/StandInAuthoriser.java
+++ b/testkit/src/main/java/willowdoor/testkit/StandInAuthoriser.java
@@ -166,7 +166,7 @@
 
   private void listen() {
     InetSocketAddress at = address == null ? StandIns.anyAddress() : address;
-    listening = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+    listening = StandIns.listen(new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
         .option(ChannelOption.SO_REUSEADDR, true).childOption(ChannelOption.TCP_NODELAY, true)
         .childHandler(new ChannelInitializer<Channel>() {
           @Override
@@ -189,7 +189,7 @@
               }
             });
           }
-        }).bind(at).syncUninterruptibly().channel();
+        }), at);
     address = (InetSocketAddress) listening.localAddress();
     alive = true;
     ledger.machine(Kind.STARTED, name, "");
--- a/testkit/src/main/java/willowdoor/testkit/StandInBackend.java
+++ b/testkit/src/main/java/willowdoor/testkit/StandInBackend.java
@@ -115,7 +115,7 @@
   /** Listens, at first on a free loopback port and later on the same one. */
   void listen(boolean cold) {
     InetSocketAddress at = address == null ? StandIns.anyAddress() : address;
-    listening = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+    listening = StandIns.listen(new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
         .option(ChannelOption.SO_REUSEADDR, true).option(ChannelOption.SO_BACKLOG, 512)
         .childOption(ChannelOption.TCP_NODELAY, true).childHandler(new ChannelInitializer<Channel>() {
           @Override
@@ -125,7 +125,7 @@
             ch.pipeline().addLast(hand.first, new HttpServerCodec(), new HttpObjectAggregator(MOST_BODY),
                 hand);
           }
-        }).bind(at).syncUninterruptibly().channel();
+        }), at);
     address = (InetSocketAddress) listening.localAddress();
     alive = true;
     mood = Mood.WELL;
--- a/testkit/src/main/java/willowdoor/testkit/StandInCounter.java
+++ b/testkit/src/main/java/willowdoor/testkit/StandInCounter.java
@@ -88,10 +88,9 @@
     }
 
     private void listen(InetSocketAddress at) {
-      listening = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
+      listening = StandIns.listen(new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
           .option(ChannelOption.SO_BACKLOG, 1024).option(ChannelOption.SO_REUSEADDR, true)
-          .childOption(ChannelOption.TCP_NODELAY, true).childHandler(this).bind(at).syncUninterruptibly()
-          .channel();
+          .childOption(ChannelOption.TCP_NODELAY, true).childHandler(this), at);
     }
 
     @Override
--- a/testkit/src/main/java/willowdoor/testkit/StandInValkey.java
+++ b/testkit/src/main/java/willowdoor/testkit/StandInValkey.java
@@ -147,24 +147,19 @@
 
   /** Listens at a further address, as a server does that a failover gives one; port 0 is any that is free. */
   public InetSocketAddress listenAt(InetSocketAddress at) throws IOException {
-    try {
-      Channel made = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
-          .option(ChannelOption.SO_REUSEADDR, true)
-          .childHandler(new ChannelInitializer<Channel>() {
-            @Override
-            protected void initChannel(Channel channel) {
-              connections.add(channel);
-              channel.pipeline().addLast(new RedisDecoder(true), new RedisBulkStringAggregator(),
-                  new RedisArrayAggregator(MOST_WORDS, 1), new RedisEncoder(), new Connection());
-            }
-          }).bind(at).sync().channel();
-      InetSocketAddress bound = (InetSocketAddress) made.localAddress();
-      listening.put(bound, made);
-      return bound;
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-      throw new IOException(e);
-    }
+    Channel made = StandIns.listen(new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
+        .option(ChannelOption.SO_REUSEADDR, true)
+        .childHandler(new ChannelInitializer<Channel>() {
+          @Override
+          protected void initChannel(Channel channel) {
+            connections.add(channel);
+            channel.pipeline().addLast(new RedisDecoder(true), new RedisBulkStringAggregator(),
+                new RedisArrayAggregator(MOST_WORDS, 1), new RedisEncoder(), new Connection());
+          }
+        }), at);
+    InetSocketAddress bound = (InetSocketAddress) made.localAddress();
+    listening.put(bound, made);
+    return bound;
   }
 
   /** Is not found at that address any more: connections that were made to it break. */
--- a/testkit/src/main/java/willowdoor/testkit/StandIns.java
+++ b/testkit/src/main/java/willowdoor/testkit/StandIns.java
@@ -1,10 +1,18 @@
 package willowdoor.testkit;
 
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import java.net.BindException;
 import java.net.InetSocketAddress;
+import java.util.concurrent.locks.LockSupport;
 
 /** Where stand-ins listen. */
 public final class StandIns {
 
+  private static final long GIVEN_BACK_NANOS = 5_000_000_000L;
+  private static final long AGAIN_NANOS = 5_000_000;
+
   private StandIns() {
   }
 
@@ -17,6 +25,20 @@
     return new InetSocketAddress("127.0.0.2", 0);
   }
 
+  /**
+   * Listens there, where it may have listened until just now: a closed channel gives its port back when its
+   * selector is asked next, which is after its close is told (by the JDK, of channels in a selector).
+   */
+  static Channel listen(ServerBootstrap server, InetSocketAddress at) {
+    long until = System.nanoTime() + GIVEN_BACK_NANOS;
+    ChannelFuture bound = server.bind(at).awaitUninterruptibly();
+    while (bound.cause() instanceof BindException && System.nanoTime() < until) {
+      LockSupport.parkNanos(AGAIN_NANOS);
+      bound = server.bind(at).awaitUninterruptibly();
+    }
+    return bound.syncUninterruptibly().channel();
+  }
+
   /** As a setting has it. */
   public static String text(InetSocketAddress address) {
     return address.getHostString() + ":" + address.getPort();
--- /dev/null
+++ b/testkit/src/test/java/willowdoor/testkit/StandInsTest.java
@@ -0,0 +1,31 @@
+package willowdoor.testkit;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+@Timeout(60)
+class StandInsTest {
+
+  /** What goes and comes back within the same moment has its address again. */
+  @Test
+  void comesBackAtOnceWhereItWas() {
+    EventLoopGroup group = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
+    try {
+      StandInCounter counter = new StandInCounter(group, new Ledger());
+      var before = counter.address();
+      for (int i = 0; i < 500; i++) {
+        counter.cutOff(door -> true);
+        counter.reach();
+      }
+      assertEquals(before, counter.address());
+    } finally {
+      group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).syncUninterruptibly();
+    }
+  }
+}
