Agreement: a steward whose disk fails ends; a full one under the leader stopped all

StewardWorldTest: a follower's and a leader's disk that fill up, and go on where there is room again; two torn disks.

--- a/emulator/src/main/java/willowdoor/emulator/agreement/StewardWorld.java
+++ b/emulator/src/main/java/willowdoor/emulator/agreement/StewardWorld.java
@@ -28,6 +28,7 @@
 /** The real library in simulated time: links that lose and delay, processes that stand still. */
 final class StewardWorld implements AutoCloseable {
 
+  private static final long ROOM = 100_000;
   /** Its lines, many to each message, would hide a failure's. */
   private static final Logger LIBRARY = Logger.getLogger("io.microraft");
 
@@ -88,9 +89,14 @@
 
   /** Begins a steward's process on what is on its disk. */
   void begin(int me) throws IOException {
+    begin(me, ROOM);
+  }
+
+  /** The same on a disk with room for so many pages. */
+  void begin(int me, long pages) throws IOException {
     int life = lives.get(me) + 1;
     lives.set(me, life);
-    disks.set(me, new DiskStore(folder.resolve("s" + me + ".db"), false));
+    disks.set(me, new DiskStore(disk(me), false, pages));
     Random own = new Random(random.nextLong());
     // Clocks that have nothing to do with each other.
     double ahead = own.nextInt(1_000_000);
@@ -126,6 +132,11 @@
     stewards.get(me).start();
   }
 
+  /** Where a steward's disk is, to be broken while it is down. */
+  Path disk(int steward) {
+    return folder.resolve("s" + steward + ".db");
+  }
+
   /** Kills a steward's process; what it had not flushed is lost. */
   void kill(int steward) throws IOException {
     if (disks.get(steward) != null) {
--- a/emulator/src/test/java/willowdoor/emulator/agreement/StewardWorldTest.java
+++ b/emulator/src/test/java/willowdoor/emulator/agreement/StewardWorldTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
@@ -227,6 +228,51 @@
     }
   }
 
+  /** Its disk takes nothing more: it ends, what others were told stands, and with room it goes on. */
+  @Test
+  void aStewardWhoseDiskIsFullEndsAndTheOthersGoOn() throws Exception {
+    StewardWorld world = begun(3, 7, 1, 10_000);
+    world.agreed(Set.of(), backends(3));
+    assertInstanceOf(Granted.class, world.agreed(Set.of(), ask("r1", "b1")));
+    for (int full : List.of((world.leader(Set.of()) + 1) % 3, world.leader(Set.of()))) {
+      world.kill(full);
+      world.agreed(Set.of(full), backends(3));
+      world.begin(full, 40);
+      double limit = world.now + 60_000;
+      while (!world.stewards.get(full).ended() && world.now < limit) {
+        world.agreed(Set.of(full), backends(500));
+      }
+      assertTrue(world.stewards.get(full).ended(), "steward " + full);
+      assertInstanceOf(Waiting.class, world.agreed(Set.of(full), ask("r2", "b2")));
+      world.kill(full);
+      world.begin(full);
+    }
+    assertAllAgree(world, "seed 7");
+    assertEquals(1, world.stewards.get(0).record().out(Kind.BACKEND));
+  }
+
+  /** Torn in its middle, or no store at all: it doesn't begin, and says which file. */
+  @Test
+  void aDiskThatIsTornIsNamed() throws Exception {
+    StewardWorld world = begun(3, 8, 1, 10_000);
+    world.agreed(Set.of(), backends(2_000));
+    world.run(1_000);
+    for (int torn = 0; torn < 2; torn++) {
+      world.kill(torn);
+      Path disk = world.disk(torn);
+      byte[] bytes = java.nio.file.Files.readAllBytes(disk);
+      if (torn == 0) {
+        java.util.Arrays.fill(bytes, 0, 4_096, (byte) 7);
+      } else {
+        bytes = java.util.Arrays.copyOf(bytes, bytes.length / 2);
+      }
+      java.nio.file.Files.write(disk, bytes);
+      int me = torn;
+      IOException why = assertThrows(IOException.class, () -> world.begin(me));
+      assertTrue(why.getMessage().contains("store"), why.getMessage());
+    }
+  }
+
   /** Links that lose and delay, splits, processes that stand still: one record, and what was told holds. */
   @Test
   void whatWasToldHoldsThroughFaultsByChance() throws Exception {
--- a/steward/src/main/java/willowdoor/steward/DiskStore.java
+++ b/steward/src/main/java/willowdoor/steward/DiskStore.java
@@ -48,29 +48,34 @@
   }
 
   private static final String HEARD = "heard:";
+  /** 1 GiB: the log is cut each 10,000 commands, which may have 1 MiB but have some 1 KiB. */
+  private static final long MOST_PAGES = 262_144;
 
   private final Connection file;
   /** What others have promised to this one; kept with what is flushed next. */
   private final Map<StewardId, Progress> heard = new HashMap<>();
   private final Set<StewardId> unkept = new HashSet<>();
+  private boolean failed;
 
   /** Opens the file, or makes it. */
   public DiskStore(Path path) throws IOException {
-    this(path, true);
+    this(path, true, MOST_PAGES);
   }
 
   /**
    * The same.
    *
    * @param synced false where only a process may end, not its machine: nothing that was written is lost then
+   * @param mostPages of 4 KiB; one more is a full disk, and the steward ends
    */
-  public DiskStore(Path path, boolean synced) throws IOException {
+  public DiskStore(Path path, boolean synced, long mostPages) throws IOException {
     try {
       file = DriverManager.getConnection("jdbc:sqlite:" + path);
       try (Statement s = file.createStatement()) {
         s.execute("PRAGMA locking_mode = EXCLUSIVE");
         s.execute("PRAGMA journal_mode = WAL");
         s.execute("PRAGMA synchronous = " + (synced ? "FULL" : "OFF"));
+        s.execute("PRAGMA max_page_count = " + mostPages);
         s.execute("CREATE TABLE IF NOT EXISTS known (name TEXT PRIMARY KEY, value BLOB NOT NULL)");
         s.execute("CREATE TABLE IF NOT EXISTS log (idx INTEGER PRIMARY KEY, value BLOB NOT NULL)");
         s.execute("CREATE TABLE IF NOT EXISTS piece (idx INTEGER, piece INTEGER, pieces INTEGER NOT NULL,"
@@ -191,10 +196,16 @@
     }
   }
 
-  private static IOException failed(SQLException e) {
+  private IOException failed(SQLException e) {
+    failed = true;
     return new IOException("the store failed: " + e.getMessage(), e);
   }
 
+  /** Whether anything could not be kept or read: what is promised from then on might not be kept. */
+  boolean failed() {
+    return failed;
+  }
+
   private void keep(String name, JsonNode value) throws IOException {
     change("INSERT OR REPLACE INTO known VALUES (?, ?)", name, Wire.write(value));
     flush();
@@ -269,7 +280,10 @@
     try {
       file.rollback();
     } catch (SQLException e) {
-      throw failed(e);
+      // A full disk has had it undone already.
+      if (!failed) {
+        throw failed(e);
+      }
     }
   }
 
--- a/steward/src/main/java/willowdoor/steward/Steward.java
+++ b/steward/src/main/java/willowdoor/steward/Steward.java
@@ -145,6 +145,13 @@
     if (stopped || ended()) {
       return;
     }
+    if (store.failed()) {
+      // The library may go on leading with it, and nobody would agree on anything.
+      LOG.severe("the disk failed: this steward ends");
+      failed = true;
+      node.terminate();
+      return;
+    }
     if (!beginsAnew && watch.look(leader() != null && !leads())) {
       beginAnew();
     }
