Releases of backends: ways back that end, lists that lack one, joins that get lost

What was wrong, found by tests of a release of backends (record, simulated time, processes): - A version was told from the start known as the release began, so nothing was ever on the old one again: no way back ended. Now a start of a backend that is out for its step gives the step's version, any other changes none. - A list without the backend that is being restarted (most discovery drops it) made room in the budget for the next, and the release forget its step. What went out on purpose stays in the record as out; a released one that is listed no more counts as lost.

--- a/daemon/src/main/java/willowdoor/daemon/agreement/PermitsCommand.java
+++ b/daemon/src/main/java/willowdoor/daemon/agreement/PermitsCommand.java
@@ -164,7 +164,8 @@
   }
 
   @Command(name = "forget", mixinStandardHelpOptions = true, description =
-      "Vouches that a door's machine is no more, so that nothing waits for its word.")
+      "Vouches that a door's machine is no more, so that nothing waits for its word; or, as backend/NAME,"
+      + " that a backend that went out and is listed no more is not expected back.")
   static final class Forget implements Callable<Integer> {
     @Parameters(paramLabel = "DOOR")
     private String door;
--- /dev/null
+++ b/daemon/src/main/java/willowdoor/daemon/fleet/BackendRestarts.java
@@ -0,0 +1,116 @@
+package willowdoor.daemon.fleet;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import willowdoor.agreement.Permit;
+import willowdoor.agreement.Permit.Stage;
+import willowdoor.agreement.Subject.Kind;
+import willowdoor.net.RosterNews;
+import willowdoor.steward.link.Standing;
+import willowdoor.testkit.BackendPark;
+import willowdoor.testkit.Ledger;
+import willowdoor.testkit.StandInBackend;
+
+/**
+ * Who restarts backends in a release of them: what a release has taken out, and every door has let go, is
+ * ended and started with the version that its permit names. What is told goes into the ledger.
+ */
+final class BackendRestarts implements AutoCloseable {
+
+  /** A version whose processes die once they are warm and taken back. */
+  static final String FAINT = "b2-faint";
+  private static final long LOOK_MS = 50;
+  /** Discovery says so late what it sees. */
+  private static final long NOTICE_MS = 100;
+  private static final long AWAY_MS = 300;
+
+  private final ReleaseRun fleet;
+  private final Map<String, StandInBackend> backends = new HashMap<>();
+  private final Map<String, String> versions = new TreeMap<>();
+  private final Map<String, Long> restartedUnder = new HashMap<>();
+  private final Set<Long> told = new HashSet<>();
+  private final Thread thread = new Thread(this::run, "restarts");
+  private volatile boolean going = true;
+  private volatile int most;
+
+  /** Begins to look. */
+  BackendRestarts(ReleaseRun fleet) {
+    this.fleet = fleet;
+    fleet.run().rig().park().all()
+        .forEach(b -> backends.put(Long.toHexString(RosterNews.number(b.name())), b));
+    thread.setDaemon(true);
+    thread.start();
+  }
+
+  /** The versions that backends were started with, by their names; those that never were are not in it. */
+  synchronized Map<String, String> versions() {
+    return new TreeMap<>(versions);
+  }
+
+  /** How many backends were seen out at once at the most, by the record. */
+  int most() {
+    return most;
+  }
+
+  private void run() {
+    while (going) {
+      Standing s = fleet.stewards().look();
+      if (s != null) {
+        most = Math.max(most, s.backendsOut());
+        s.permits().stream().filter(x -> x.subject().kind() == Kind.BACKEND).forEach(this::see);
+      }
+      died();
+      FleetRun.sleep(LOOK_MS);
+    }
+  }
+
+  private void see(Permit permit) {
+    StandInBackend backend = backends.get(permit.subject().name());
+    if (permit.stage() != Stage.OUT || !told.add(permit.id())) {
+      return;
+    }
+    Ledger ledger = fleet.run().rig().ledger();
+    ledger.machine(Ledger.Kind.PERMITTED, backend.name(), Long.toString(permit.id()));
+    ledger.machine(Ledger.Kind.OUT, backend.name(), Long.toString(permit.id()));
+    BackendPark park = fleet.run().rig().park();
+    park.kill(backend, NOTICE_MS);
+    FleetRun.sleep(AWAY_MS);
+    ledger.machine(Ledger.Kind.GIVEN_BACK, backend.name(), Long.toString(permit.id()));
+    park.restart(backend, NOTICE_MS);
+    synchronized (this) {
+      versions.put(backend.name(), permit.reason());
+      restartedUnder.put(permit.subject().name(), permit.id());
+    }
+  }
+
+  /** A faint version's process dies when its step is over. */
+  private void died() {
+    Standing s = fleet.stewards().look();
+    if (s == null) {
+      return;
+    }
+    synchronized (this) {
+      restartedUnder.entrySet().removeIf(e -> {
+        StandInBackend backend = backends.get(e.getKey());
+        boolean over = s.permits().stream().noneMatch(x -> x.id() == e.getValue());
+        if (over && FAINT.equals(versions.get(backend.name()))) {
+          fleet.run().rig().park().kill(backend, NOTICE_MS);
+        }
+        return over;
+      });
+    }
+  }
+
+  @Override
+  public void close() {
+    going = false;
+    try {
+      thread.join();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
--- a/daemon/src/main/java/willowdoor/daemon/fleet/ReleaseRun.java
+++ b/daemon/src/main/java/willowdoor/daemon/fleet/ReleaseRun.java
@@ -63,7 +63,12 @@
    * @param budget so many doors may be out
    */
   ReleaseRun(int keepers, int doors, int budget, double rate, long seed) throws IOException {
-    run = new FleetRun(Terms.usual(), new BackendPark.Make(8, 4, 32, 5, 10), doors, seed);
+    this(Terms.usual(), keepers, doors, budget, rate, seed);
+  }
+
+  /** The same by other terms. */
+  ReleaseRun(Terms terms, int keepers, int doors, int budget, double rate, long seed) throws IOException {
+    run = new FleetRun(terms, new BackendPark.Make(8, 4, 32, 5, 10), doors, seed);
     run.rig().budgets(new Judge.Budgets(budget, budget, x -> x.startsWith("d"), LAPSE_MS));
     stewards = new Stewards(run, keepers, "lease_ms = 1500\ndoors_out = " + budget + "\nbackends_out = "
         + budget
@@ -122,7 +127,7 @@
 
   /** Asks for a release; null where nobody answered. */
   Outcome start(Plan plan) throws InterruptedException {
-    run.rig().ledger().machine(Ledger.Kind.LET_ON, "", plan.to());
+    note(Ledger.Kind.LET_ON, plan, plan.to());
     return outcome(operator.put(new StartRelease(0, "start-" + ++requests, plan, "ana"), CALL_MS));
   }
 
@@ -130,8 +135,7 @@
   Outcome steer(Steering what) throws InterruptedException {
     Release last = awaitRelease(x -> true, CALL_MS);
     if (last != null && (what == Steering.BACK || what == Steering.RESUME)) {
-      run.rig().ledger().machine(Ledger.Kind.LET_ON, "", what == Steering.BACK ? last.plan().from()
-          : last.target());
+      note(Ledger.Kind.LET_ON, last.plan(), what == Steering.BACK ? last.plan().from() : last.target());
     }
     return last == null ? null : outcome(operator.put(new SteerRelease(0, "steer-" + ++requests, last.id(),
         what,
@@ -164,12 +168,19 @@
     Release still = awaitRelease(x -> x.mode() == Mode.ENDED || x.mode() == Mode.HALTED && x.still(),
         limitMs);
     if (still != null) {
-      run.rig().ledger().machine(still.mode() == Mode.ENDED ? Ledger.Kind.RELEASED : Ledger.Kind.HALTED, "",
+      note(still.mode() == Mode.ENDED ? Ledger.Kind.RELEASED : Ledger.Kind.HALTED, still.plan(),
           still.target());
     }
     return still;
   }
 
+  /** The versions that the ledger knows of are the doors'. */
+  private void note(Ledger.Kind kind, Plan plan, String version) {
+    if (plan.of() == Plan.Of.DOORS) {
+      run.rig().ledger().machine(kind, "", version);
+    }
+  }
+
   /** The versions that the doors' processes have, by their number. */
   List<String> versions() {
     List<String> all = new ArrayList<>();
--- a/emulator/src/main/java/willowdoor/emulator/agreement/FleetWorld.java
+++ b/emulator/src/main/java/willowdoor/emulator/agreement/FleetWorld.java
@@ -52,7 +52,8 @@
     NONE, LEASE_FROM_RECEIPT, LEADER_TRUSTS_OLD_LEASES, FORGOTTEN_AT_DEATH, LET_GO_AT_ONCE,
     LEFT_FOR_OTHERS, NOTHING_REMEMBERED, SERVES_BEFORE_TOLD, SUCCESSOR_GOES_BY_FILES, ASKED_ANEW,
     RETURN_OF_ANY, ZOMBIE_BEATS, ALONE_TOO_SOON, LEAVES_TOO_SOON, CLOCK_BEYOND_DRIFT,
-    SUCCESSOR_UNASKED, FAILURE_UNSAID, VERSION_UNSAID, BEGINNING_UNSAID
+    SUCCESSOR_UNASKED, FAILURE_UNSAID, VERSION_UNSAID, BEGINNING_UNSAID, RESTARTED_BEFORE_OUT, START_UNTOLD,
+    JOINS_ONCE, LIST_TOLD_ONCE
   }
 
   private static final double LEASE_MS = 1_500;
@@ -69,6 +70,8 @@
   /** Each process of it dies once it has served for a while. */
   private static final String FAINT = "2.0-faint";
   private static final double READY_LIMIT_MS = 3_000;
+  private static final double COLD_MS = 1_200;
+  private static final double LIST_MS = 250;
   private static final int MOST_TIDYING_S = 90;
 
   private final SimClock clock = new SimClock();
@@ -92,6 +95,10 @@
   /** Permits that operators were told and have not asked back, with their subjects. */
   private final Map<Long, Subject> held = new LinkedHashMap<>();
   private final Map<String, Double> countsAsDead = new HashMap<>();
+  private final Map<String, Server> servers = new LinkedHashMap<>();
+  private long listVersion = 1;
+  /** Permits under which a backend was restarted. */
+  private final Set<Long> restarted = new HashSet<>();
   private final Set<Long> seenGranted = new HashSet<>();
   private Set<String> out = Set.of();
   private double leaderRate = 1;
@@ -115,6 +122,23 @@
     atOnce = Math.max(OUT_AT_ONCE, doors / DOORS_FOR_ONE_MORE);
     Budget budget = new Budget(Most.of(atOnce), Most.ANY, 0);
     record = new FleetRecord(new Terms(budget, budget, LEASE_MS));
+    for (int i = 0; i < BACKENDS; i++) {
+      servers.put("b" + i, new Server("b" + i));
+    }
+  }
+
+  /** A backend as it truly is, and as discovery lists it. */
+  private static final class Server {
+    private final String name;
+    private String version = OLD;
+    private boolean listed = true;
+    /** Away, or cold. */
+    private boolean out;
+    private double startedMs;
+
+    Server(String name) {
+      this.name = name;
+    }
   }
 
   /**
@@ -134,7 +158,7 @@
   }
 
   /** What an exploration has two operators do: take out what two want, or release and halt. */
-  public enum Script { DRAINS, RELEASE }
+  public enum Script { DRAINS, RELEASE, BACKENDS }
 
   /**
    * What came of all schedules.
@@ -190,8 +214,8 @@
       attempt("rui", "rui1", new Subject(Kind.BACKEND, "b" + random.nextInt(BACKENDS)), clock.now() + 2_500,
           0);
     } else {
-      persist("ana", new Command.StartRelease(0, "release", new Plan(Plan.Of.DOORS, OLD, NEW, List.of(1.0), 0,
-          200, 12_000, 500, Comparison.USUAL), "ana"), 0);
+      persist("ana", new Command.StartRelease(0, "release", new Plan(script == Script.RELEASE ? Plan.Of.DOORS
+          : Plan.Of.BACKENDS, OLD, NEW, List.of(1.0), 0, 200, 12_000, 500, Comparison.USUAL), "ana"), 0);
       clock.after(1_200, () -> persist("rui", new Command.SteerRelease(0, "halt", 1, Command.Steering.HALT,
           "rui"), 0));
     }
@@ -255,7 +279,8 @@
       breach("a release has not ended: " + end.releases());
     }
     if (!allBack()) {
-      breach("not all is back: " + end.permits() + ", doors out " + record.out(Kind.DOOR));
+      breach("not all is back: " + end.permits() + ", doors out " + record.out(Kind.DOOR) + ", held up by "
+          + end.permits().stream().map(x -> record.holdUp(x.subject())).toList());
     }
   }
 
@@ -275,9 +300,9 @@
   /** Somebody begins one, and others do with it what comes to their minds. */
   private void release() {
     String to = List.of(NEW, NEW, MUTE, FAINT).get(random.nextInt(4));
-    persist("mia", new Command.StartRelease(0, "release", new Plan(Plan.Of.DOORS, OLD, to, List.of(0.01, 0.5,
-        1.0), 500, 800,
-        12_000, 500, Comparison.USUAL), "mia"), 0);
+    Plan.Of of = random.nextInt(3) > 0 ? Plan.Of.DOORS : Plan.Of.BACKENDS;
+    persist("mia", new Command.StartRelease(0, "release", new Plan(of, OLD, of == Plan.Of.DOORS ? to : NEW,
+        List.of(0.01, 0.5, 1.0), 500, 800, 12_000, 500, Comparison.USUAL), "mia"), 0);
     for (int i = 0; i < 3; i++) {
       Command.Steering what = Command.Steering.values()[random.nextInt(4)];
       int number = i;
@@ -319,8 +344,60 @@
     }
   }
 
+  /** Whoever restarts backends does so once a release has one out; discovery tells late what it sees. */
+  private void restart(Permit permit) {
+    boolean out = permit.stage() == Stage.OUT || bug == Bug.RESTARTED_BEFORE_OUT
+        && permit.stage() == Stage.GRANTED;
+    if (!out || permit.subject().kind() != Kind.BACKEND || !permit.request().startsWith("release-")
+        || !restarted.add(permit.id())) {
+      return;
+    }
+    Server server = servers.get(permit.subject().name());
+    clock.after(100 + random.nextInt(800), () -> {
+      goes(server);
+      clock.after(300 + random.nextInt(700), () -> comes(server, permit.reason()));
+    });
+  }
+
+  private void goes(Server server) {
+    server.out = true;
+    server.listed = false;
+    listVersion++;
+  }
+
+  private void comes(Server server, String version) {
+    server.listed = true;
+    server.version = version;
+    server.startedMs = bug == Bug.START_UNTOLD ? server.startedMs : clock.now();
+    listVersion++;
+    clock.after(COLD_MS, () -> {
+      server.out = false;
+      listVersion++;
+    });
+  }
+
+  /** A backend that nobody has out dies by itself, and comes back as it was. */
+  private void dies(Server server) {
+    if (!server.out && record.state().permits().stream()
+        .noneMatch(x -> x.subject().name().equals(server.name))) {
+      goes(server);
+      clock.after(300 + random.nextInt(1_500), () -> comes(server, server.version));
+    }
+  }
+
+  private List<Command.Backend> listed() {
+    return servers.values().stream().filter(x -> x.listed)
+        .map(x -> new Command.Backend(x.name, "z", 1, !x.out, x.startedMs)).toList();
+  }
+
   /** Whoever is told that all doors have it can rely on that. */
   private void ended(Release r) {
+    if (r.plan().of() == Plan.Of.BACKENDS) {
+      servers.values().stream().filter(x -> x.listed && !x.version.equals(r.target()))
+          .forEach(x -> breach(x.name + " has " + x.version + ", and release " + r.id() + " has ended with "
+              + r.target()));
+      return;
+    }
     for (Process p : processes) {
       if (!p.dead && p.serving && !p.ending && !p.version.equals(r.target())) {
         breach(p.door + " has " + p.version + ", and release " + r.id() + " has ended with " + r.target());
@@ -359,7 +436,8 @@
     int one = random.nextInt(doors);
     double lasts = 200 + random.nextInt(5_000);
     Process p = last("d" + one);
-    switch (random.nextInt(6)) {
+    switch (random.nextInt(7)) {
+      case 6 -> dies(servers.get("b" + random.nextInt(BACKENDS)));
       case 0 -> {
         led = false;
         clock.after(200 + random.nextInt(1_500), this::lead);
@@ -491,6 +569,7 @@
         granted++;
         budget(state, x);
       }
+      restart(x);
     }
     told += now.stream().filter(x -> !out.contains(x)).count();
     out = now;
@@ -514,11 +593,19 @@
         }
       });
     }
+    if (given.subject().kind() == Kind.BACKEND) {
+      servers.values().stream().filter(x -> x.out && restarts(x.name)).forEach(x -> all.add(x.name));
+    }
     if (all.size() > atOnce) {
       breach(given.subject() + " was let go while these are out: " + all);
     }
   }
 
+  private boolean restarts(String backend) {
+    return record.state().permits().stream().anyMatch(x -> x.subject().name().equals(backend)
+        && restarted.contains(x.id()));
+  }
+
   /** No door believes in a lease that the stewards hold for over. */
   private void look() {
     State state = record.state();
@@ -634,6 +721,8 @@
     private boolean ready;
     private boolean drains;
     private long generation;
+    private long seesList;
+    private List<Command.Backend> sees = List.of();
     private boolean told;
     private double wakeAt;
 
@@ -735,17 +824,32 @@
       join();
     }
 
+    /** Until it is answered, or another is said. */
     private void join() {
-      ask(door, new Command.Join(0, door, incarnation, "z", 1, generation,
-          bug == Bug.VERSION_UNSAID ? OLD : version), x -> { });
+      long said = generation;
+      boolean[] answered = {bug == Bug.JOINS_ONCE || choosing};
+      ask(door, new Command.Join(0, door, incarnation, "z", 1, said,
+          bug == Bug.VERSION_UNSAID ? OLD : version), x -> answered[0] = true);
+      clock.after(400, () -> on(() -> {
+        if (!answered[0] && said == generation) {
+          join();
+        }
+      }));
     }
 
+    /** Looks at the list now and then, and says once what has changed. */
     private void sight() {
-      List<Command.Backend> all = new ArrayList<>();
-      for (int i = 0; i < BACKENDS; i++) {
-        all.add(new Command.Backend("b" + i, "z", 1, true, 0));
+      if (seesList < listVersion) {
+        seesList = listVersion;
+        sees = listed();
+        tell(new DoorEvent.Sees(Command.Listed.of(seesList, sees)));
+        tellList();
       }
-      ask(door, new Command.Sight(0, 1, all), x -> { });
+      clock.after(LIST_MS, () -> on(this::sight));
+    }
+
+    private void tellList() {
+      ask(door, new Command.Sight(0, seesList, sees), x -> { });
     }
 
     void kill() {
@@ -847,6 +951,8 @@
         beat(e.beat());
       } else if (action instanceof DoorAction.SendJoin) {
         join();
+      } else if (action instanceof DoorAction.TellList && bug != Bug.LIST_TOLD_ONCE) {
+        tellList();
       } else if (action instanceof DoorAction.WakeAt e) {
         wakeAt = e.atMs();
         clock.after((e.atMs() - clock()) / rate + 0.01, () -> on(() -> {
@@ -907,7 +1013,7 @@
         record.state().permits().forEach(x -> left.add(x.id()));
       }
       Beat said = new Beat(beat.door(), beat.incarnation(), beat.doing(), beat.number(), beat.seen(), left,
-          reported(beat.report()));
+          reported(beat.report()), beat.listed());
       Command.Beats command = new Command.Beats(0, List.of(said));
       ask(door, command, outcome -> {
         if (outcome instanceof Outcome.Beaten e) {
--- a/policy/src/main/java/willowdoor/agreement/Command.java
+++ b/policy/src/main/java/willowdoor/agreement/Command.java
@@ -69,9 +69,16 @@
    * @param seen up to which command this process knew the record when it said this
    * @param left permits of backends to which this process sends nothing more
    * @param report what it has done by itself
+   * @param listed which list of backends it goes by
    */
   record Beat(String door, String incarnation, Doing doing, long number, long seen,
-      Set<Long> left, Report report) {
+      Set<Long> left, Report report, Listed listed) {
+
+    /** One that has heard no list. */
+    public Beat(String door, String incarnation, Doing doing, long number, long seen, Set<Long> left,
+        Report report) {
+      this(door, incarnation, doing, number, seen, left, report, Listed.NONE);
+    }
 
     /** Keeps a copy. */
     public Beat {
@@ -104,10 +111,14 @@
 
   /**
    * An operator vouches that a door, or one process of it as door/incarnation, is no more: it sends nothing.
+   * Of a backend that went out and is listed no more, as backend/name: it is not expected back.
    *
    * @param request the asker's own name of this request: heard twice, it is done once
    */
   record Forget(double atMs, String request, String door, String by) implements Command {
+
+    static final String BACKEND = "backend/";
+
     @Override
     public Command at(double leaderMs) {
       return new Forget(leaderMs, request, door, by);
@@ -117,7 +128,7 @@
   /**
    * The list of backends, whole, as some door has heard it.
    *
-   * @param version the list's own; an older one than was told within a lease is of a door that is behind
+   * @param version the list's own; an older one than a door goes by that is reached is of one that is behind
    */
   record Sight(double atMs, long version, List<Backend> backends) implements Command {
 
@@ -132,13 +143,50 @@
     }
   }
 
+  /**
+   * Which list of backends: by its version, and by what it says, as doors may come to see one list
+   * differently.
+   *
+   * @param hash of its backends, the same for the same ones in any order
+   */
+  record Listed(long version, int hash) {
+
+    /** None was heard. */
+    public static final Listed NONE = new Listed(-1, 0);
+
+    /** That list. */
+    public static Listed of(long version, List<Backend> backends) {
+      int hash = 0;
+      for (Backend x : backends) {
+        hash += x.stamp();
+      }
+      return new Listed(version, hash);
+    }
+  }
+
   /**
    * A backend as listed.
    *
    * @param serving whether it is neither told as draining nor cold after a start
-   * @param startedMs by discovery's clock when it started; 0 for long ago
+   * @param startedMs by discovery's clock when it started; 0 for long ago; below 0 it is listed no more,
+   *     since that time of the record's
    */
-  record Backend(String name, String zone, double weight, boolean serving, double startedMs) { }
+  record Backend(String name, String zone, double weight, boolean serving, double startedMs) {
+
+    Backend gone(double nowMs) {
+      return listed() ? new Backend(name, zone, weight, false, -Math.max(1, nowMs)) : this;
+    }
+
+    boolean listed() {
+      return startedMs >= 0;
+    }
+
+    /** The hash of a record is left open by the language; this one is the same everywhere. */
+    int stamp() {
+      return (((name.hashCode() * 31 + zone.hashCode()) * 31 + Double.hashCode(weight)) * 31
+          + Boolean.hashCode(serving)) * 31 + Double.hashCode(startedMs);
+    }
+  }
 
   /**
    * Asks for a permit.
--- a/policy/src/main/java/willowdoor/agreement/DoorAction.java
+++ b/policy/src/main/java/willowdoor/agreement/DoorAction.java
@@ -11,6 +11,9 @@
   /** Send it to the stewards. */
   record SendBeat(Command.Beat beat) implements DoorAction { }
 
+  /** Tell the stewards the list of backends that was {@link DoorEvent.Sees seen} last. */
+  record TellList() implements DoorAction { }
+
   /** Put an operator's request to the stewards. */
   record SendAsk(DoorEvent.Asked asked) implements DoorAction { }
 
--- a/policy/src/main/java/willowdoor/agreement/DoorEvent.java
+++ b/policy/src/main/java/willowdoor/agreement/DoorEvent.java
@@ -15,6 +15,9 @@
   /** The stewards have agreed on a heartbeat. */
   record Answered(long number, View view) implements DoorEvent { }
 
+  /** It goes by this list of backends now. */
+  record Sees(Command.Listed listed) implements DoorEvent { }
+
   /** No attempt of this door is out at the backend any more, and none begins while it is out. */
   record LetGo(String backend) implements DoorEvent { }
 
--- a/policy/src/main/java/willowdoor/agreement/DoorSide.java
+++ b/policy/src/main/java/willowdoor/agreement/DoorSide.java
@@ -19,6 +19,7 @@
 import willowdoor.agreement.DoorAction.SendJoin;
 import willowdoor.agreement.DoorAction.TakeOut;
 import willowdoor.agreement.DoorAction.Tell;
+import willowdoor.agreement.DoorAction.TellList;
 import willowdoor.agreement.DoorAction.Told;
 import willowdoor.agreement.DoorAction.Undrain;
 import willowdoor.agreement.DoorAction.WakeAt;
@@ -29,6 +30,7 @@
 import willowdoor.agreement.DoorEvent.Does;
 import willowdoor.agreement.DoorEvent.LetGo;
 import willowdoor.agreement.DoorEvent.Said;
+import willowdoor.agreement.DoorEvent.Sees;
 import willowdoor.agreement.Outcome.Refused;
 import willowdoor.agreement.Permit.Stage;
 import willowdoor.agreement.Subject.Kind;
@@ -79,6 +81,7 @@
   private long trying;
   private long failed;
   private Tally tally = Tally.NONE;
+  private Command.Listed listed = Command.Listed.NONE;
   /** When the answer is due that an operator waits for. */
   private final Map<String, Double> asked = new LinkedHashMap<>();
 
@@ -114,6 +117,8 @@
       letGo(e.backend());
     } else if (event instanceof Counted e) {
       tally = e.tally();
+    } else if (event instanceof Sees e) {
+      listed = e.listed();
     } else if (event instanceof CameToNothing e && e.attempt() == trying) {
       failed = trying;
       beatAt = Double.NEGATIVE_INFINITY;
@@ -148,6 +153,9 @@
     if (e.view().index() <= seen || !lease.holds(nowMs)) {
       return;
     }
+    if (e.view().tellList()) {
+      actions.add(new TellList());
+    }
     boolean first = seen == 0;
     seen = e.view().index();
     backends(e.view().permits(), first, actions);
@@ -250,7 +258,7 @@
         sent.remove(sent.keySet().iterator().next());
       }
       actions.add(new SendBeat(new Beat(door, incarnation, doing, number, seen, Set.copyOf(left.values()),
-          new Report(trying, failed, tally))));
+          new Report(trying, failed, tally), listed)));
     }
     double due = asked.values().stream().mapToDouble(x -> x).min().orElse(Double.POSITIVE_INFINITY);
     actions.add(new WakeAt(Math.min(due, beatAt + paceMs)));
--- a/policy/src/main/java/willowdoor/agreement/FleetRecord.java
+++ b/policy/src/main/java/willowdoor/agreement/FleetRecord.java
@@ -8,10 +8,8 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
 import java.util.Set;
 import java.util.TreeMap;
-import java.util.stream.Collectors;
 import willowdoor.agreement.Command.Ask;
 import willowdoor.agreement.Command.Backend;
 import willowdoor.agreement.Command.Beat;
@@ -85,9 +83,9 @@
   /** The leader's time of the last command; none before the first leader. */
   private double leader = Double.NaN;
   private long lastPermit;
-  /** The version of the list of backends, and the record's time when it was told. */
-  private long sightVersion;
-  private double sightAt = Double.NEGATIVE_INFINITY;
+  /** Which list of backends it has, and the record's time when it was told. */
+  private Command.Listed sight = Command.Listed.NONE;
+  private double sightAt;
   private final Map<String, Life> lives = new LinkedHashMap<>();
   private final Map<String, Backend> backends = new LinkedHashMap<>();
   private final Map<Long, Permit> permits = new TreeMap<>();
@@ -111,7 +109,7 @@
     now = state.nowMs();
     leader = state.leaderMs();
     lastPermit = state.lastPermit();
-    sightVersion = state.sightVersion();
+    sight = state.sight();
     sightAt = state.sightMs();
     state.lives().forEach(x -> lives.put(x.name(), x));
     state.backends().forEach(x -> backends.put(x.name(), x));
@@ -124,7 +122,7 @@
 
   /** All that it knows. */
   public State state() {
-    return new State(terms, index, now, leader, lastPermit, sightVersion, sightAt,
+    return new State(terms, index, now, leader, lastPermit, sight, sightAt,
         List.copyOf(lives.values()), List.copyOf(backends.values()), List.copyOf(permits.values()),
         List.copyOf(notes), List.copyOf(over), releases());
   }
@@ -184,18 +182,54 @@
     return new Done();
   }
 
-  /** One of an older version is believed where none newer came for a lease: the list counts anew. */
+  /**
+   * One of an older version is believed where no door that is reached goes by the newer one any more: the
+   * list counts anew. What comes late all the same, or gets lost, is mended by {@link View#tellList}.
+   */
   private Outcome sight(Sight e) {
-    if (e.version() < sightVersion && now - sightAt < terms.leaseMs()) {
-      return new Refused("version " + e.version() + " of the list of backends is older than " + sightVersion);
+    if (e.version() < sight.version() && newest() >= sight.version()) {
+      return new Refused("version " + e.version() + " of the list of backends is older than "
+          + sight.version());
     }
-    sightVersion = e.version();
+    sight = Command.Listed.of(e.version(), e.backends());
     sightAt = now;
+    Map<String, Backend> missed = new LinkedHashMap<>(backends);
     backends.clear();
     e.backends().stream().limit(MOST_BACKENDS).forEach(x -> backends.put(x.name(), x));
+    missed.keySet().removeAll(backends.keySet());
+    missed.values().stream().filter(this::isMissed).forEach(x -> backends.put(x.name(), x.gone(now)));
     return new Done();
   }
 
+  /** The newest list that any door goes by, of those that are reached. */
+  private long newest() {
+    return lives.values().stream().filter(x -> x.reached(now)).mapToLong(x -> x.listed().version()).max()
+        .orElse(Command.Listed.NONE.version());
+  }
+
+  /**
+   * Whether this process is the first of those with the newest list to have another than the record. Asked
+   * for once a lease: doors may see one list differently for long.
+   */
+  private boolean hasAnotherList(Life life) {
+    long newest = newest();
+    return newest >= 0 && now - sightAt >= terms.leaseMs() && lives.values().stream()
+        .filter(x -> x.reached(now) && x.listed().version() == newest && !x.listed().equals(sight))
+        .findFirst().filter(x -> x == life).isPresent();
+  }
+
+  /**
+   * Whether a backend that is listed no more still counts, as one that is out: it went out on purpose and is
+   * restarted, or it got another version, may have died of it, and would come back with it. Any other may
+   * have gone for good. Guards against an old list that comes late, too.
+   */
+  private boolean isMissed(Backend x) {
+    Permit permit = permitOf(new Subject(Kind.BACKEND, x.name()));
+    Release r = rollout == null ? null : rollout.state();
+    return permit != null && permit.holds() || r != null && r.mode() != Mode.ENDED
+        && r.plan().of() == Plan.Of.BACKENDS && r.plan().to().equals(r.versions().get(x.name()));
+  }
+
   /**
    * Who holds what one process can hold ends those that held it before, and nobody else: others may wait for
    * it. Guards against a word of an earlier holder that comes late.
@@ -220,7 +254,7 @@
       return new Refused(MOST_LIVES + " processes of doors are known already");
     }
     lives.put(name, new Life(e.door(), e.incarnation(), e.zone(), e.weight(), e.generation(), e.version(),
-        Doing.STARTING, now + terms.leaseMs(), 0, 0, Command.Report.NONE, now));
+        Doing.STARTING, now + terms.leaseMs(), 0, 0, Command.Report.NONE, now, Command.Listed.NONE));
     return new Done();
   }
 
@@ -274,6 +308,9 @@
       return new Done();
     }
     end(e.request());
+    if (e.door().startsWith(Forget.BACKEND)) {
+      return forgetBackend(e, e.door().substring(Forget.BACKEND.length()));
+    }
     if (!lives.values().removeIf(x -> x.door().equals(e.door()) || x.name().equals(e.door()))) {
       return new Refused("no door or process is called " + e.door());
     }
@@ -281,6 +318,21 @@
     return new Done();
   }
 
+  private Outcome forgetBackend(Forget e, String name) {
+    Backend known = backends.get(name);
+    if (known == null || known.listed()) {
+      return new Refused("backend " + name + (known == null ? " is not known" : " is listed (expected: one"
+          + " that went out and is listed no more; the permit of this one can be given back)"));
+    }
+    backends.remove(name);
+    Permit permit = permitOf(new Subject(Kind.BACKEND, name));
+    if (permit != null) {
+      end(permit);
+    }
+    note(e.by(), "has backend " + name + " forgotten: it is not expected back");
+    return new Done();
+  }
+
   private Outcome ask(Ask e) {
     if (permitOf(e.request()) != null) {
       return null;
@@ -347,8 +399,8 @@
     long id = last == null ? 1 : last.id() + 1;
     try {
       Rollout next = Rollout.begin(id, e.request(), e.by(), e.plan(), now, e.plan().of() == Plan.Of.DOORS
-          ? seen(null) : backends.values().stream().map(x -> seen(x, e.plan().from(), null)).toList(),
-              started(e), last == null ? 0 : last.attempts());
+          ? seen(null) : backends.values().stream().map(x -> seen(x, null, e.plan().from())).toList(),
+              last == null ? 0 : last.attempts());
       if (last != null) {
         ended.addLast(last);
       }
@@ -425,11 +477,6 @@
     return "release-" + release.id() + "-" + step.attempt() + "-" + step.door();
   }
 
-  private Map<String, Double> started(StartRelease e) {
-    return e.plan().of() == Plan.Of.DOORS ? Map.of() : backends.values().stream()
-        .collect(Collectors.toMap(Backend::name, Backend::startedMs));
-  }
-
   private static Kind kind(Release release) {
     return release.plan().of() == Plan.Of.DOORS ? Kind.DOOR : Kind.BACKEND;
   }
@@ -438,21 +485,27 @@
     if (release.plan().of() == Plan.Of.DOORS) {
       return seen(release);
     }
-    return backends.values().stream().map(x -> seen(x, Objects.equals(release.started().get(x.name()),
-        x.startedMs()) ? release.plan().from() : release.plan().to(), step(release, x.name()))).toList();
-  }
-
-  private static Step step(Release release, String name) {
-    return release.steps().stream().filter(x -> x.door().equals(name)).findFirst().orElse(null);
+    return backends.values().stream().map(x -> seen(x, release, release.versions()
+        .getOrDefault(x.name(), release.plan().from()))).toList();
   }
 
-  /** It is reached as long as it is listed. Once it is out somebody may be about to restart it. */
-  private Seen seen(Backend backend, String version, Step step) {
+  /**
+   * A backend as a release sees it; null for one that is yet to begin. Once it is out somebody may be about
+   * to restart it, and what starts then has the version that it went out for. One that is away for that is
+   * not lost.
+   */
+  private Seen seen(Backend backend, Release release, String before) {
     Permit permit = permitOf(new Subject(Kind.BACKEND, backend.name()));
-    boolean own = permit != null && step != null && permit.request().equals(request(rollout.state(), step));
-    return new Seen(backend.name(), backend.zone(), version, backend.serving(), 0,
-        own && permit.stage() == Stage.OUT ? step.attempt() : 0, 0, index,
-        held(own ? permit : null), permit != null && !own, "");
+    Step step = release == null ? null : release.steps().stream().filter(x -> x.door().equals(backend.name()))
+        .findFirst().orElse(null);
+    boolean own = permit != null && step != null && permit.request().equals(request(release, step));
+    Double startedMs = release == null ? null : release.started().get(backend.name());
+    boolean anew = own && startedMs != null && backend.startedMs() > 0 && backend.startedMs() != startedMs;
+    return new Seen(backend.name(), backend.zone(), anew ? step.version() : before, backend.serving(),
+        own || backend.listed() ? 0 : now + backend.startedMs() + 1,
+        own && permit.stage() == Stage.OUT ? step.attempt() : 0, 0, index, held(own ? permit : null),
+        permit != null && !own, own && permit.stage() == Stage.WAITING
+            && told(permit.request()) instanceof Waiting w ? w.why() : "");
   }
 
   /** The doors as a release sees them; null for a release that is yet to begin. */
@@ -508,6 +561,7 @@
         end(permit);
       } else if (permit.stage() == Stage.GRANTED && gone(permit)) {
         permits.put(permit.id(), permit.at(Stage.OUT, index));
+        out(permit);
       }
     }
     for (Kind kind : Kind.values()) {
@@ -515,6 +569,15 @@
     }
   }
 
+  private void out(Permit permit) {
+    Backend backend = backends.get(permit.subject().name());
+    if (backend != null && permit.subject().kind() == Kind.BACKEND && rollout != null
+        && rollout.state().steps().stream().anyMatch(x -> permit.request().equals(request(rollout.state(),
+            x)))) {
+      rollout.out(backend.name(), backend.startedMs());
+    }
+  }
+
   private void grant(Kind kind) {
     Outs outs = null;
     for (Permit permit : List.copyOf(permits.values())) {
@@ -616,7 +679,8 @@
         : rollout.due(door, own.stage() == Stage.OUT, now);
     return new View(index, permits.values().stream().filter(x -> x.subject().kind() == Kind.BACKEND
         ? x.holds() : x.subject().name().equals(door)).toList(), life != null && !life.ended(), leaseMs,
-        due == null ? 0 : due.attempt(), due == null ? "" : due.version());
+        due == null ? 0 : due.attempt(), due == null ? "" : due.version(), life != null
+            && hasAnotherList(life));
   }
 
   /** The processes that hold up a backend's going out, as door/incarnation; none for what is out. */
--- a/policy/src/main/java/willowdoor/agreement/View.java
+++ b/policy/src/main/java/willowdoor/agreement/View.java
@@ -11,9 +11,15 @@
  * @param leaseMs for how long the heartbeat counts, by the terms that held when it was agreed on
  * @param attempt of a release that this door is to follow now, 0 for none
  * @param version that the door is to have by it; empty where there is none
+ * @param tellList whether the door is to tell its list of backends, as the record has another
  */
 public record View(long index, List<Permit> permits, boolean known, double leaseMs, long attempt,
-    String version) {
+    String version, boolean tellList) {
+
+  /** One that asks for no list. */
+  public View(long index, List<Permit> permits, boolean known, double leaseMs, long attempt, String version) {
+    this(index, permits, known, leaseMs, attempt, version, false);
+  }
 
   /** Keeps a copy. */
   public View {
--- a/policy/src/main/java/willowdoor/rollout/Release.java
+++ b/policy/src/main/java/willowdoor/rollout/Release.java
@@ -18,7 +18,7 @@
  * @param order of the doors
  * @param versions what each door was seen to have last
  * @param steps those under way
- * @param started of backends, when each had started as the release began; otherwise empty
+ * @param started of backends that are out for their step, when each had started before
  */
 public record Release(long id, String request, String by, Plan plan, Course course, Mode mode, String why,
     int wave,
--- a/policy/src/main/java/willowdoor/rollout/Rollout.java
+++ b/policy/src/main/java/willowdoor/rollout/Rollout.java
@@ -26,9 +26,9 @@
  * <p>The release halts by itself where a door's attempt came to nothing, where a step or the wait for a
  * permit takes too long, where released doors are lost, or fall back, and others are not lost in the same
  * measure, and where they do worse ({@link Evidence}). Backends are released in the same way, but for who
- * restarts them: the step goes on until discovery tells of a start since the release began, which is then
- * the version asked for. On the way back nothing is compared: what is gone back to is what others would be
- * compared with.
+ * restarts them: the step goes on until discovery tells of a start since nothing is sent to it, which is
+ * then the version asked for; a start at any other time changes no version. On the way back nothing is
+ * compared: what is gone back to is what others would be compared with.
  */
 public final class Rollout {
 
@@ -37,27 +37,29 @@
   /** Released doors are lost so many times as often as the others before that speaks against the version. */
   private static final double LOST_RATIO = 3;
 
+
   private Release release;
   private final Map<String, Seen> doors = new LinkedHashMap<>();
   private final Map<String, Step> steps = new LinkedHashMap<>();
+  private final Map<String, Double> started = new HashMap<>();
   private final List<Wish> wishes = new ArrayList<>();
 
   /** Goes on from there. */
   public Rollout(Release release) {
     this.release = release;
     release.steps().forEach(x -> steps.put(x.door(), x));
+    started.putAll(release.started());
   }
 
   /**
    * A new one.
    *
    * @param seen the doors, in an order that is the same wherever the record is
-   * @param started of backends, when each has started
    * @param attempts how many steps releases before it began: a door tells attempts apart by their numbers
    * @throws IllegalArgumentException in words, where the doors have other versions than the plan's
    */
   public static Rollout begin(long id, String request, String by, Plan plan, double nowMs, List<Seen> seen,
-      Map<String, Double> started, long attempts) {
+      long attempts) {
     if (seen.isEmpty()) {
       throw new IllegalArgumentException("no door is known");
     }
@@ -68,7 +70,7 @@
       }
     }
     return new Rollout(new Release(id, request, by, plan, Course.FORWARD, Mode.GOING, "begun by " + by, 0,
-        -1, attempts, inTurns(seen), Map.of(), List.of(), started, Evidence.none(nowMs)));
+        -1, attempts, inTurns(seen), Map.of(), List.of(), Map.of(), Evidence.none(nowMs)));
   }
 
   /** Zones by turns, so that the first waves have doors of all of them. */
@@ -139,10 +141,10 @@
   }
 
   private void progress(int wave, double bakesSince, Evidence evidence) {
+    started.keySet().retainAll(steps.keySet());
     Release r = release;
     release = new Release(r.id(), r.request(), r.by(), r.plan(), r.course(), r.mode(), r.why(), wave,
-        bakesSince,
-        r.attempts(), r.order(), r.versions(), List.copyOf(steps.values()), r.started(), evidence);
+        bakesSince, r.attempts(), r.order(), r.versions(), List.copyOf(steps.values()), started, evidence);
   }
 
   /** A door that is ready said what it came to since it last did. */
@@ -154,6 +156,12 @@
     }
   }
 
+  /** Nothing is sent to a backend any more: what starts after this has its step's version. */
+  public void out(String backend, double startedMs) {
+    started.put(backend, startedMs);
+    progress(release.wave(), release.bakesSince(), release.evidence());
+  }
+
   /** What a door is to do for its step now; null for nothing. */
   public Step due(String door, boolean empty, double nowMs) {
     Step step = steps.get(door);
@@ -216,6 +224,9 @@
     if (seen == null || seen.held() == Held.NONE && step.state() != State.WAITING) {
       // Forgotten, or an operator gave its permit back; a permit that is returned ends so too.
       steps.remove(step.door());
+      if (step.state() == State.WAITING) {
+        wishes.add(new Wish.GiveBack(step));
+      }
       return;
     }
     boolean wanted = release.mode() == Mode.GOING && step.version().equals(release.target());
@@ -344,6 +355,7 @@
     Release r = release;
     Step step = new Step(door, r.attempts() + 1, r.target(), State.WAITING, nowMs, index);
     steps.put(door, step);
+    started.remove(door);
     release = new Release(r.id(), r.request(), r.by(), r.plan(), r.course(), r.mode(), r.why(), r.wave(), -1,
         r.attempts() + 1, r.order(), r.versions(), r.steps(), r.started(), r.evidence());
     wishes.add(new Wish.Ask(step));
--- a/policy/src/test/java/willowdoor/agreement/ReleaseRecordTest.java
+++ b/policy/src/test/java/willowdoor/agreement/ReleaseRecordTest.java
@@ -13,6 +13,7 @@
 import willowdoor.agreement.Command.Beat;
 import willowdoor.agreement.Command.Beats;
 import willowdoor.agreement.Command.Doing;
+import willowdoor.agreement.Command.Forget;
 import willowdoor.agreement.Command.Join;
 import willowdoor.agreement.Command.Lead;
 import willowdoor.agreement.Command.Leave;
@@ -275,6 +276,143 @@
     assertEquals(Mode.ENDED, release().mode(), release()::toString);
   }
 
+  private void list(Backend... backends) {
+    record.on(new Sight(at, 1, List.of(backends)));
+    for (String door : List.of("d1", "d2")) {
+      says(door, "x", Doing.READY, Report.NONE);
+    }
+  }
+
+  private static Backend backend(String name, double startedMs) {
+    return new Backend(name, "a", 1, true, startedMs);
+  }
+
+  private void releaseBackends(double... waves) {
+    assertInstanceOf(Begun.class, record.on(new StartRelease(at, "r1", new Plan(Plan.Of.BACKENDS, "before",
+        "after", java.util.Arrays.stream(waves).boxed().toList(), 1_000, 0, 20_000, 0, Comparison.USUAL),
+        "ana")));
+  }
+
+  /** Out, gone from the list for a while, and listed as it started anew. */
+  private void restarted(String name, double startedMs, Backend... others) {
+    assertEquals(Stage.GRANTED, permit(name).stage());
+    letGo(permit(name).id());
+    assertEquals(Stage.OUT, permit(name).stage());
+    list(others);
+    assertEquals(Stage.OUT, permit(name).stage());
+    assertEquals(1, record.out(Kind.BACKEND), "it counts while it is away");
+    List<Backend> all = new java.util.ArrayList<>(List.of(others));
+    all.add(backend(name, startedMs));
+    list(all.toArray(Backend[]::new));
+    assertEquals(null, permit(name), name);
+  }
+
+  /** Nothing else goes out while one is away, though the list doesn't name it. */
+  @Test
+  void aBackendThatIsListedNoMoreWhileItRestartsIsAwaited() {
+    list(backend("b1", 0), backend("b2", 0));
+    releaseBackends(1);
+    restarted("b1", 900, backend("b2", 0));
+    assertEquals("after", release().versions().get("b1"));
+    restarted("b2", 950, backend("b1", 900));
+    at += 2_000;
+    record.on(new Tick(at));
+    record.on(new Tick(at));
+    assertEquals(Mode.ENDED, release().mode(), release()::toString);
+  }
+
+  @Test
+  void theWayBackOfBackendsIsAnotherRestart() {
+    list(backend("b1", 0), backend("b2", 0));
+    releaseBackends(0.5, 1);
+    restarted("b1", 900, backend("b2", 0));
+    steer("b", 1, Steering.BACK);
+    assertEquals("after", release().versions().get("b1"));
+    restarted("b1", 990, backend("b2", 0));
+    assertEquals(Mode.ENDED, release().mode(), release()::toString);
+    assertEquals(2, release().having("before"));
+  }
+
+  /** Taken back while one is away: it comes with the version that it went for, and goes once more. */
+  @Test
+  void theWayBackBeginsInTheMiddleOfARestart() {
+    list(backend("b1", 0), backend("b2", 0));
+    releaseBackends(1);
+    letGo(permit("b1").id());
+    list(backend("b2", 0));
+    steer("b", 1, Steering.BACK);
+    list(backend("b2", 0), backend("b1", 900));
+    assertEquals("after", release().versions().get("b1"));
+    restarted("b1", 990, backend("b2", 0));
+    assertEquals(Mode.ENDED, release().mode(), release()::toString);
+  }
+
+  @Test
+  void aStartThatNobodyAwaitedChangesNoVersion() {
+    list(backend("b1", 0), backend("b2", 0));
+    releaseBackends(0.5, 1);
+    list(backend("b1", 0), backend("b2", 700));
+    assertEquals("before", release().versions().get("b2"));
+    restarted("b1", 900, backend("b2", 700));
+    record = new FleetRecord(record.state());
+    assertEquals("after", release().versions().get("b1"));
+  }
+
+  /** The new version starts, is seen to serve, and dies. */
+  @Test
+  void aReleasedBackendThatIsLostHalts() {
+    list(backend("b1", 0), backend("b2", 0));
+    releaseBackends(0.5, 1);
+    restarted("b1", 900, backend("b2", 0));
+    list(backend("b2", 0));
+    assertEquals(1, record.out(Kind.BACKEND));
+    assertEquals(Mode.GOING, release().mode());
+    at += 2_000;
+    record.on(new Tick(at));
+    assertEquals(Mode.HALTED, release().mode());
+    assertEquals("released doors are lost: b1; of the 1 others 0", release().why());
+    steer("b", 1, Steering.BACK);
+    assertEquals(Mode.GOING, release().mode(), "it would come back with the new version");
+    assertInstanceOf(Done.class, record.on(new Forget(at, "f", "backend/b1", "rui")));
+    assertEquals(Mode.ENDED, release().mode(), release()::toString);
+    assertEquals(0, record.out(Kind.BACKEND));
+  }
+
+  /** It comes back as what it was while the way back is under way: it has to go too. */
+  @Test
+  void aReleasedBackendThatWasAwayAsTheWayBackBeganGoesBackToo() {
+    list(backend("b1", 0), backend("b2", 0));
+    releaseBackends(1);
+    restarted("b1", 900, backend("b2", 0));
+    letGo(permit("b2").id());
+    list(backend("b2", 0));
+    steer("b", 1, Steering.BACK);
+    list(backend("b2", 950));
+    list(backend("b2", 950), backend("b1", 980));
+    restarted("b2", 990, backend("b1", 980));
+    restarted("b1", 995, backend("b2", 990));
+    assertEquals(Mode.ENDED, release().mode(), release()::toString);
+    assertEquals(2, release().having("before"));
+  }
+
+  @Test
+  void oneThatNeverComesBackIsForgottenByAnOperator() {
+    list(backend("b1", 0), backend("b2", 0));
+    releaseBackends(1);
+    letGo(permit("b1").id());
+    assertInstanceOf(Refused.class, record.on(new Forget(at, "f1", "backend/b1", "rui")));
+    assertInstanceOf(Refused.class, record.on(new Forget(at, "f2", "backend/b9", "rui")));
+    list(backend("b2", 0));
+    at += 21_000;
+    says("d1", "x", Doing.READY, Report.NONE);
+    assertEquals(Mode.HALTED, release().mode());
+    assertTrue(!release().still());
+    assertInstanceOf(Done.class, record.on(new Forget(at, "f3", "backend/b1", "rui")));
+    assertTrue(release().still());
+    assertEquals(null, permit("b1"));
+    assertEquals(0, record.out(Kind.BACKEND));
+  }
+
   @Test
   void keepsTheLastReleasesOnly() {
     for (int i = 0; i < 25; i++) {
--- a/steward/src/main/java/willowdoor/steward/link/DoorLink.java
+++ b/steward/src/main/java/willowdoor/steward/link/DoorLink.java
@@ -87,6 +87,8 @@
   private long sightVersion;
   /** Null where the stewards have it. */
   private List<Command.Backend> sight;
+  /** The last list, told or not. */
+  private List<Command.Backend> seen;
   private boolean sightUnderWay;
 
   /**
@@ -165,6 +167,8 @@
     loop.execute(() -> {
       sightVersion = version;
       sight = List.copyOf(backends);
+      seen = sight;
+      on(new DoorEvent.Sees(Command.Listed.of(version, sight)));
       tellSight();
     });
   }
@@ -255,6 +259,9 @@
       });
     } else if (action instanceof DoorAction.SendJoin) {
       join();
+    } else if (action instanceof DoorAction.TellList) {
+      sight = seen;
+      tellSight();
     } else if (action instanceof DoorAction.SendAsk e) {
       ask(e.asked());
     } else if (action instanceof DoorAction.Tell e) {
@@ -301,11 +308,22 @@
     }
   }
 
+  /**
+   * Until it is answered: a process that died before this one, and could say no word, holds up what it might
+   * still send to until the stewards hear that this one alone is left.
+   */
   private void join() {
+    long said = generation;
     link.ask(new Call.Put(new Command.Join(0, self.door(), self.incarnation(), self.zone(), self.weight(),
-        generation, self.version())), false, LIMIT_MS, answer -> {
+        said, self.version())), false, LIMIT_MS, answer -> {
           if (answer instanceof Came came && came.outcome() instanceof Outcome.Refused no) {
             LOG.warning("the stewards don't take this door: " + no.why());
+          } else if (!(answer instanceof Came) && said == generation && !closed) {
+            loop.schedule(() -> {
+              if (said == generation && !closed) {
+                join();
+              }
+            }, AGAIN_MS, TimeUnit.MILLISECONDS);
           }
         });
   }
--- a/testkit/src/main/java/willowdoor/testkit/Terms.java
+++ b/testkit/src/main/java/willowdoor/testkit/Terms.java
@@ -37,6 +37,12 @@
         tipAfterMs, counterLimitMs);
   }
 
+  /** The same where a backend is cold for so long after its start. */
+  public Terms warmAfter(double otherColdMs) {
+    return new Terms(plans, deadlineMs, keyWindowMs, drainGraceMs, coldFrom, otherColdMs, tipMultiple,
+        tipAfterMs, counterLimitMs);
+  }
+
   /** The plan of that name. */
   public PlanTerms plan(String name) {
     return plans.stream().filter(p -> p.name().equals(name)).findFirst()
