Take-over: a successor goes on from what the instance before it had learned

Learned has what a request takes by class, backends' speed, failures, rests and cold budgets, and units owed, as ages; it fades as in one process, and what is owed to a window that is over is dropped. It goes over the control socket in lines after the hand-over, where both sides say that they know of them; nothing of it counts unless it is whole.

--- a/daemon/src/main/java/willowdoor/daemon/life/ControlSocket.java
+++ b/daemon/src/main/java/willowdoor/daemon/life/ControlSocket.java
@@ -118,11 +118,14 @@
       } else if (line.equals(Handover.SEND) && successor == this && !handed) {
         handed = true;
         ctx.writeAndFlush(new FileDescriptor(door.descriptor()));
-      } else if (line.equals(Handover.READY) && handed && !ready) {
+      } else if ((line.equals(Handover.READY) || line.equals(Handover.READY_TO_LEARN)) && handed && !ready) {
         ready = true;
         LOG.info("process " + pid + " has taken over " + listen());
         instance.tell(new SuccessorReady());
         Handover.say(ctx, Handover.YOURS);
+        if (line.equals(Handover.READY_TO_LEARN)) {
+          door.loop().execute(() -> teach(ctx));
+        }
       } else {
         refuse(ctx, "not understood: " + line);
       }
@@ -146,10 +149,15 @@
             refuse(ctx, "not ready within " + readyLimitMs + " ms");
           }
         }, readyLimitMs, TimeUnit.MILLISECONDS);
-        Handover.say(ctx, Handover.HANDING + " " + ProcessHandle.current().pid());
+        Handover.say(ctx, Handover.HANDING + " " + ProcessHandle.current().pid() + " " + LearnedLines.WORD);
       }
     }
 
+    private void teach(ChannelHandlerContext ctx) {
+      LearnedLines.of(door.learned()).forEach(x -> ctx.write(x + '\n'));
+      ctx.flush();
+    }
+
     private void refuse(ChannelHandlerContext ctx, String reason) {
       ctx.writeAndFlush(Handover.REFUSED + " " + reason + '\n').addListener(ChannelFutureListener.CLOSE);
     }
--- a/daemon/src/main/java/willowdoor/daemon/life/Daemon.java
+++ b/daemon/src/main/java/willowdoor/daemon/life/Daemon.java
@@ -23,6 +23,7 @@
 import willowdoor.net.FrontDoor;
 import willowdoor.net.Gate;
 import willowdoor.net.GateChain;
+import willowdoor.policy.Learned;
 import willowdoor.steward.link.StewardProcess;
 import willowdoor.valkey.ValkeyStore;
 
@@ -194,7 +195,7 @@
             "cannot take over: take_over.control_socket is not set, or this machine has no epoll");
       }
       takeOver = TakeOver.ask(door.group(), Path.of(config.takeOver().controlSocket()), text(address),
-          () -> instance.tell(new Broken("the running instance took its word back")));
+          () -> instance.tell(new Broken("the running instance took its word back")), this::learn);
     }
     if (takeOver != null) {
       door.adopt(takeOver.descriptor());
@@ -212,6 +213,19 @@
     }
   }
 
+  private void learn(Learned told) {
+    door.loop().execute(() -> {
+      door.inherit(told, 0);
+      LOG.info("goes on from what the instance before it had learned: " + told.backends().size()
+          + " backends, " + told.taken().size() + " classes, " + told.owed().size() + " counts owed to");
+    });
+  }
+
+  /** What this instance would tell its successor now; then it owes nothing to shared counts. */
+  Learned learned() {
+    return door.loop().submit(door::learned).syncUninterruptibly().getNow();
+  }
+
   /** The control socket's file is this instance's from when it serves: a successor asks whoever serves. */
   private void openControl() {
     if (control != null) {
--- a/daemon/src/main/java/willowdoor/daemon/life/Handover.java
+++ b/daemon/src/main/java/willowdoor/daemon/life/Handover.java
@@ -15,13 +15,17 @@
  *
  * <pre>
  *   successor -> holder   takeover 1 PID ADDRESS
- *   holder -> successor   handing PID              or  refused REASON, and the end
+ *   holder -> successor   handing PID learned      or  refused REASON, and the end
  *   successor -> holder   send
  *   holder -> successor   (the descriptor)
- *   successor -> holder   ready                    it takes connections from here on
+ *   successor -> holder   ready learned            it takes connections from here on
  *   holder -> successor   yours                    the holder drains
+ *   holder -> successor   learned ...              what it has learned, in lines ({@link LearnedLines})
  * </pre>
  *
+ * <p>The word {@code learned} is said by who knows of such lines, and they come only where both have said it;
+ * an older process on either side says {@code handing PID} or {@code ready} and hears no more than it knows.
+ *
  * <p>The connection stays open while the holder drains: its end tells each side of the other's death.
  */
 final class Handover {
@@ -32,6 +36,7 @@
   static final String REFUSED = "refused";
   static final String SEND = "send";
   static final String READY = "ready";
+  static final String READY_TO_LEARN = READY + " " + LearnedLines.WORD;
   static final String YOURS = "yours";
   private static final int LONGEST_LINE = 512;
 
--- a/daemon/src/main/java/willowdoor/daemon/life/TakeOver.java
+++ b/daemon/src/main/java/willowdoor/daemon/life/TakeOver.java
@@ -17,6 +17,9 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.function.Consumer;
+import java.util.logging.Logger;
+import willowdoor.policy.Learned;
 
 /**
  * The successor's side of a handover: asks the running instance for its listening socket, and says when this
@@ -25,25 +28,35 @@
  */
 final class TakeOver {
 
+  private static final Logger LOG = Logger.getLogger(TakeOver.class.getName());
   private static final long ANSWER_LIMIT_MS = 5_000;
 
   private final CompletableFuture<Integer> descriptor = new CompletableFuture<>();
   private final CompletableFuture<Void> yours = new CompletableFuture<>();
   private final Runnable refusedLater;
+  private final Consumer<Learned> learned;
+  private final LearnedLines lines = new LearnedLines();
   private Channel channel;
+  private volatile boolean teaches;
+  private boolean listens = true;
 
-  /** The last is called when the holder says no after it has handed the socket over. */
-  private TakeOver(Runnable refusedLater) {
+  private TakeOver(Runnable refusedLater, Consumer<Learned> learned) {
     this.refusedLater = refusedLater;
+    this.learned = learned;
   }
 
-  /** Asks at the path; null when nobody answers there, so that there is nothing to take over. */
-  static TakeOver ask(EventLoopGroup group, Path path, String listen, Runnable refusedLater)
-      throws IOException, InterruptedException {
+  /**
+   * Asks at the path; null when nobody answers there, so that there is nothing to take over.
+   *
+   * @param refusedLater called when the holder says no after it has handed the socket over
+   * @param learned called with what the holder has learned, where it tells and its word is whole
+   */
+  static TakeOver ask(EventLoopGroup group, Path path, String listen, Runnable refusedLater,
+      Consumer<Learned> learned) throws IOException, InterruptedException {
     if (!Files.exists(path)) {
       return null;
     }
-    TakeOver ask = new TakeOver(refusedLater);
+    TakeOver ask = new TakeOver(refusedLater, learned);
     ChannelFuture connected = new Bootstrap().group(group).channel(EpollDomainSocketChannel.class)
         .handler(new ChannelInitializer<Channel>() {
           @Override
@@ -77,7 +90,7 @@
 
   /** Says that this instance takes connections. */
   void ready() {
-    channel.writeAndFlush(Handover.READY + "\n");
+    channel.writeAndFlush((teaches ? Handover.READY_TO_LEARN : Handover.READY) + "\n");
   }
 
   /** What the running instance says. */
@@ -94,15 +107,30 @@
 
     private void line(ChannelHandlerContext ctx, String line) {
       if (line.startsWith(Handover.HANDING + " ")) {
+        teaches = line.endsWith(" " + LearnedLines.WORD);
         Handover.expectDescriptor(ctx, true);
         Handover.say(ctx, Handover.SEND);
       } else if (line.equals(Handover.YOURS)) {
         yours.complete(null);
+      } else if (line.startsWith(LearnedLines.WORD + " ")) {
+        learn(line);
       } else if (!descriptor.completeExceptionally(new IOException("the running instance says: " + line))) {
         refusedLater.run();
       }
     }
 
+    private void learn(String line) {
+      try {
+        Learned whole = listens ? lines.next(line) : null;
+        if (whole != null) {
+          learned.accept(whole);
+        }
+      } catch (IOException e) {
+        listens = false;
+        LOG.warning("what the running instance has learned is left aside: " + e.getMessage());
+      }
+    }
+
     /** The end before the socket has come is a failure; after that the holder is dead and the socket ours. */
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
--- a/daemon/src/test/java/willowdoor/daemon/life/TakeOverTest.java
+++ b/daemon/src/test/java/willowdoor/daemon/life/TakeOverTest.java
@@ -29,6 +29,7 @@
 import org.junit.jupiter.api.Timeout;
 import willowdoor.daemon.config.DaemonConfig;
 import willowdoor.life.InstanceLife;
+import willowdoor.policy.Learned;
 import willowdoor.testkit.Ledger.Kind;
 import willowdoor.testkit.RequestKind;
 
@@ -269,6 +270,40 @@
     }
   }
 
+  /** One that asks is told what was learned; one of an older version hears nothing that it can't read. */
+  @Test
+  void whatWasLearnedGoesOverToWhoAsksForIt() throws Exception {
+    Daemon old = running();
+    serves(old.address(), "r1");
+    try (Peer peer = new Peer()) {
+      assertTrue(peer.ask(old.address()).endsWith(" " + LearnedLines.WORD));
+      peer.say(Handover.SEND);
+      peer.readDescriptor();
+      peer.say(Handover.READY_TO_LEARN);
+      assertEquals(Handover.YOURS, peer.line());
+      LearnedLines lines = new LearnedLines();
+      Learned told = null;
+      while (told == null) {
+        told = lines.next(peer.line());
+      }
+      assertEquals(2, told.backends().size());
+      assertTrue(told.backends().stream().anyMatch(x -> x.slow() > 0), told::toString);
+      assertTrue(told.taken().stream().anyMatch(x -> x.count() > 0), told::toString);
+    }
+    World.await("serves on, as its successor is gone", () -> World.up(old.address()));
+  }
+
+  @Test
+  void theNewOneGoesOnFromWhatTheOldOneHasLearned() throws Exception {
+    Daemon old = running();
+    serves(old.address(), "r1");
+    Daemon fresh = world.daemon(old.address(), "").start(true);
+    World.await("learned", () -> fresh.learned().taken().stream().anyMatch(x -> x.count() > 0));
+    endsWith(InstanceLife.EXIT_ORDERLY, old);
+    serves(fresh.address(), "r2");
+    kept();
+  }
+
   @Test
   void onlyOneSuccessorAtATimeAndOnlyForTheSameAddress() throws Exception {
     Daemon old = running();
--- a/door/src/main/java/willowdoor/net/FrontDoor.java
+++ b/door/src/main/java/willowdoor/net/FrontDoor.java
@@ -18,6 +18,7 @@
 import willowdoor.management.ManagementServer;
 import willowdoor.membership.Out;
 import willowdoor.policy.GatewayApi.Request;
+import willowdoor.policy.Learned;
 import willowdoor.policy.QuotaPolicy;
 import willowdoor.recovery.CounterWatch;
 
@@ -322,6 +323,16 @@
     listening.config().setAutoRead(false);
   }
 
+  /** What this process has learned, for the one that takes its place; on the loop, and once. */
+  public Learned learned() {
+    return driver.learned();
+  }
+
+  /** Goes on from what the process before this one had learned so long ago; on the loop. */
+  public void inherit(Learned told, double agoMs) {
+    driver.inherit(told, agoMs);
+  }
+
   /** Answers {@code GET /up} with 503, and ends each connection with its next answer. */
   public void beginDrain() {
     driver.draining(true);
--- a/door/src/main/java/willowdoor/net/ModuleDriver.java
+++ b/door/src/main/java/willowdoor/net/ModuleDriver.java
@@ -32,6 +32,7 @@
 import willowdoor.policy.GatewayApi.Status;
 import willowdoor.policy.GatewayApi.WakeAt;
 import willowdoor.policy.GatewayApi.Woken;
+import willowdoor.policy.Learned;
 import willowdoor.policy.QuotaPolicy;
 
 /**
@@ -176,6 +177,16 @@
     return policy.through(request.customer(), request.entryPoints());
   }
 
+  /** What it has learned, for the process that takes its place; it owes nothing to shared counts then. */
+  Learned learned() {
+    return Learned.of(policy, clock.now());
+  }
+
+  /** Goes on from what another process had learned so long ago. */
+  void inherit(Learned told, double agoMs) {
+    told.inherit(policy, clock.now(), agoMs);
+  }
+
   /** Has nothing wait at the gate any more, or lets it wait again. */
   void draining(boolean on) {
     if (gate != null) {
--- a/policy/src/main/java/willowdoor/policy/GatewayState.java
+++ b/policy/src/main/java/willowdoor/policy/GatewayState.java
@@ -84,6 +84,18 @@
       unitsTook += weight * (u * ms - unitsTook);
     }
 
+    Learned.Taken taken(String className) {
+      return new Learned.Taken(className, count, units, took, units2, unitsTook);
+    }
+
+    void goOn(Learned.Taken told) {
+      count = told.count();
+      units = told.units();
+      took = told.tookMs();
+      units2 = told.units2();
+      unitsTook = told.unitsTook();
+    }
+
     double of(double u) {
       if (count == 0) {
         return unknownMs;
@@ -166,6 +178,13 @@
       return windowNow(now) * windowMs - phase;
     }
 
+    /** What it owes is another's from here on. */
+    Learned.Owed handOver(double now) {
+      Learned.Owed over = new Learned.Owed(customer, plan.name(), gateways, windowNow(now), owed);
+      owed = 0;
+      return over;
+    }
+
     int placesKnown() {
       return Math.max(out, places) + asking;
     }
@@ -253,6 +272,21 @@
       return Math.max(zoneFailing.fresh(now), cellFailing.fresh(now));
     }
 
+    Learned.Known known(double now) {
+      return new Learned.Known(id, service, failing, now - answeredAt, Math.max(0, restUntil - now), rests,
+          trial, coldTokens);
+    }
+
+    void goOn(Learned.Known told, double now, double agoMs) {
+      service = told.slow();
+      failing = told.failing();
+      answeredAt = now - told.agoMs() - agoMs;
+      restUntil = told.restMs() > agoMs ? now + told.restMs() - agoMs : restUntil;
+      rests = told.rests();
+      trial = told.trial();
+      coldTokens = Math.min(coldTokens, told.coldTokens());
+    }
+
     /** Its place in the order of one gateway, which differs from the orders of others. */
     long rank(long gateway) {
       return mix(id + (gateway << 32));
--- a/policy/src/main/java/willowdoor/policy/QuotaPolicy.java
+++ b/policy/src/main/java/willowdoor/policy/QuotaPolicy.java
@@ -120,10 +120,10 @@
 
   private final Settings settings;
   private final SplittableRandom random;
-  private final Map<String, Plan> plans = new HashMap<>();
-  private final Map<String, RequestClass> classes = new HashMap<>();
+  final Map<String, Plan> plans = new HashMap<>();
+  final Map<String, RequestClass> classes = new HashMap<>();
   private List<Action> out = new ArrayList<>();
-  private double now, startedAt;
+  double now, startedAt;
 
   public QuotaPolicy(Settings settings, long seed) {
     this.settings = settings;
@@ -186,7 +186,7 @@
   // ---- Quota ----
 
   /** What this gateway knows of one customer: a replica of its plan's bucket, fed by the shared totals. */
-  private final class Account extends AccountState {
+  final class Account extends AccountState {
     Account(Request r, Plan plan) {
       super(r.customer(), plan, Math.max(1, Math.min(r.entryPoints(), settings.gateways())), now);
       share = r.ceiling();
@@ -310,7 +310,7 @@
   }
 
   /** In order of use, so that the longest idle is dropped when another is met: nothing grows for ever. */
-  private final Map<Long, Account> accounts = new LinkedHashMap<>(16, 0.75f, true) {
+  final Map<Long, Account> accounts = new LinkedHashMap<>(16, 0.75f, true) {
     @Override
     protected boolean removeEldestEntry(Map.Entry<Long, Account> e) {
       return now - e.getValue().levelAt > COUNT_TTL_MS && e.getValue().out == 0;
@@ -324,7 +324,7 @@
   private double counterBackAt = Double.NEGATIVE_INFINITY;
   private int callsFailed;
 
-  private Account account(Request r) {
+  Account account(Request r) {
     Account a = accounts.computeIfAbsent(r.customer(), c -> new Account(r,
         plans.getOrDefault(r.planName(), mostCarefulPlan())));
     a.shared(r.ceiling());
@@ -764,7 +764,7 @@
 
   // ---- Backends ----
 
-  private final class Backend extends BackendState {
+  final class Backend extends BackendState {
     final LinkedHashSet<Attempt<Job, Backend>> out = new LinkedHashSet<>();
 
     Backend(long id) {
@@ -818,11 +818,11 @@
     }
   }
 
-  private final TreeMap<Long, Backend> backends = new TreeMap<>();
+  final TreeMap<Long, Backend> backends = new TreeMap<>();
   private final Map<String, Mean> failing = new HashMap<>();
-  private double fleetService = UNKNOWN_SERVICE_MS;
+  double fleetService = UNKNOWN_SERVICE_MS;
   /** How much longer than by {@link #needs} requests take, over all backends: near 1, as needs follow. */
-  private double fleetSlow = 1;
+  double fleetSlow = 1;
   private final List<Backend> serving = new ArrayList<>();
   private final List<Backend> usual = new ArrayList<>();
   private int warm;
@@ -1020,12 +1020,12 @@
   private double retryTokens;
   private double meanWorth = Double.NaN;
   /** What requests of a class take, for the classes of the settings and one for any other. */
-  private final Map<String, Need> needs = new HashMap<>();
+  final Map<String, Need> needs = new HashMap<>();
   private final Mean took = new Mean(PRESSURE_NEWEST, PRESSURE_LIFE_MS, now);
   /** Times of answers by their aims, and attempts out at a backend from which on further ones mostly wait. */
   private final Mean ofAim = new Mean(PRESSURE_NEWEST, PRESSURE_LIFE_MS, now);
   private int answers;
-  private double knee = LEAST_KNEE;
+  double knee = LEAST_KNEE;
   private final Mean needed = new Mean(PRESSURE_NEWEST, PRESSURE_LIFE_MS, now);
   private final Mean outMean = new Mean(0.3, 1000, now);
   private double okAt = Double.NEGATIVE_INFINITY;
