--- a/daemon/src/main/java/willowdoor/daemon/fleet/AgreedCommand.java
+++ b/daemon/src/main/java/willowdoor/daemon/fleet/AgreedCommand.java
@@ -32,10 +32,11 @@
     "Runs stewards and doors, each a process, under load, with operators who take doors and backends out.",
     "  schedules  links and processes break by seeds; what operators and requests met is judged",
     "  leader     how long nothing is agreed on after the leader was killed",
-    "  cost       side by side: without agreement and with it"})
+    "  cost       side by side: without agreement and with it",
+    "  record     how the record grows by releases, without processes"})
 public final class AgreedCommand implements Callable<Integer> {
 
-  enum Run { schedules, leader, cost }
+  enum Run { schedules, leader, cost, record }
 
   private static final double WITHIN_MS = 5_000;
   private static final long TIDY_LIMIT_MS = 30_000;
@@ -69,6 +70,10 @@
     out.printf("%d stewards, %d doors, %.0f requests/s, at most %d doors and %d backends out, from seed %d%n",
         stewards, doors, rate, BUDGET, BUDGET, seed);
     out.flush();
+    if (what == Run.record) {
+      new RecordGrowth(out, doors).play(count);
+      return 0;
+    }
     if (what == Run.cost) {
       for (boolean on : new boolean[] {false, true, false, true}) {
         cost(on);
--- /dev/null
+++ b/daemon/src/main/java/willowdoor/daemon/fleet/RecordGrowth.java
@@ -0,0 +1,131 @@
+package willowdoor.daemon.fleet;
+
+import java.io.PrintWriter;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import willowdoor.agreement.Budget;
+import willowdoor.agreement.Command;
+import willowdoor.agreement.Command.Beat;
+import willowdoor.agreement.Command.Beats;
+import willowdoor.agreement.Command.Doing;
+import willowdoor.agreement.Command.Join;
+import willowdoor.agreement.Command.Lead;
+import willowdoor.agreement.Command.Leave;
+import willowdoor.agreement.Command.Report;
+import willowdoor.agreement.Command.StartRelease;
+import willowdoor.agreement.Command.Tick;
+import willowdoor.agreement.FleetRecord;
+import willowdoor.agreement.Most;
+import willowdoor.agreement.Permit;
+import willowdoor.agreement.Terms;
+import willowdoor.agreement.View;
+import willowdoor.rollout.Comparison;
+import willowdoor.rollout.Plan;
+import willowdoor.rollout.Release;
+import willowdoor.rollout.Tally;
+import willowdoor.steward.Codec;
+
+/**
+ * How the record grows by releases to and fro, without processes: doors say what doors say, command by
+ * command, and what a snapshot has is counted after each power of ten.
+ */
+final class RecordGrowth {
+
+  private static final double LEASE_MS = 3_000;
+  private static final double BEAT_MS = 1_000;
+
+  private final PrintWriter out;
+  private final FleetRecord record;
+  private final int doors;
+  private final List<String> incarnations = new ArrayList<>();
+  private final long[] beats;
+  private double at = 1_000;
+  private long commands;
+  private long logBytes;
+  private int begun;
+
+  /** A fleet of so many doors, a tenth of which may be out. */
+  RecordGrowth(PrintWriter out, int doors) {
+    this.out = out;
+    this.doors = doors;
+    beats = new long[doors];
+    Budget budget = new Budget(Most.of(Math.max(1, doors / 10)), Most.ANY, 0);
+    record = new FleetRecord(new Terms(budget, budget, LEASE_MS));
+    on(new Lead(at));
+    for (int i = 0; i < doors; i++) {
+      incarnations.add(begin(i, "1"));
+      says(i, Doing.READY, Report.NONE);
+    }
+  }
+
+  private String begin(int door, String version) {
+    String incarnation = "p" + ++begun;
+    on(new Join(at, "d" + door, incarnation, door % 2 == 0 ? "a" : "b", 1, begun, version));
+    return incarnation;
+  }
+
+  private void on(Command command) {
+    commands++;
+    logBytes += Codec.bytes(command).length;
+    record.on(command);
+  }
+
+  private void says(int door, Doing what, Report report) {
+    on(new Beats(at, List.of(new Beat("d" + door, incarnations.get(door), what, ++beats[door],
+        record.state().index(), Set.of(), report))));
+  }
+
+  /** Plays so many, and tells how large the record was on the way. */
+  void play(int releases) {
+    long next = 1;
+    for (int i = 1; i <= releases; i++) {
+      long commandsBefore = commands;
+      long bytesBefore = logBytes;
+      String from = i % 2 == 1 ? "1" : "2";
+      String to = i % 2 == 1 ? "2" : "1";
+      on(new StartRelease(at, "r" + i, new Plan(Plan.Of.DOORS, from, to, List.of(0.02, 0.25, 1.0), 1_000, 500,
+          60_000, 1_000, Comparison.USUAL), "ana"));
+      while (last().mode() == Release.Mode.GOING) {
+        round(to);
+      }
+      if (last().mode() != Release.Mode.ENDED) {
+        throw new IllegalStateException(last().toString());
+      }
+      if (i == next || i == releases) {
+        next *= 10;
+        long from0 = System.nanoTime();
+        int size = Codec.bytes(record.state()).length;
+        out.println(String.format(Locale.ROOT, "%d doors, %d releases: a snapshot has %d bytes and takes"
+            + " %.1f ms; the last release was %d commands of %d bytes together", doors, i, size,
+            (System.nanoTime() - from0) / 1e6, commands - commandsBefore, logBytes - bytesBefore));
+        out.flush();
+      }
+    }
+  }
+
+  private Release last() {
+    List<Release> all = record.state().releases();
+    return all.get(all.size() - 1);
+  }
+
+  /** Each door's heartbeat, and what its step asks of it. */
+  private void round(String to) {
+    for (int i = 0; i < doors; i++) {
+      View view = record.view("d" + i, incarnations.get(i), LEASE_MS);
+      if (view.attempt() > 0 && view.version().equals(to)) {
+        says(i, Doing.EMPTY, new Report(view.attempt(), 0, Tally.NONE));
+        String old = incarnations.set(i, begin(i, to));
+        beats[i] = 0;
+        says(i, Doing.EMPTY, Report.NONE);
+        on(new Leave(at, "d" + i, old));
+      }
+      boolean goes = view.attempt() == 0 && view.permits().stream()
+          .anyMatch(x -> x.stage() == Permit.Stage.GRANTED || x.stage() == Permit.Stage.OUT);
+      says(i, goes ? Doing.EMPTY : Doing.READY, Report.NONE);
+    }
+    at += BEAT_MS;
+    on(new Tick(at));
+  }
+}
--- a/steward/src/main/java/willowdoor/steward/Codec.java
+++ b/steward/src/main/java/willowdoor/steward/Codec.java
@@ -52,7 +52,12 @@
     return mapper;
   }
 
-  static byte[] bytes(Command command) {
+  /**
+   * As the log has it.
+   *
+   * @throws IllegalArgumentException where it is longer than a command may be
+   */
+  public static byte[] bytes(Command command) {
     byte[] bytes = write(command, Command.class);
     if (bytes.length > MOST_BYTES) {
       throw new IllegalArgumentException("a " + command.getClass().getSimpleName() + " of " + bytes.length
@@ -61,7 +66,8 @@
     return bytes;
   }
 
-  static byte[] bytes(State state) {
+  /** As a snapshot has it. */
+  public static byte[] bytes(State state) {
     return write(state, State.class);
   }
 
