Agreement: a process that dies before it held its door's lock is vouched for

Each process now locks a file of its own; the one that holds the door's lock says of those that are gone that they have ended.

--- a/daemon/src/main/java/willowdoor/daemon/life/Agreement.java
+++ b/daemon/src/main/java/willowdoor/daemon/life/Agreement.java
@@ -21,6 +21,7 @@
 import willowdoor.agreement.Command.Doing;
 import willowdoor.daemon.config.DaemonConfig;
 import willowdoor.life.InstanceLife.Phase;
+import willowdoor.life.LifeEvent.Broken;
 import willowdoor.life.LifeEvent.ComeBack;
 import willowdoor.life.LifeEvent.GoOut;
 import willowdoor.net.FrontDoor;
@@ -39,6 +40,8 @@
   private static final Logger LOG = Logger.getLogger(Agreement.class.getName());
   /** How often it looks at what is told by no event: attempts that end, backends that are warm by now. */
   private static final long LOOK_MS = 50;
+  /** Between two looks whether another process of this door has ended. */
+  private static final long VOUCH_MS = 500;
   private static final long SAY_SO_MS = 5_000;
 
   private final FrontDoor door;
@@ -54,6 +57,12 @@
   private boolean dirty;
   private Phase phase = Phase.STARTING;
   private final FileChannel lockFile;
+  private final ProcessLocks locks;
+  /** Processes whose end has been, or is being, told; of the lock's thread. */
+  private final Set<String> vouched = new HashSet<>();
+  private Set<String> endedBefore = Set.of();
+  /** Whether this process holds the door's lock. */
+  private volatile boolean alone;
   private final Figures figures;
   private final Successors successors;
   private Tally told = Tally.NONE;
@@ -78,6 +87,7 @@
         this::cameToNothing);
     lockFile = FileChannel.open(Path.of(a.lockFile()), StandardOpenOption.CREATE, StandardOpenOption.READ,
         StandardOpenOption.WRITE);
+    locks = new ProcessLocks(Path.of(a.lockFile()), incarnation);
     long generation = tried();
     link = new DoorLink(new DoorLink.Self(a.fleet(), config.instance().name(), incarnation,
         config.instance().zone(), a.weight(), version, attempt()), a.stewards(), a.drift(),
@@ -85,11 +95,9 @@
     management = a.management() == null ? null : new Management(door, a.management(),
         config.instance().name(),
         link, () -> phase == Phase.READY || phase == Phase.OUT);
-    if (generation == 0) {
-      Thread waiting = new Thread(this::waitForLock, "door-lock");
-      waiting.setDaemon(true);
-      waiting.start();
-    }
+    Thread waiting = new Thread(() -> hold(generation), "door-lock");
+    waiting.setDaemon(true);
+    waiting.start();
     loop.submit(() -> {
       door.listed(this::heard);
       door.tellEnds(figures);
@@ -117,13 +125,24 @@
    * Waits until it is known which backends are out; not for a loop. A door that has a file of it goes on by
    * that. One that was never told has sent nothing yet that anybody would
    * miss, and would send to what an operator was told is out.
+   *
+   * <p>A process that was started for an attempt, whose starter has died, ends after the limit for
+   * successors: an attempt that was halted meanwhile is never said to stand, and nobody would be left who
+   * starts the door anew with the version that it had.
    */
   void awaitTold() {
+    long from = System.nanoTime();
     while (true) {
       try {
         link.told().get(SAY_SO_MS, TimeUnit.MILLISECONDS);
         return;
       } catch (TimeoutException e) {
+        long waited = (System.nanoTime() - from) / 1_000_000;
+        if (attempt() > 0 && alone && waited > config.takeOver().readyLimitMs()) {
+          instance.tell(new Broken("nobody says that attempt " + attempt() + " stands, for which this process"
+              + " was started, and the process that started it is gone: the door is to be started anew"));
+          return;
+        }
         LOG.warning("not ready: no steward of " + config.agreement().stewards() + " has told yet which"
             + " backends are out" + (attempt() > 0 ? ", or that attempt " + attempt() + " stands" : "")
             + ", and no process of this door before this one has kept it");
@@ -136,22 +155,53 @@
     }
   }
 
-  /** Tries until the process that holds the lock has ended; on a thread of its own, as it is file work. */
-  private void waitForLock() {
+  /**
+   * Tries until the process that holds the lock has ended, and then vouches for others that end; on a thread
+   * of its own, as it is file work.
+   */
+  private void hold(long before) {
     try {
-      long generation = 0;
+      long generation = before;
       while (generation == 0 && lockFile.isOpen()) {
         Thread.sleep(LOOK_MS);
         generation = tried();
       }
-      if (generation > 0) {
+      alone = generation > 0;
+      if (generation > 0 && before == 0) {
         link.holds(generation);
       }
+      while (lockFile.isOpen()) {
+        vouch();
+        Thread.sleep(VOUCH_MS);
+      }
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
   }
 
+  /** Of those that had ended at the look before as well: what they had written is there by now. */
+  private void vouch() {
+    try {
+      List<String> now = locks.ended();
+      for (String ended : now) {
+        if (endedBefore.contains(ended) && vouched.add(ended)) {
+          link.ended(ended, () -> forget(ended));
+        }
+      }
+      endedBefore = Set.copyOf(now);
+    } catch (IOException e) {
+      LOG.warning("which processes of this door have ended can't be seen: " + e);
+    }
+  }
+
+  private void forget(String ended) {
+    try {
+      locks.forget(ended);
+    } catch (IOException e) {
+      LOG.warning("the file of process " + ended + ", which has ended, stays: " + e);
+    }
+  }
+
   /** What the instance has come to; on the door's loop. */
   void changed(Phase other) {
     phase = other;
@@ -296,6 +346,7 @@
     }
     link.close();
     try {
+      locks.close();
       lockFile.close();
     } catch (IOException e) {
       LOG.warning("the lock file: " + e.getMessage());
--- a/emulator/src/main/java/willowdoor/emulator/agreement/FleetWorld.java
+++ b/emulator/src/main/java/willowdoor/emulator/agreement/FleetWorld.java
@@ -53,7 +53,7 @@
     LEFT_FOR_OTHERS, NOTHING_REMEMBERED, SERVES_BEFORE_TOLD, SUCCESSOR_GOES_BY_FILES, ASKED_ANEW,
     RETURN_OF_ANY, ZOMBIE_BEATS, ALONE_TOO_SOON, LEAVES_TOO_SOON, CLOCK_BEYOND_DRIFT,
     SUCCESSOR_UNASKED, FAILURE_UNSAID, VERSION_UNSAID, BEGINNING_UNSAID, RESTARTED_BEFORE_OUT, START_UNTOLD,
-    JOINS_ONCE, LIST_TOLD_ONCE
+    JOINS_ONCE, LIST_TOLD_ONCE, VOUCHES_UNKNOWN
   }
 
   private static final double LEASE_MS = 1_500;
@@ -89,6 +89,8 @@
   private final List<Process> processes = new ArrayList<>();
   private final Map<String, Map<String, Map<String, Long>>> files = new HashMap<>();
   private final Map<String, Process> holders = new HashMap<>();
+  /** Processes that were killed, by their doors, until somebody has told of them. */
+  private final Map<String, Set<String>> ends = new HashMap<>();
   private final Map<String, Long> generations = new HashMap<>();
   private final Set<String> cut = new HashSet<>();
   private final List<String> breaches = new ArrayList<>();
@@ -721,6 +723,7 @@
     private boolean ready;
     private boolean drains;
     private long generation;
+    private boolean taken;
     private long seesList;
     private List<Command.Backend> sees = List.of();
     private boolean told;
@@ -766,6 +769,7 @@
       tell(new DoorEvent.Woken());
       sight();
       waitForLock();
+      vouch();
       if (attempt > 0 && version.equals(MUTE)) {
         return;
       }
@@ -818,6 +822,16 @@
       }
     }
 
+    /** Sees by their locks which processes of the door have ended, and says so until it is answered. */
+    private void vouch() {
+      if (generation > 0 && (taken || bug == Bug.VOUCHES_UNKNOWN)) {
+        for (String ended : List.copyOf(ends.getOrDefault(door, Set.of()))) {
+          ask(door, new Command.Leave(0, door, ended), x -> ends.get(door).remove(ended));
+        }
+      }
+      clock.after(500, () -> on(this::vouch));
+    }
+
     private void holds() {
       files.computeIfPresent(door, (name, all) -> all.containsKey(incarnation)
           ? new HashMap<>(Map.of(incarnation, all.get(incarnation))) : all);
@@ -829,7 +843,10 @@
       long said = generation;
       boolean[] answered = {bug == Bug.JOINS_ONCE || choosing};
       ask(door, new Command.Join(0, door, incarnation, "z", 1, said,
-          bug == Bug.VERSION_UNSAID ? OLD : version), x -> answered[0] = true);
+          bug == Bug.VERSION_UNSAID ? OLD : version), x -> {
+            answered[0] = true;
+            taken |= x instanceof Outcome.Done;
+          });
       clock.after(400, () -> on(() -> {
         if (!answered[0] && said == generation) {
           join();
@@ -854,6 +871,9 @@
 
     void kill() {
       dead = true;
+      // Seen twice by then: what it had written is there.
+      clock.after(500, () -> ends.computeIfAbsent(door, x -> new HashSet<>())
+          .add(incarnation));
       held.clear();
       if (!lives(door)) {
         countsAsDead.put(door, clock.now() + LEASE_MS * (1 + 3 * DRIFT) + 3 * MOST_DELAY_MS + 5_000);
@@ -986,7 +1006,9 @@
       Process next = begin(door, e.version(), e.attempt());
       clock.after(READY_LIMIT_MS, () -> {
         if (!next.serving && !next.dead) {
+          // By the one that started it, or by itself where that is gone; then its supervisor starts the door.
           next.kill();
+          clock.after(700, () -> begin(door, true));
         }
       });
       awaitSuccessor(next, e.attempt());
--- a/steward/src/main/java/willowdoor/steward/link/DoorLink.java
+++ b/steward/src/main/java/willowdoor/steward/link/DoorLink.java
@@ -82,6 +82,8 @@
   private Map<String, Long> unsaved;
   private final List<String> unsaid = new ArrayList<>();
   private long generation;
+  /** The stewards have taken this process. */
+  private boolean known;
   private boolean closed;
   private double wakeAt;
   private long sightVersion;
@@ -162,6 +164,29 @@
     });
   }
 
+  /**
+   * Another process of this door has ended, and may not have said so itself; said until it is answered, and
+   * not before the stewards know of this one: a door of which they know no process that lives sends nothing,
+   * as far as they are concerned, and this one may send already.
+   *
+   * @param told run once the stewards know
+   */
+  public void ended(String incarnation, Runnable told) {
+    loop.execute(() -> {
+      if (!closed && !known) {
+        loop.schedule(() -> ended(incarnation, told), AGAIN_MS, TimeUnit.MILLISECONDS);
+      } else if (!closed) {
+        link.ask(new Call.Put(new Command.Leave(0, self.door(), incarnation)), false, LIMIT_MS, answer -> {
+          if (answer instanceof Came) {
+            told.run();
+          } else {
+            loop.schedule(() -> ended(incarnation, told), AGAIN_MS, TimeUnit.MILLISECONDS);
+          }
+        });
+      }
+    });
+  }
+
   /** The list of backends, whole, as this door has heard it. */
   public void sight(long version, List<Command.Backend> backends) {
     loop.execute(() -> {
@@ -318,7 +343,9 @@
         said, self.version())), false, LIMIT_MS, answer -> {
           if (answer instanceof Came came && came.outcome() instanceof Outcome.Refused no) {
             LOG.warning("the stewards don't take this door: " + no.why());
-          } else if (!(answer instanceof Came) && said == generation && !closed) {
+          } else if (answer instanceof Came) {
+            known = true;
+          } else if (said == generation && !closed) {
             loop.schedule(() -> {
               if (said == generation && !closed) {
                 join();
