Releases: a door has a version only once no process of another may serve beside it

A process that said READY and has not ended now leaves open which version its door has, reached or not.

--- a/emulator/src/main/java/willowdoor/emulator/agreement/FleetWorld.java
+++ b/emulator/src/main/java/willowdoor/emulator/agreement/FleetWorld.java
@@ -53,7 +53,7 @@
     LEFT_FOR_OTHERS, NOTHING_REMEMBERED, SERVES_BEFORE_TOLD, SUCCESSOR_GOES_BY_FILES, ASKED_ANEW,
     RETURN_OF_ANY, ZOMBIE_BEATS, ALONE_TOO_SOON, LEAVES_TOO_SOON, CLOCK_BEYOND_DRIFT,
     SUCCESSOR_UNASKED, FAILURE_UNSAID, VERSION_UNSAID, BEGINNING_UNSAID, RESTARTED_BEFORE_OUT, START_UNTOLD,
-    JOINS_ONCE, LIST_TOLD_ONCE, VOUCHES_UNKNOWN
+    LIST_TOLD_ONCE, VOUCHES_UNKNOWN
   }
 
   private static final double LEASE_MS = 1_500;
@@ -89,7 +89,7 @@
   private final List<Process> processes = new ArrayList<>();
   private final Map<String, Map<String, Map<String, Long>>> files = new HashMap<>();
   private final Map<String, Process> holders = new HashMap<>();
-  /** Processes that were killed, by their doors, until somebody has told of them. */
+  /** Processes that have ended, by their doors, until somebody has told of them. */
   private final Map<String, Set<String>> ends = new HashMap<>();
   private final Map<String, Long> generations = new HashMap<>();
   private final Set<String> cut = new HashSet<>();
@@ -841,7 +841,7 @@
     /** Until it is answered, or another is said. */
     private void join() {
       long said = generation;
-      boolean[] answered = {bug == Bug.JOINS_ONCE || choosing};
+      boolean[] answered = {choosing};
       ask(door, new Command.Join(0, door, incarnation, "z", 1, said,
           bug == Bug.VERSION_UNSAID ? OLD : version), x -> {
             answered[0] = true;
@@ -871,9 +871,7 @@
 
     void kill() {
       dead = true;
-      // Seen twice by then: what it had written is there.
-      clock.after(500, () -> ends.computeIfAbsent(door, x -> new HashSet<>())
-          .add(incarnation));
+      lockIsFree();
       held.clear();
       if (!lives(door)) {
         countsAsDead.put(door, clock.now() + LEASE_MS * (1 + 3 * DRIFT) + 3 * MOST_DELAY_MS + 5_000);
@@ -924,8 +922,14 @@
       }
     }
 
+    /** Seen twice by then: what it had written is there. */
+    private void lockIsFree() {
+      clock.after(500, () -> ends.computeIfAbsent(door, x -> new HashSet<>()).add(incarnation));
+    }
+
     private void ended() {
       dead = true;
+      lockIsFree();
       if (!lives(door)) {
         clock.after(500, () -> begin(door, true));
       }
--- a/policy/src/main/java/willowdoor/agreement/FleetRecord.java
+++ b/policy/src/main/java/willowdoor/agreement/FleetRecord.java
@@ -537,6 +537,10 @@
           lost = Math.min(lost, now - x.untilMs() + 1);
         }
       }
+      String has = version;
+      // One of another version may serve beside it, reached or not: which one the door has is not settled.
+      version = processes.stream().anyMatch(x -> x.doing() == Doing.READY && !x.version().equals(has)) ? ""
+          : has;
       all.add(new Seen(door, processes.get(0).zone(), version, processes.stream().anyMatch(x ->
           x.serves(now)),
           lost, trying, failed, knows, held(own ? permit : null), permit != null && !own,
--- a/policy/src/test/java/willowdoor/agreement/ReleaseRecordTest.java
+++ b/policy/src/test/java/willowdoor/agreement/ReleaseRecordTest.java
@@ -276,6 +276,25 @@
     assertEquals(Mode.ENDED, release().mode(), release()::toString);
   }
 
+  /** Another process of the door, of the old version, is stopped and has never said that it serves no more. */
+  @Test
+  void aDoorHasAVersionOnlyOnceNoProcessOfAnotherServes() {
+    record.on(new Join(at, "d1", "w", "a", 1, 0, "1"));
+    says("d1", "w", Doing.READY, Report.NONE);
+    start("r1");
+    at += 2_500;
+    says("d1", "x", Doing.EMPTY, Report.NONE);
+    long attempt = attempt("d1", "x");
+    assertTrue(attempt > 0);
+    says("d1", "x", Doing.EMPTY, new Report(attempt, 0, Tally.NONE));
+    record.on(new Join(at, "d1", "y", "a", 1, 0, "2"));
+    says("d1", "y", Doing.EMPTY, Report.NONE);
+    record.on(new Leave(at, "d1", "x"));
+    assertEquals(Stage.GRANTED, permit("d1").stage());
+    record.on(new Leave(at, "d1", "w"));
+    assertEquals(Stage.RETURNING, permit("d1").stage());
+  }
+
   private void list(Backend... backends) {
     record.on(new Sight(at, 1, List.of(backends)));
     for (String door : List.of("d1", "d2")) {
