--- a/daemon/src/main/java/willowdoor/daemon/fleet/AgreedCommand.java
+++ b/daemon/src/main/java/willowdoor/daemon/fleet/AgreedCommand.java
@@ -190,7 +190,7 @@
   private int leader(Stewards keepers) throws InterruptedException {
     Histogram without = new Histogram(3);
     for (int i = 0; i < count; i++) {
-      int leads = keepers.leader();
+      int leads = Integer.parseInt(keepers.awaitLook().leader().substring(1));
       keepers.processes().get(leads).kill();
       long from = System.nanoTime();
       while (keepers.look() == null) {
--- a/daemon/src/main/java/willowdoor/daemon/life/Agreement.java
+++ b/daemon/src/main/java/willowdoor/daemon/life/Agreement.java
@@ -189,6 +189,7 @@
         }
       }
       endedBefore = Set.copyOf(now);
+      vouched.retainAll(now);
     } catch (IOException e) {
       LOG.warning("which processes of this door have ended can't be seen: " + e);
     }
