--- a/policy/src/test/java/willowdoor/agreement/ReleaseRecordTest.java
+++ b/policy/src/test/java/willowdoor/agreement/ReleaseRecordTest.java
@@ -276,7 +276,7 @@
     assertEquals(Mode.ENDED, release().mode(), release()::toString);
   }
 
-  /** Another process of the door, of the old version, is stopped and has never said that it serves no more. */
+  /** Another process of the door, of the old version, is stopped and has not said that it serves no more. */
   @Test
   void aDoorHasAVersionOnlyOnceNoProcessOfAnotherServes() {
     record.on(new Join(at, "d1", "w", "a", 1, 0, "1"));
