--- a/daemon/src/test/java/willowdoor/daemon/ArchitectureTest.java
+++ b/daemon/src/test/java/willowdoor/daemon/ArchitectureTest.java
@@ -23,7 +23,7 @@
     noClasses().that().resideInAnyPackage("willowdoor.policy..", "willowdoor.life..",
         "willowdoor.agreement..", "willowdoor.authz..", "willowdoor.recovery..", "willowdoor.fairness..",
         "willowdoor.rollout..",
-        "willowdoor.membership..")
+        "willowdoor.membership..", "willowdoor.memory..")
         .should().dependOnClassesThat().resideInAnyPackage("java.io..", "java.net..", "java.nio..",
             "io.netty..",
             "com.fasterxml..", "java.util.concurrent..", "java.time..", "java.util.logging..",
--- a/door/src/main/java/willowdoor/net/ClientConnection.java
+++ b/door/src/main/java/willowdoor/net/ClientConnection.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
@@ -18,6 +19,7 @@
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
@@ -26,6 +28,7 @@
 import io.netty.handler.codec.http.TooLongHttpContentException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
+import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 import java.util.logging.Level;
@@ -69,6 +72,10 @@
    */
   private static final int MAX_PENDING = 16;
 
+  /** The handlers that hold a request until it has arrived completely. */
+  private static final List<Class<? extends ChannelHandler>> REQUEST_PARTS =
+      List.of(RequestDecoder.class, BodyPieceCopier.class, HttpObjectAggregator.class);
+
   private final ClientServer server;
   private Channel channel;
   /** The connection exceeds the limit: its first request is refused, and the connection is closed. */
@@ -90,18 +97,23 @@
   /** When the request being received began, or NaN; {@link #receivedBytes} counts its bytes so far. */
   private double receivingSinceMs = Double.NaN;
   private int receivedBytes;
+  private final ConnectionMemory memory;
   /** No more requests are taken: those pending are answered, and then the connection is closed. */
   private boolean closeAfterPending;
   /** Pipelined requests; {@link #nextScheduled} tells whether the first of them is about to be handled. */
   private final ArrayDeque<PendingRequest> pending = new ArrayDeque<>(1);
   private boolean nextScheduled;
 
-  /** A request and when its last byte arrived at this machine; the request's timeout counts from then on. */
-  private record PendingRequest(FullHttpRequest message, double arrivedMs) { }
+  /**
+   * A request, when its last byte arrived at this machine, from which on its timeout counts, and what it
+   * takes in the memory budget.
+   */
+  private record PendingRequest(FullHttpRequest message, double arrivedMs, int heldBytes) { }
 
   ClientConnection(ClientServer server) {
     super(false);
     this.server = server;
+    memory = new ConnectionMemory(server.memory());
   }
 
   @Override
@@ -111,40 +123,47 @@
     overLimit = server.register(this);
   }
 
-  /**
-   * Called with the number of bytes received, before they are decoded. Returns false if no more input is
-   * wanted.
-   */
-  boolean acceptsBytes(int bytes) {
-    if (closing || closeAfterPending) {
-      return false;
-    }
+  /** Whether further input is decoded; if not, it is read and dropped. */
+  boolean wantsInput() {
+    return !closing && !closeAfterPending;
+  }
+
+  /** Called with the number of bytes received, before they are decoded. */
+  void onBytes(int bytes) {
     if (Double.isNaN(receivingSinceMs)) {
       receivingSinceMs = server.now();
     }
     receivedBytes += bytes;
-    if (server.addReceivingBytes(bytes) && receivedBytes > bytes) {
+  }
+
+  /** Called after the received bytes have been decoded. */
+  void onDecoded(RequestDecoder decoder) {
+    if (decoder.hasUndecodedBytes() && Double.isNaN(receivingSinceMs)) {
+      receivingSinceMs = server.now();
+    }
+    boolean receiving = !Double.isNaN(receivingSinceMs);
+    if (!memory.setReceiving(receiving ? receivedBytes + decoder.overheadBytes() : 0)) {
       closeWith(HttpResponseStatus.SERVICE_UNAVAILABLE, "too much is being received");
-      return false;
     }
-    return true;
+    if (!wantsInput()) {
+      discardIncompleteRequest();
+    }
   }
 
-  /**
-   * Called after the received bytes have been decoded.
-   *
-   * @param nextRequestBegun whether they include part of a further request
-   */
-  void onDecoded(boolean nextRequestBegun) {
-    if (nextRequestBegun && Double.isNaN(receivingSinceMs)) {
-      receivingSinceMs = server.now();
+  /** Frees what has arrived of a request that is not read any further. */
+  private void discardIncompleteRequest() {
+    for (Class<? extends ChannelHandler> part : REQUEST_PARTS) {
+      if (channel.pipeline().get(part) != null) {
+        channel.pipeline().remove(part);
+      }
     }
+    onRequestComplete();
   }
 
   private void onRequestComplete() {
     receivingSinceMs = Double.NaN;
-    server.addReceivingBytes(-receivedBytes);
     receivedBytes = 0;
+    memory.setReceiving(0);
   }
 
   double idleSinceMs() {
@@ -156,7 +175,7 @@
    * client.
    */
   boolean isEvictable(double nowMs) {
-    if (currentRequestId != null || closing) {
+    if (currentRequestId != null || closing || !pending.isEmpty()) {
       return false;
     }
     if (requestSeen && Double.isNaN(receivingSinceMs)) {
@@ -187,19 +206,37 @@
   protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest message) {
     onRequestComplete();
     boolean first = currentRequestId == null && pending.isEmpty();
-    if (closing || closeAfterPending) {
+    int heldBytes = MessageSize.of(message);
+    if (!wantsInput()) {
       message.release();
     } else if (!first && (pending.size() >= MAX_PENDING || message.decoderResult().isFailure())) {
-      // Reading continues, so that a disconnect of the client is noticed; only the number of requests kept is
-      // bounded.
-      closeAfterPending = true;
-      message.release();
-    } else {
-      pending.add(new PendingRequest(message, server.now() - Transport.kernelWaitMs(channel)));
+      readNoFurther(message);
+    } else if (memory.addWaiting(!first, heldBytes)) {
+      pending.add(new PendingRequest(message, server.now() - Transport.kernelWaitMs(channel), heldBytes));
       scheduleNext();
+    } else if (first) {
+      refuseForMemory(message);
+    } else {
+      readNoFurther(message);
     }
   }
 
+  /**
+   * Drops a request, and all that follows it, behind those that are answered first. Bytes are still read, so
+   * that a disconnect of the client is noticed.
+   */
+  private void readNoFurther(FullHttpRequest message) {
+    closeAfterPending = true;
+    message.release();
+  }
+
+  private void refuseForMemory(FullHttpRequest message) {
+    requestSeen = true;
+    keepAlive = HttpUtil.isKeepAlive(message) && !message.decoderResult().isFailure() && !overLimit;
+    message.release();
+    refused(0);
+  }
+
   /**
    * Schedules the next request to be handled after the event loop has read everything that the sockets hold
    * by now. Guards against work for clients that have disconnected: where CPU is short, connections wait long
@@ -214,13 +251,15 @@
         nextScheduled = false;
         PendingRequest next = pending.poll();
         if (next != null) {
-          handle(next.message, next.arrivedMs);
+          memory.removeWaiting(next.heldBytes);
+          handle(next);
         }
       });
     }
   }
 
-  private void handle(FullHttpRequest message, double arrivedMs) {
+  private void handle(PendingRequest next) {
+    FullHttpRequest message = next.message;
     requestSeen = true;
     try {
       keepAlive = HttpUtil.isKeepAlive(message);
@@ -229,11 +268,11 @@
         closeWith(HttpResponseStatus.BAD_REQUEST, "malformed request");
       } else if (message.uri().equals("/up")) {
         answerUp(message);
-      } else if (overLimit || server.isFull()) {
+      } else if (overLimit || server.driver().isClosed()) {
         keepAlive &= !overLimit;
         refused(0);
       } else {
-        accept(message, arrivedMs);
+        accept(next);
       }
     } catch (RuntimeException e) {
       handleFault(e);
@@ -263,10 +302,11 @@
         : server.isReady() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE);
   }
 
-  private void accept(FullHttpRequest message, double arrivedMs) {
+  private void accept(PendingRequest next) {
+    FullHttpRequest message = next.message;
     Request request;
     try {
-      request = server.read(message, arrivedMs);
+      request = server.read(message, next.arrivedMs);
     } catch (RequestReader.BadRequest e) {
       keepAlive &= e.isFramingReliable();
       answer(HttpResponseStatus.BAD_REQUEST, e.getMessage());
@@ -275,6 +315,7 @@
     FullHttpRequest backendRequest = backendRequest(message);
     HttpHeaders headers = message.headers();
     currentRequestId = request.id();
+    memory.setCurrent(next.heldBytes);
     server.driver().accept(request, backendRequest, new ModuleDriver.Client() {
       @Override
       public void served(FullHttpResponse answer, HttpHeaders more, AnswerPipe rest) {
@@ -313,7 +354,7 @@
       public RequestFilter.Origin origin() {
         return new RequestFilter.Origin(headers, channel.remoteAddress());
       }
-    });
+    }, next.heldBytes);
     backendRequest.release();
   }
 
@@ -384,10 +425,11 @@
       public void onComplete() {
         streamedAnswer = null;
         currentRequestId = null;
+        memory.setCurrent(0);
         idleSinceMs = server.now();
-        closing |= !keep;
-        channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT).addListener(keep
-            ? ChannelFutureListener.CLOSE_ON_FAILURE : ChannelFutureListener.CLOSE);
+        closing |= !keep || closeAfterPending && pending.isEmpty();
+        channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT).addListener(closing
+            ? ChannelFutureListener.CLOSE : ChannelFutureListener.CLOSE_ON_FAILURE);
         if (closing) {
           releasePending();
         }
@@ -397,7 +439,7 @@
       @Override
       public void onAborted() {
         streamedAnswer = null;
-        reset();
+        reset("its answer broke off");
       }
     });
   }
@@ -406,8 +448,8 @@
    * Closes the connection with a reset, so that the client can tell, whatever the framing, that the answer is
    * incomplete.
    */
-  private void reset() {
-    RequestLog.note(currentRequestId, "connection ends", "reason", "its answer broke off");
+  private void reset(String reason) {
+    RequestLog.note(currentRequestId, "connection ends", "reason", reason);
     closing = true;
     if (channel.isActive() && channel instanceof SocketChannel socket) {
       socket.config().setSoLinger(0);
@@ -460,8 +502,8 @@
       closing = true;
       answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
     }
-    channel.writeAndFlush(answer).addListener(keep ? ChannelFutureListener.CLOSE_ON_FAILURE
-        : ChannelFutureListener.CLOSE);
+    memory.setCurrent(0);
+    channel.writeAndFlush(answer).addListener(keep ? ChannelFutureListener.CLOSE_ON_FAILURE : ChannelFutureListener.CLOSE);
     if (closing) {
       releasePending();
     }
@@ -477,7 +519,7 @@
     if (closing) {
       return;
     }
-    if (currentRequestId != null || nextScheduled) {
+    if (currentRequestId != null || !pending.isEmpty()) {
       RequestLog.note(currentRequestId, "nothing behind it is read", "reason", reason);
       closeAfterPending = true;
       return;
@@ -524,7 +566,10 @@
   }
 
   private void releasePending() {
-    pending.forEach(w -> w.message.release());
+    for (PendingRequest request : pending) {
+      memory.removeWaiting(request.heldBytes);
+      request.message.release();
+    }
     pending.clear();
   }
 
--- a/door/src/main/java/willowdoor/net/ClientServer.java
+++ b/door/src/main/java/willowdoor/net/ClientServer.java
@@ -22,11 +22,15 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+import willowdoor.memory.MemoryBudget;
 import willowdoor.policy.GatewayApi.Request;
 
 /** Accepts client connections, and holds the state that all of them share. */
 final class ClientServer {
 
+  private static final Logger LOG = Logger.getLogger(ClientServer.class.getName());
   /**
    * So many connections above the limit as the limit divided by this number are still told that they are
    * refused; any further ones are closed at once.
@@ -38,11 +42,20 @@
    */
   private static final double CROWDED_SHARE = 0.75;
   private static final int MAX_BODY_BYTES = 64 * 1024;
+  /** Pieces of a body that are kept apart; more are merged, as each takes an object and a buffer. */
+  private static final int MAX_BODY_PIECES = 16;
+  /** Largest read of a client's connection, in bytes, and reads of one connection before the next one. */
+  private static final int MAX_READ_BYTES = 16 * 1024;
+  private static final int READS_PER_TURN = 4;
   /** Low and high water mark, in bytes, of a streamed answer that waits to be taken by its client. */
   private static final WriteBufferWaterMark STREAM_WATER_MARK =
       new WriteBufferWaterMark(16 * 1024, 48 * 1024);
   /** Interval of the checks for overdue requests and idle connections, in milliseconds. */
   private static final long SWEEP_MS = 200;
+  /**
+   * Interval of the log lines on the memory budget, in milliseconds, while more is asked for than admitted.
+   */
+  private static final double MEMORY_REPORT_MS = 10_000;
   /**
    * Delay in milliseconds before a drain closes connections: a load balancer polls /up every 0.1 s and sends
    * new connections for 0.2 s more, and no connection is closed before.
@@ -64,11 +77,12 @@
   private final ModuleDriver driver;
   private final BackendPool backends;
   private final RequestReader reader;
-  private final ResourceLimits limits;
+  private final MemoryBudget memory;
   private final ConnectionBudget budget;
   /** In the order in which they were opened. */
   private final Set<ClientConnection> connections = new LinkedHashSet<>();
-  private int receivingBytes;
+  private long reportedRejections;
+  private double nextMemoryReportMs;
   private boolean ready;
   private boolean draining;
   private boolean closeAfterAnswer;
@@ -76,13 +90,13 @@
   private double closeIdleFromMs = Double.NaN;
 
   ClientServer(EventLoop loop, Clock clock, ModuleDriver driver, BackendPool backends, RequestReader reader,
-      ResourceLimits limits, ConnectionBudget budget) {
+      MemoryBudget memory, ConnectionBudget budget) {
     this.loop = loop;
     this.clock = clock;
     this.driver = driver;
     this.backends = backends;
     this.reader = reader;
-    this.limits = limits;
+    this.memory = memory;
     this.budget = budget;
     loop.scheduleWithFixedDelay(this::closeOverdue, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
   }
@@ -114,6 +128,7 @@
         .childOption(ChannelOption.AUTO_READ, true)
         .childOption(ChannelOption.TCP_NODELAY, true)
         .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, STREAM_WATER_MARK)
+        .childOption(ChannelOption.RECVBUF_ALLOCATOR, Transport.reads(MAX_READ_BYTES, READS_PER_TURN))
         .childHandler(new ChannelInitializer<Channel>() {
           @Override
           protected void initChannel(Channel channel) {
@@ -127,12 +142,12 @@
     ClientConnection connection = new ClientConnection(this);
     RequestDecoder decoder = new RequestDecoder();
     channel.pipeline().addLast(new ReceivedBytesHandler(connection, decoder), decoder,
-        new HttpResponseEncoder(), new BodyAggregator(connection), connection);
+        new HttpResponseEncoder(), new BodyPieceCopier(), new BodyAggregator(connection), connection);
   }
 
   /**
-   * First handler of a connection: tracks when a request begins and how many bytes of it have arrived, and
-   * drops bytes that are not wanted any more.
+   * First handler of a connection: tracks when a request begins and what it takes so far, and drops bytes
+   * that are not wanted any more.
    */
   private static final class ReceivedBytesHandler extends ChannelInboundHandlerAdapter {
     private final ClientConnection connection;
@@ -145,12 +160,13 @@
 
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object bytes) {
-      if (connection.acceptsBytes(((ByteBuf) bytes).readableBytes())) {
-        ctx.fireChannelRead(bytes);
-        connection.onDecoded(decoder.hasUndecodedBytes());
-      } else {
+      if (!connection.wantsInput()) {
         ReferenceCountUtil.release(bytes);
+        return;
       }
+      connection.onBytes(((ByteBuf) bytes).readableBytes());
+      ctx.fireChannelRead(bytes);
+      connection.onDecoded(decoder);
     }
   }
 
@@ -163,6 +179,7 @@
 
     BodyAggregator(ClientConnection connection) {
       super(MAX_BODY_BYTES);
+      setMaxCumulationBufferComponents(MAX_BODY_PIECES);
       this.connection = connection;
     }
 
@@ -201,21 +218,9 @@
     return clock.now();
   }
 
-  /**
-   * Adds to the number of bytes of requests being received; a negative argument subtracts. Returns true if
-   * they exceed the limit.
-   */
-  boolean addReceivingBytes(int bytes) {
-    receivingBytes += bytes;
-    return receivingBytes > limits.maxBodyBytes();
-  }
-
-  /**
-   * Whether requests are refused: while the bodies held reach their limit, so that the process stays within
-   * its memory, and after {@link ModuleDriver#failAll}.
-   */
-  boolean isFull() {
-    return driver.isClosed() || driver.heldBodyBytes() >= limits.maxBodyBytes();
+  /** The budget of all that peers make the process hold. */
+  MemoryBudget memory() {
+    return memory;
   }
 
   boolean isCrowded() {
@@ -263,6 +268,7 @@
 
   private void closeOverdue() {
     double now = clock.now();
+    reportMemory(now);
     List.copyOf(connections).forEach(c -> c.closeIfOverdue(now));
     if (now >= closeIdleFromMs) {
       double idleMs = now - closeIdleFromMs > DRAIN_CLOSE_ALL_MS ? 0 : DRAIN_IDLE_MS;
@@ -272,6 +278,15 @@
     }
   }
 
+  private void reportMemory(double now) {
+    RequestLog.note(null, "memory", "held", memory);
+    if (memory.rejections() > reportedRejections && now >= nextMemoryReportMs) {
+      LOG.log(Level.WARNING, "memory for what peers send is at its bound: {0}", memory);
+      reportedRejections = memory.rejections();
+      nextMemoryReportMs = now + MEMORY_REPORT_MS;
+    }
+  }
+
   /**
    * Begins to close connections without a request, or stops doing so; new connections are still accepted.
    * Guards against requests that cross the close of their connection: only connections that have been idle
--- /dev/null
+++ b/door/src/main/java/willowdoor/net/ConnectionMemory.java
@@ -0,0 +1,53 @@
+package willowdoor.net;
+
+import willowdoor.memory.Holder;
+import willowdoor.memory.MemoryBudget;
+
+/** What one client's connection makes the process hold, as part of the budget that all connections share. */
+final class ConnectionMemory {
+
+  private final MemoryBudget budget;
+  private long receivingBytes;
+  private long waitingBytes;
+  /** Of the request in progress; the driver counts them in the budget. */
+  private long currentBytes;
+
+  ConnectionMemory(MemoryBudget budget) {
+    this.budget = budget;
+  }
+
+  private long ownBytes() {
+    return receivingBytes + waitingBytes + currentBytes;
+  }
+
+  /**
+   * Sets what the request that is being received takes so far. Returns false if it takes more than before,
+   * and more than is admitted.
+   */
+  boolean setReceiving(long bytes) {
+    boolean grows = bytes > receivingBytes;
+    budget.add(Holder.RECEIVING, bytes - receivingBytes);
+    receivingBytes = bytes;
+    return !grows || budget.admits(Holder.RECEIVING, ownBytes(), 0);
+  }
+
+  /** Adds a complete request that waits to be handled, if it is admitted; returns whether it is. */
+  boolean addWaiting(boolean behindAnother, long bytes) {
+    if (!budget.admits(behindAnother ? Holder.WAITING : Holder.ACCEPTED, ownBytes(), bytes)) {
+      return false;
+    }
+    waitingBytes += bytes;
+    budget.add(Holder.WAITING, bytes);
+    return true;
+  }
+
+  void removeWaiting(long bytes) {
+    waitingBytes -= bytes;
+    budget.remove(Holder.WAITING, bytes);
+  }
+
+  /** Sets what the request in progress takes; 0 once it is answered. */
+  void setCurrent(long bytes) {
+    currentBytes = bytes;
+  }
+}
--- a/door/src/main/java/willowdoor/net/FrontDoor.java
+++ b/door/src/main/java/willowdoor/net/FrontDoor.java
@@ -17,6 +17,7 @@
 import java.util.logging.Logger;
 import willowdoor.management.ManagementServer;
 import willowdoor.membership.DisabledBackend;
+import willowdoor.memory.MemoryBudget;
 import willowdoor.policy.GatewayApi.Request;
 import willowdoor.policy.LearnedState;
 import willowdoor.policy.QuotaPolicy;
@@ -47,6 +48,7 @@
   private MergedRoster roster;
   private Channel serverChannel;
   private ConnectionBudget budget;
+  private MemoryBudget memory;
   /** Null if no management address is configured. */
   private FrontDoorOperations operations;
 
@@ -158,12 +160,13 @@
 
   private void wire(Config config, CounterStore.Maker counterMaker) {
     budget = new ConnectionBudget(config.limits().connections());
+    memory = new MemoryBudget(config.limits().memoryPoolBytes());
     BackendPool backends = new BackendPool(loop, clock, Dialer.sockets(loop, config.connectTimeoutMs()),
         config.idleTimeoutMs(), budget);
     QuotaPolicy policy = new QuotaPolicy(config.settings(), config.seed());
-    driver = new ModuleDriver(loop, clock, policy, backends);
+    driver = new ModuleDriver(loop, clock, policy, backends, memory);
     clients = new ClientServer(loop, clock, driver, backends, new RequestReader(config.settings()),
-        config.limits(), budget);
+        memory, budget);
     counter = counterMaker == null ? createCounterClient(config)
         : counterMaker.make(loop, clock::now, Long.toHexString(config.seed()), config, driver);
     if (config.watchCounter()) {
--- a/door/src/main/java/willowdoor/net/ModuleDriver.java
+++ b/door/src/main/java/willowdoor/net/ModuleDriver.java
@@ -14,6 +14,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.logging.Level;
 import java.util.logging.Logger;
+import willowdoor.memory.Holder;
+import willowdoor.memory.MemoryBudget;
 import willowdoor.policy.AttemptStart;
 import willowdoor.policy.GatewayApi.Action;
 import willowdoor.policy.GatewayApi.Add;
@@ -90,6 +92,8 @@
     final Request request;
     final FullHttpRequest message;
     final Client client;
+    /** What the request takes in the memory budget. */
+    final long heldBytes;
     final List<Attempt> attempts = new ArrayList<>(1);
     Future<?> finalAnswerTimer;
     boolean finished;
@@ -108,10 +112,11 @@
     double acceptedMs;
     HttpHeaders responseHeaders;
 
-    RequestState(Request request, FullHttpRequest message, Client client) {
+    RequestState(Request request, FullHttpRequest message, Client client, long heldBytes) {
       this.request = request;
       this.message = message;
       this.client = client;
+      this.heldBytes = heldBytes;
     }
 
     /** Marks the request as finished. Returns true for the first call only. */
@@ -161,7 +166,7 @@
      */
     void removeIfDone() {
       if (finished && attemptsInFlight == 0 && requests.remove(request.id(), this)) {
-        heldBodyBytes -= message.content().readableBytes();
+        memory.remove(Holder.ACCEPTED, heldBytes);
         message.release();
       }
     }
@@ -171,6 +176,7 @@
   private final Clock clock;
   private final QuotaPolicy policy;
   private final BackendPool backends;
+  private final MemoryBudget memory;
   private CounterStore counter;
   private RequestFilter filter;
   /** Null if nothing listens for the ends of requests. */
@@ -179,16 +185,16 @@
   private CeilingShares ceilingShares;
   private final Map<String, RequestState> requests = new HashMap<>();
   private final ArrayDeque<Event> pendingEvents = new ArrayDeque<>();
-  private int heldBodyBytes;
   private boolean delivering;
   /** True once the process is about to exit: a request accepted now would not be answered. */
   private boolean closed;
 
-  ModuleDriver(EventLoop loop, Clock clock, QuotaPolicy policy, BackendPool backends) {
+  ModuleDriver(EventLoop loop, Clock clock, QuotaPolicy policy, BackendPool backends, MemoryBudget memory) {
     this.loop = loop;
     this.clock = clock;
     this.policy = policy;
     this.backends = backends;
+    this.memory = memory;
   }
 
   void start(CounterStore counter, EndpointUpdate remembered) {
@@ -248,20 +254,19 @@
     return requests.size();
   }
 
-  /** Bytes of the request bodies held. */
-  int heldBodyBytes() {
-    return heldBodyBytes;
-  }
-
   boolean holds(String id) {
     return requests.containsKey(id);
   }
 
-  /** Accepts a request; the message is retained until no attempt needs it. */
-  void accept(Request request, FullHttpRequest message, Client client) {
-    RequestState state = new RequestState(request, message.retain(), client);
+  /**
+   * Accepts a request; the message is retained until no attempt needs it.
+   *
+   * @param heldBytes what the request takes in the memory budget until then
+   */
+  void accept(Request request, FullHttpRequest message, Client client, long heldBytes) {
+    RequestState state = new RequestState(request, message.retain(), client, heldBytes);
     requests.put(request.id(), state);
-    heldBodyBytes += message.content().readableBytes();
+    memory.add(Holder.ACCEPTED, heldBytes);
     state.acceptedMs = clock.now();
     double remainingMs = Math.max(0, request.giveUpMs() - FINAL_ANSWER_MARGIN_MS - state.acceptedMs);
     RequestLog.note(request.id(), "accepted", "class", request.className(), "left_ms",
--- a/door/src/main/java/willowdoor/net/RequestDecoder.java
+++ b/door/src/main/java/willowdoor/net/RequestDecoder.java
@@ -29,4 +29,9 @@
   boolean hasUndecodedBytes() {
     return actualReadableBytes() > 0;
   }
+
+  /** The memory, in bytes, that the decoder takes besides the characters of the head and the body. */
+  int overheadBytes() {
+    return internalBuffer().capacity();
+  }
 }
--- a/door/src/main/java/willowdoor/net/Transport.java
+++ b/door/src/main/java/willowdoor/net/Transport.java
@@ -1,9 +1,11 @@
 package willowdoor.net;
 
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.IoHandlerFactory;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.ServerChannel;
 import io.netty.channel.epoll.Epoll;
 import io.netty.channel.epoll.EpollChannelOption;
@@ -29,6 +31,8 @@
   /** States of a TCP connection as numbered by Linux: reset, and closed by the peer. */
   private static final int TCP_CLOSE = 7;
   private static final int TCP_CLOSE_WAIT = 8;
+  private static final int INITIAL_READ_BYTES = 2_048;
+  private static final int MIN_READ_BYTES = 64;
 
   static final Transport PREFERRED = Epoll.isAvailable()
       ? new Transport(EpollIoHandler.newFactory(), EpollSocketChannel.class, EpollServerSocketChannel.class)
@@ -38,6 +42,18 @@
   static final ChannelOption<Boolean> REUSE_PORT = Epoll.isAvailable() ? EpollChannelOption.SO_REUSEPORT
       : NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT);
 
+  /**
+   * Sizes the reads of a connection by what the reads before have brought.
+   *
+   * @param maxBytes the largest read; what one connection can add to the memory held before it is asked
+   *     whether it may
+   * @param readsPerTurn reads of one connection before the loop turns to the next one
+   */
+  static RecvByteBufAllocator reads(int maxBytes, int readsPerTurn) {
+    return new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, INITIAL_READ_BYTES, maxBytes)
+        .maxMessagesPerRead(readsPerTurn);
+  }
+
   /** Creates a server channel on a descriptor that is already listening; requires epoll. */
   static ServerChannel adoptServerSocket(int descriptor) {
     if (!Epoll.isAvailable()) {
--- a/door/src/main/java/willowdoor/net/WarmUp.java
+++ b/door/src/main/java/willowdoor/net/WarmUp.java
@@ -16,6 +16,7 @@
 import java.util.Map;
 import java.util.logging.Level;
 import java.util.logging.Logger;
+import willowdoor.memory.MemoryBudget;
 import willowdoor.policy.GatewayApi.BackendEntry;
 import willowdoor.policy.GatewayApi.Phase;
 import willowdoor.policy.GatewayApi.Plan;
@@ -75,11 +76,12 @@
 
   private void sendRequests(double untilMs, int requests) {
     ConnectionBudget budget = new ConnectionBudget(Integer.MAX_VALUE / 2);
+    MemoryBudget memory = new MemoryBudget(config.limits().memoryPoolBytes());
     BackendPool pool = new BackendPool(loop, clock, (address, handler) -> open(backends, handler),
         config.idleTimeoutMs(), budget);
-    ModuleDriver driver = new ModuleDriver(loop, clock, new QuotaPolicy(config.settings(), 1), pool);
+    ModuleDriver driver = new ModuleDriver(loop, clock, new QuotaPolicy(config.settings(), 1), pool, memory);
     ClientServer clients = new ClientServer(loop, clock, driver, pool, new RequestReader(config.settings()),
-        config.limits(), budget);
+        memory, budget);
     CounterClient counter = new CounterClient(loop, clock, (address, handler) -> open(counters, handler),
         config.discovery(), config.settings().capabilities().counterTimeoutMs(), driver::counted);
     counter.start();
--- /dev/null
+++ b/door/src/test/java/willowdoor/net/MemoryBoundTest.java
@@ -0,0 +1,173 @@
+package willowdoor.net;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.Socket;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import willowdoor.net.Peers.Client;
+
+/**
+ * Peers that would make a gateway hold more than its memory, in its own process with the memory of the run
+ * line. The clients with requests of usual size are served meanwhile.
+ */
+@Timeout(90)
+class MemoryBoundTest {
+
+  private static final String USUAL_CUSTOMER = "00000000b4d65521";
+  private static final int BACKENDS = 9;
+  private static final int BACKLOG = 512;
+  private static final int CLIENTS = 100;
+  private static final int REQUESTS_AT_ONCE = 40;
+  private static final int BODY_BYTES = 60_000;
+  private static final long DISRUPTION_MS = 4_000;
+  /** The time of the usual clients' requests, and what is allowed beyond it. */
+  private static final int TIMEOUT_MS = 3_000;
+  private static final int LATE_MS = 550;
+  private static final int MIN_SERVED = 20;
+
+  @TempDir
+  private Path folder;
+  private final Peers peers = new Peers();
+  private final List<Socket> opened = new ArrayList<>();
+  private ServingProcess gateway;
+
+  @BeforeEach
+  void start() throws Exception {
+    String[] backends = new String[BACKENDS];
+    for (int i = 0; i < BACKENDS; i++) {
+      int port = peers.listen(BACKLOG, peers::serveBackend).getLocalPort();
+      backends[i] = Peers.rosterEntry("s-" + i, port, "active");
+    }
+    String config = peers.config(backends)
+        .replace("\"seed\"", "\"limits\":{\"cores\":1,\"memory_mb\":192,\"sockets\":1024},\"seed\"")
+        .replace("\"Refill\":400,\"PeakUnits\":4000", "\"Refill\":4000,\"PeakUnits\":40000");
+    gateway = new ServingProcess(folder, config, RunLine.jvmOptions());
+  }
+
+  @AfterEach
+  void close() throws Exception {
+    for (Socket socket : opened) {
+      socket.close();
+    }
+    gateway.close();
+    peers.close();
+  }
+
+  private Socket open() throws IOException {
+    Socket socket = new Socket(gateway.address.getAddress(), gateway.address.getPort());
+    opened.add(socket);
+    return socket;
+  }
+
+  /** Sends the bytes again and again on new connections, reads what comes, until the disruption is over. */
+  private void sendUntil(long endNanos, Socket first, String[] requests) {
+    Peers.thread(() -> {
+      Socket socket = first;
+      while (System.nanoTime() < endNanos) {
+        Socket current = socket;
+        Peers.thread(() -> {
+          InputStream in = current.getInputStream();
+          byte[] into = new byte[8_192];
+          while (in.read(into) >= 0) {
+            // Only the usual clients' answers are of interest.
+          }
+        });
+        try {
+          for (String request : requests) {
+            Peers.write(current.getOutputStream(), request);
+          }
+          TimeUnit.MILLISECONDS.sleep(DISRUPTION_MS / 4);
+        } catch (IOException | InterruptedException e) {
+          // The gateway has ended the connection.
+        }
+        current.close();
+        socket = new Socket(gateway.address.getAddress(), gateway.address.getPort());
+      }
+      socket.close();
+    });
+  }
+
+  /** Asks one request after the other on a kept connection; returns how many were served. */
+  private int usualRequestsServed(long endNanos) throws Exception {
+    int served = 0;
+    Client client = gateway.client();
+    client.socket.setSoTimeout(TIMEOUT_MS + LATE_MS);
+    for (int i = 0; System.nanoTime() < endNanos; i++) {
+      Peers.Message answer = client.ask(Peers.post("usual" + i, "small"));
+      served += answer.status() == 200 ? 1 : 0;
+      if ("close".equals(answer.header("Connection"))) {
+        client.close();
+        client = gateway.client();
+        client.socket.setSoTimeout(TIMEOUT_MS + LATE_MS);
+      }
+      TimeUnit.MILLISECONDS.sleep(20);
+    }
+    client.close();
+    return served;
+  }
+
+  private void slowBackend() {
+    peers.answer = (request, out) -> {
+      pause(request.head().contains("usual") ? 1 : 1_000);
+      return Peers.write(out, Peers.OK);
+    };
+  }
+
+  private static void pause(long ms) throws IOException {
+    try {
+      TimeUnit.MILLISECONDS.sleep(ms);
+    } catch (InterruptedException e) {
+      throw new IOException(e);
+    }
+  }
+
+  private static String customer(int client) {
+    return String.format("%016x", 9_000 + client);
+  }
+
+  private static String[] requests(int client, String template) {
+    String[] requests = new String[REQUESTS_AT_ONCE];
+    for (int i = 0; i < requests.length; i++) {
+      String id = "bad" + client + "-" + i;
+      requests[i] = template.replace("r1", id).replace(USUAL_CUSTOMER, customer(client));
+    }
+    return requests;
+  }
+
+  private void usualClientsAreServedBeside(String template) throws Exception {
+    slowBackend();
+    long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(DISRUPTION_MS);
+    for (int i = 0; i < CLIENTS; i++) {
+      sendUntil(endNanos, open(), requests(i, template));
+    }
+    int served = usualRequestsServed(endNanos);
+    assertTrue(served >= MIN_SERVED, "served: " + served + "; " + gateway.log());
+    assertTrue(gateway.isAlive(), gateway.log());
+  }
+
+  /**
+   * Guards against bodies in no bound: those of requests behind another one on their connection filled the
+   * direct memory, from which on each read stalled the event loop and no client got an answer.
+   */
+  @Test
+  void manyRequestsWithBodiesAtOnce() throws Exception {
+    usualClientsAreServedBeside(Peers.post("r1", "x".repeat(BODY_BYTES)));
+  }
+
+  /** Guards against bodies in no bound that are received and never complete. */
+  @Test
+  void manyIncompleteBodies() throws Exception {
+    String request = Peers.post("r1", "x".repeat(BODY_BYTES));
+    usualClientsAreServedBeside(request.substring(0, request.length() - 1));
+  }
+}
--- a/door/src/test/java/willowdoor/net/ServingProcess.java
+++ b/door/src/test/java/willowdoor/net/ServingProcess.java
@@ -9,6 +9,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
@@ -25,15 +26,22 @@
 
   /** Starts a gateway with a listening port that is chosen here, and waits until it serves. */
   ServingProcess(Path folder, String config) throws Exception {
+    this(folder, config, List.of("-XX:TieredStopAtLevel=1",
+        "-Djava.util.logging.config.file=../deploy/request-log.properties"));
+  }
+
+  /** Does the same with the given options of the JVM. */
+  ServingProcess(Path folder, String config, List<String> jvmOptions) throws Exception {
     this.folder = folder;
     try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
       address = (InetSocketAddress) free.getLocalSocketAddress();
     }
     Path file = write("config.json", config);
-    ProcessBuilder builder = new ProcessBuilder(
-        Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:TieredStopAtLevel=1",
-        "-Djava.util.logging.config.file=../deploy/request-log.properties",
-        "-cp", System.getProperty("java.class.path"), "willowdoor.Main", "serve")
+    List<String> command = new ArrayList<>();
+    command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+    command.addAll(jvmOptions);
+    command.addAll(List.of("-cp", System.getProperty("java.class.path"), "willowdoor.Main", "serve"));
+    ProcessBuilder builder = new ProcessBuilder(command)
         .redirectErrorStream(true).redirectOutput(folder.resolve("log").toFile());
     builder.environment().put("GW_CONFIG", file.toString());
     process = builder.start();
@@ -67,6 +75,10 @@
     return new Peers.Client(address);
   }
 
+  boolean isAlive() {
+    return process.isAlive();
+  }
+
   /** Replaces the configuration file, as an operator does before SIGHUP. */
   void replace(String config) throws IOException {
     Files.move(write("fresh.json", config), folder.resolve("config.json"), StandardCopyOption.ATOMIC_MOVE);
