Answers to slow readers count in the memory bound, and hold their backends back

Evidence: MemoryBoundTest#manySlowReadersOfLongAnswers with 410 readers. Change: an answer counts until the client's socket has taken it; a streamed one is read on while the budget admits it, or when nothing of it is queued. A response that is held until it is complete reserves its length first, and is passed on as it comes if there is no room.

--- a/door/src/main/java/willowdoor/net/BackendConnection.java
+++ b/door/src/main/java/willowdoor/net/BackendConnection.java
@@ -20,6 +20,7 @@
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
+import willowdoor.memory.Holder;
 import willowdoor.policy.AttemptStart;
 import willowdoor.policy.GatewayApi.Status;
 
@@ -59,6 +60,8 @@
   /** The response being read: its head, its body so far, and whether it is complete. */
   private HttpResponse head;
   private ByteBuf body;
+  /** What the response takes in the memory budget while it is held. */
+  private long heldBytes;
   private boolean complete;
   private int informationalCount;
   /** More than the one response has been read. */
@@ -155,15 +158,17 @@
     } else {
       head = response;
       headReadMs = pool.now();
-      body = channel.alloc().buffer((int) Math.min(length, MAX_HELD_BODY_BYTES));
-      if (length > MAX_HELD_BODY_BYTES) {
+      boolean held = length <= MAX_HELD_BODY_BYTES && reserve(length);
+      body = channel.alloc().buffer(held ? (int) length : 0);
+      if (!held) {
         passThrough();
       }
     }
   }
 
   private void onContent(HttpContent content) {
-    if (body.readableBytes() + content.content().readableBytes() > MAX_HELD_BODY_BYTES) {
+    int bodyBytes = body.readableBytes() + content.content().readableBytes();
+    if (bodyBytes > MAX_HELD_BODY_BYTES || !reserve(bodyBytes)) {
       passThrough();
       if (pipe != null) {
         forward(content);
@@ -182,6 +187,23 @@
     }
   }
 
+  /**
+   * Reserves memory for a response with a body of so many bytes, if that is admitted. A known length is
+   * reserved at once, so that no response waits half read for memory that others hold.
+   */
+  private boolean reserve(long bodyBytes) {
+    long more = bodyBytes - heldBytes;
+    if (more <= 0) {
+      return true;
+    }
+    if (!pool.memory().admits(Holder.RESPONSES, heldBytes, more)) {
+      return false;
+    }
+    heldBytes += more;
+    pool.memory().add(Holder.RESPONSES, more);
+    return true;
+  }
+
   /**
    * Passes the response to the client as it arrives from here on, because it is too long to be held or too
    * slow. This ends the attempt. No retry may follow, as bytes that were passed on cannot be taken back.
@@ -303,6 +325,8 @@
   private void clearAnswer() {
     head = null;
     complete = false;
+    pool.memory().remove(Holder.RESPONSES, heldBytes);
+    heldBytes = 0;
     if (body != null) {
       body.release();
       body = null;
--- a/door/src/main/java/willowdoor/net/BackendPool.java
+++ b/door/src/main/java/willowdoor/net/BackendPool.java
@@ -15,6 +15,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import willowdoor.memory.MemoryBudget;
 import willowdoor.policy.GatewayApi.BackendEntry;
 import willowdoor.policy.GatewayApi.Phase;
 import willowdoor.policy.GatewayApi.Status;
@@ -54,13 +55,16 @@
   private final Dialer dialer;
   private final double retireAfterMs;
   private final ConnectionBudget places;
+  private final MemoryBudget memory;
   private final Map<Long, Backend> backends = new HashMap<>();
 
-  BackendPool(EventLoop loop, Clock clock, Dialer dialer, double idleLimitMs, ConnectionBudget places) {
+  BackendPool(EventLoop loop, Clock clock, Dialer dialer, double idleLimitMs, ConnectionBudget places,
+      MemoryBudget memory) {
     this.loop = loop;
     this.clock = clock;
     this.retireAfterMs = idleLimitMs * RETIRE_SHARE;
     this.places = places;
+    this.memory = memory;
     this.dialer = dialer;
     loop.scheduleWithFixedDelay(this::retireIdle, SWEEP_INTERVAL_MS, SWEEP_INTERVAL_MS,
         TimeUnit.MILLISECONDS);
@@ -108,6 +112,11 @@
     return clock.now();
   }
 
+  /** The budget of all that peers make the process hold. */
+  MemoryBudget memory() {
+    return memory;
+  }
+
   boolean hasBackends() {
     return !backends.isEmpty();
   }
--- a/door/src/main/java/willowdoor/net/ClientConnection.java
+++ b/door/src/main/java/willowdoor/net/ClientConnection.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
@@ -416,10 +417,8 @@
     rest.setReceiver(new AnswerPipe.Receiver() {
       @Override
       public void onPiece(ByteBuf bytes) {
-        channel.writeAndFlush(new DefaultHttpContent(bytes));
-        if (!channel.isWritable()) {
-          rest.setReading(false);
-        }
+        writeCounted(new DefaultHttpContent(bytes), bytes.readableBytes());
+        readStreamedAnswer();
       }
 
       @Override
@@ -460,8 +459,13 @@
 
   @Override
   public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+    readStreamedAnswer();
+  }
+
+  /** Reads the streamed answer on, or holds its backend back while this client takes no more. */
+  private void readStreamedAnswer() {
     if (streamedAnswer != null) {
-      streamedAnswer.setReading(channel.isWritable());
+      streamedAnswer.setReading(channel.isWritable() && memory.admitsPiece());
     }
   }
 
@@ -504,13 +508,28 @@
       answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
     }
     memory.setCurrent(0);
-    channel.writeAndFlush(answer).addListener(keep ? ChannelFutureListener.CLOSE_ON_FAILURE : ChannelFutureListener.CLOSE);
+    writeCounted(answer, answer.content().readableBytes())
+        .addListener(keep ? ChannelFutureListener.CLOSE_ON_FAILURE : ChannelFutureListener.CLOSE);
     if (closing) {
       releasePending();
     }
     scheduleNext();
   }
 
+  /** Writes an answer, or a piece of one, and counts its bytes as held until the socket has taken them. */
+  private ChannelFuture writeCounted(Object answer, int bytes) {
+    long held = memory.addAnswer(bytes);
+    return channel.writeAndFlush(answer).addListener(f -> onWritten(held));
+  }
+
+  private void onWritten(long held) {
+    memory.removeAnswer(held);
+    readStreamedAnswer();
+    if (currentRequestId == null) {
+      idleSinceMs = server.now();
+    }
+  }
+
   /**
    * Answers input that cannot be read any further, and lets the client read the answer before the connection
    * is closed. While an earlier request has no answer yet, the client would take this answer for that of the
--- a/door/src/main/java/willowdoor/net/ConnectionMemory.java
+++ b/door/src/main/java/willowdoor/net/ConnectionMemory.java
@@ -6,18 +6,22 @@
 /** What one client's connection makes the process hold, as part of the budget that all connections share. */
 final class ConnectionMemory {
 
+  /** What a piece of an answer takes in the queue of its connection, besides its bytes. */
+  private static final int ANSWER_OVERHEAD_BYTES = 256;
+
   private final MemoryBudget budget;
   private long receivingBytes;
   private long waitingBytes;
   /** Of the request in progress; the driver counts them in the budget. */
   private long currentBytes;
+  private long answerBytes;
 
   ConnectionMemory(MemoryBudget budget) {
     this.budget = budget;
   }
 
   private long ownBytes() {
-    return receivingBytes + waitingBytes + currentBytes;
+    return receivingBytes + waitingBytes + currentBytes + answerBytes;
   }
 
   /**
@@ -50,4 +54,22 @@
   void setCurrent(long bytes) {
     currentBytes = bytes;
   }
+
+  /** Adds so many bytes of an answer; returns what is to be removed once they are written. */
+  long addAnswer(int bytes) {
+    long held = bytes + ANSWER_OVERHEAD_BYTES;
+    answerBytes += held;
+    budget.add(Holder.ANSWERS, held);
+    return held;
+  }
+
+  void removeAnswer(long held) {
+    answerBytes -= held;
+    budget.remove(Holder.ANSWERS, held);
+  }
+
+  /** Whether a further piece of a streamed answer may be read from its backend. */
+  boolean admitsPiece() {
+    return answerBytes == 0 || budget.admits(Holder.ANSWERS, answerBytes, Holder.PIECE_FLOOR_BYTES);
+  }
 }
--- a/door/src/main/java/willowdoor/net/FrontDoor.java
+++ b/door/src/main/java/willowdoor/net/FrontDoor.java
@@ -162,7 +162,7 @@
     budget = new ConnectionBudget(config.limits().connections());
     memory = new MemoryBudget(config.limits().memoryPoolBytes());
     BackendPool backends = new BackendPool(loop, clock, Dialer.sockets(loop, config.connectTimeoutMs()),
-        config.idleTimeoutMs(), budget);
+        config.idleTimeoutMs(), budget, memory);
     QuotaPolicy policy = new QuotaPolicy(config.settings(), config.seed());
     driver = new ModuleDriver(loop, clock, policy, backends, memory);
     clients = new ClientServer(loop, clock, driver, backends, new RequestReader(config.settings()),
--- a/door/src/main/java/willowdoor/net/WarmUp.java
+++ b/door/src/main/java/willowdoor/net/WarmUp.java
@@ -78,7 +78,7 @@
     ConnectionBudget budget = new ConnectionBudget(Integer.MAX_VALUE / 2);
     MemoryBudget memory = new MemoryBudget(config.limits().memoryPoolBytes());
     BackendPool pool = new BackendPool(loop, clock, (address, handler) -> open(backends, handler),
-        config.idleTimeoutMs(), budget);
+        config.idleTimeoutMs(), budget, memory);
     ModuleDriver driver = new ModuleDriver(loop, clock, new QuotaPolicy(config.settings(), 1), pool, memory);
     ClientServer clients = new ClientServer(loop, clock, driver, pool, new RequestReader(config.settings()),
         memory, budget);
--- a/door/src/test/java/willowdoor/net/BackendPoolTest.java
+++ b/door/src/test/java/willowdoor/net/BackendPoolTest.java
@@ -24,6 +24,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import willowdoor.memory.MemoryBudget;
 import willowdoor.policy.GatewayApi.BackendEntry;
 import willowdoor.policy.GatewayApi.Phase;
 import willowdoor.policy.GatewayApi.Status;
@@ -46,7 +47,7 @@
 
   private BackendPool pool(int places, int port) {
     BackendPool pool = new BackendPool(loop, new Clock(), Dialer.sockets(loop, 5_000), 10_000,
-        new ConnectionBudget(places));
+        new ConnectionBudget(places), new MemoryBudget(1 << 20));
     pool.onRoster(new EndpointUpdate(1, true, List.of(new BackendEntry(1, "a", 0, Phase.SERVING, 1, 0)),
         Map.of(1L, new InetSocketAddress(InetAddress.getLoopbackAddress(), port))));
     return pool;
--- a/door/src/test/java/willowdoor/net/MemoryBoundTest.java
+++ b/door/src/test/java/willowdoor/net/MemoryBoundTest.java
@@ -1,7 +1,10 @@
 package willowdoor.net;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.BufferedInputStream;
+import java.io.EOFException;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.Socket;
@@ -9,6 +12,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -35,6 +39,10 @@
   private static final int TIMEOUT_MS = 3_000;
   private static final int LATE_MS = 550;
   private static final int MIN_SERVED = 20;
+  private static final int LONG_BYTES = 16 << 20;
+  private static final int SLOW_READERS = 410;
+  private static final int SMALL_RECEIVE_BUFFER_BYTES = 8_192;
+  private static final int ANSWER_LIMIT_MS = 30_000;
 
   @TempDir
   private Path folder;
@@ -182,4 +190,68 @@
     String request = Peers.post("r1", "x".repeat(BODY_BYTES));
     usualClientsAreServedBeside(request.substring(0, request.length() - 1));
   }
+
+  /** Reads an answer and drops its body; false if it is a refusal. */
+  private static boolean readsCompleteAnswer(Socket socket) throws IOException {
+    InputStream in = new BufferedInputStream(socket.getInputStream());
+    StringBuilder head = new StringBuilder();
+    while (!head.toString().endsWith("\r\n\r\n")) {
+      int next = in.read();
+      if (next < 0) {
+        throw new EOFException();
+      }
+      head.append((char) next);
+    }
+    Peers.Message answer = new Peers.Message(head.toString(), new byte[0]);
+    in.skipNBytes(Long.parseLong(answer.header("Content-Length")));
+    return answer.status() == 200;
+  }
+
+  /** Guards against an unbounded sum of long answers to clients that read late: some were cut off. */
+  @Test
+  void manySlowReadersOfLongAnswers() throws Exception {
+    byte[] body = new byte[LONG_BYTES];
+    peers.answer = (request, out) -> {
+      if (request.firstLine().startsWith("POST")) {
+        return Peers.write(out, Peers.OK);
+      }
+      Peers.write(out, "HTTP/1.1 200 OK\r\nX-Units-Charged: 1\r\nContent-Length: " + LONG_BYTES + "\r\n\r\n");
+      out.write(body);
+      return true;
+    };
+    List<Socket> readers = new ArrayList<>();
+    for (int i = 0; i < SLOW_READERS; i++) {
+      Socket reader = new Socket();
+      opened.add(reader);
+      reader.setReceiveBufferSize(SMALL_RECEIVE_BUFFER_BYTES);
+      reader.setSoTimeout(ANSWER_LIMIT_MS);
+      reader.connect(gateway.address);
+      readers.add(reader);
+      Peers.write(reader.getOutputStream(), Peers.get("slow" + i, TIMEOUT_MS)
+          .replace(USUAL_CUSTOMER, customer(i)));
+    }
+    long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(DISRUPTION_MS);
+    int served = usualRequestsServed(endNanos);
+    assertTrue(served >= MIN_SERVED, "served: " + served);
+    AtomicInteger complete = new AtomicInteger();
+    AtomicInteger refused = new AtomicInteger();
+    AtomicInteger cutOff = new AtomicInteger();
+    List<Thread> threads = new ArrayList<>();
+    for (Socket reader : readers) {
+      Thread thread = new Thread(() -> {
+        try {
+          (readsCompleteAnswer(reader) ? complete : refused).incrementAndGet();
+        } catch (IOException e) {
+          cutOff.incrementAndGet();
+        }
+      });
+      thread.start();
+      threads.add(thread);
+    }
+    for (Thread thread : threads) {
+      thread.join();
+    }
+    assertEquals(0, cutOff.get(), "cut off or unanswered; complete: " + complete + ", refused: " + refused);
+    assertTrue(complete.get() >= SLOW_READERS / 2, "complete: " + complete + ", refused: " + refused);
+  }
 }
