A client that reads no answers is held back instead of being answered on and on

Callers saw: a client that sends requests on one connection and reads nothing got each answered into the process's memory; on the state before, its connection ended with answers missing (MemoryBoundTest#aClientThatReadsNoAnswersIsHeldBack: EOF; on all of 600 requests were sent on, 36 MB of answers on one connection). Cause: the next request on a connection was handled as soon as the one before was answered, whether or not the client took the answer. Shown: both new tests pass here; the first fails on the commit before. The second one (a client that never reads is closed) passes there too, by the idle limit, and fails here with the reset taken out (one run).

--- a/door/src/main/java/willowdoor/net/ClientConnection.java
+++ b/door/src/main/java/willowdoor/net/ClientConnection.java
@@ -176,7 +176,7 @@
    * client.
    */
   boolean isEvictable(double nowMs) {
-    if (currentRequestId != null || closing || !pending.isEmpty()) {
+    if (currentRequestId != null || closing || !pending.isEmpty() || memory.hasUnwrittenAnswer()) {
       return false;
     }
     if (requestSeen && Double.isNaN(receivingSinceMs)) {
@@ -186,14 +186,20 @@
   }
 
   /**
-   * Closes the connection of a client that does not complete a request, sends nothing, or does not come back
-   * in time.
+   * Closes the connection of a client that does not complete a request, sends nothing, does not come back in
+   * time, or does not read its answer.
    */
   void closeIfOverdue(double nowMs) {
-    if (currentRequestId != null || closing) {
+    if (currentRequestId != null) {
       return;
     }
-    if (!Double.isNaN(receivingSinceMs)) {
+    if (memory.hasUnwrittenAnswer()) {
+      if (nowMs - idleSinceMs > AnswerPipe.STALL_LIMIT_MS) {
+        reset("its answer is not read");
+      }
+    } else if (closing) {
+      return;
+    } else if (!Double.isNaN(receivingSinceMs)) {
       double limitMs = REQUEST_TIMEOUT_MS + receivedBytes / MIN_BYTES_PER_MS;
       if (nowMs - (requestSeen ? receivingSinceMs : idleSinceMs) > limitMs) {
         closeWith(HttpResponseStatus.REQUEST_TIMEOUT, "request is not whole in time");
@@ -206,7 +212,7 @@
   @Override
   protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest message) {
     onRequestComplete();
-    boolean first = currentRequestId == null && pending.isEmpty();
+    boolean first = currentRequestId == null && pending.isEmpty() && channel.isWritable();
     int heldBytes = MessageSize.of(message);
     if (!wantsInput()) {
       message.release();
@@ -229,6 +235,10 @@
   private void readNoFurther(FullHttpRequest message) {
     closeAfterPending = true;
     message.release();
+    if (currentRequestId == null && pending.isEmpty()) {
+      closing = true;
+      channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+    }
   }
 
   private void refuseForMemory(FullHttpRequest message) {
@@ -247,7 +257,7 @@
    * its connection before it has its answer gets none, as is already the case when it does so later.
    */
   private void scheduleNext() {
-    if (!nextScheduled && currentRequestId == null && !pending.isEmpty()) {
+    if (!nextScheduled && currentRequestId == null && !pending.isEmpty() && channel.isWritable()) {
       nextScheduled = true;
       channel.eventLoop().execute(() -> {
         nextScheduled = false;
@@ -460,6 +470,7 @@
   @Override
   public void channelWritabilityChanged(ChannelHandlerContext ctx) {
     readStreamedAnswer();
+    scheduleNext();
   }
 
   /** Reads the streamed answer on, or holds its backend back while this client takes no more. */
--- a/door/src/main/java/willowdoor/net/ConnectionMemory.java
+++ b/door/src/main/java/willowdoor/net/ConnectionMemory.java
@@ -68,6 +68,11 @@
     budget.remove(Holder.ANSWERS, held);
   }
 
+  /** Whether part of an answer is not written to the client's socket. */
+  boolean hasUnwrittenAnswer() {
+    return answerBytes > 0;
+  }
+
   /** Whether a further piece of a streamed answer may be read from its backend. */
   boolean admitsPiece() {
     return answerBytes == 0 || budget.admits(Holder.ANSWERS, answerBytes, Holder.PIECE_FLOOR_BYTES);
--- a/door/src/test/java/willowdoor/net/MemoryBoundTest.java
+++ b/door/src/test/java/willowdoor/net/MemoryBoundTest.java
@@ -1,6 +1,7 @@
 package willowdoor.net;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.BufferedInputStream;
@@ -39,6 +40,8 @@
   private static final int TIMEOUT_MS = 3_000;
   private static final int LATE_MS = 550;
   private static final int MIN_SERVED = 20;
+  private static final int MANY_REQUESTS = 600;
+  private static final int STALL_CHECK_MS = 1_000;
   private static final int LONG_BYTES = 16 << 20;
   private static final int SLOW_READERS = 410;
   private static final int SMALL_RECEIVE_BUFFER_BYTES = 8_192;
@@ -254,4 +257,43 @@
     assertEquals(0, cutOff.get(), "cut off or unanswered; complete: " + complete + ", refused: " + refused);
     assertTrue(complete.get() >= SLOW_READERS / 2, "complete: " + complete + ", refused: " + refused);
   }
+
+  /** Guards against answers in no bound on one connection, whose client sends on and reads nothing. */
+  @Test
+  void aClientThatReadsNoAnswersIsHeldBack() throws Exception {
+    Client client = gateway.client();
+    int sent = sendUntilHeldBack(client);
+    assertTrue(sent < MANY_REQUESTS, "all of " + sent + " requests were sent on");
+    for (int i = 0; i < sent; i++) {
+      assertEquals(BODY_BYTES, client.receive().body().length);
+    }
+  }
+
+  /** Guards against memory that a client holds for good by reading none of its answers. */
+  @Test
+  void aClientThatNeverReadsItsAnswersIsClosed() throws Exception {
+    Client client = gateway.client();
+    int sent = sendUntilHeldBack(client);
+    TimeUnit.MILLISECONDS.sleep(AnswerPipe.STALL_LIMIT_MS + STALL_CHECK_MS);
+    assertThrows(IOException.class, () -> {
+      for (int i = 0; i < sent; i++) {
+        client.receive();
+      }
+    });
+  }
+
+  /** Sends requests without reading the answers, until one does not reach a backend any more. */
+  private int sendUntilHeldBack(Client client) throws Exception {
+    String answer = "HTTP/1.1 200 OK\r\nX-Units-Charged: 1\r\nContent-Length: " + BODY_BYTES + "\r\n\r\n"
+        + "x".repeat(BODY_BYTES);
+    peers.answer = (request, out) -> Peers.write(out, answer);
+    int sent = 0;
+    boolean reachesBackend = true;
+    while (sent < MANY_REQUESTS && reachesBackend) {
+      client.send(Peers.get("r" + sent, TIMEOUT_MS));
+      sent++;
+      reachesBackend = peers.backendRequests.poll(1, TimeUnit.SECONDS) != null;
+    }
+    return sent;
+  }
 }
