Two processes of one front door share one memory pool

Callers saw: nothing yet; found by looking for the same cause on related paths. The limit on memory holds for both processes of an upgrade together, and each took the whole of the configured share for what peers make it hold. Cause: FrontDoorOperations shared out the connections while two processes run, and not the memory. Change: each has half of the pool while the other runs, and the whole again afterwards. Shown: UpgradeTest#bothProcessesTogetherHaveOneMemoryPool passes, and fails with the share taken out (one run each).

--- a/door/src/main/java/willowdoor/net/FrontDoor.java
+++ b/door/src/main/java/willowdoor/net/FrontDoor.java
@@ -295,7 +295,7 @@
    * @param folder where processes of this front door find each other, or null
    */
   void manage(InetSocketAddress address, String folder) throws IOException, InterruptedException {
-    operations = new FrontDoorOperations(this, roster, clients, budget, new ProcessFile(folder));
+    operations = new FrontDoorOperations(this, roster, clients, budget, memory, new ProcessFile(folder));
     operations.open(group, address);
   }
 
@@ -307,6 +307,10 @@
     server.listen(group, Transport.PREFERRED.serverSocket(), at);
   }
 
+  MemoryBudget memory() {
+    return memory;
+  }
+
   SocketAddress managementAddress() {
     return operations.address();
   }
--- a/door/src/main/java/willowdoor/net/FrontDoorOperations.java
+++ b/door/src/main/java/willowdoor/net/FrontDoorOperations.java
@@ -17,6 +17,7 @@
 import willowdoor.management.ManagementCommand;
 import willowdoor.management.Reply;
 import willowdoor.membership.DisabledBackend;
+import willowdoor.memory.MemoryBudget;
 
 /**
  * What operators can do with a front door: disable and enable backends, drain clients and admit them again,
@@ -35,12 +36,15 @@
   private static final double FIRST_PROCESS_SHARE = 0.7;
   private static final double SECOND_PROCESS_SHARE = 0.8;
   private static final double LEAVING_PROCESS_SHARE = 0.3;
+  /** Share of the memory pool that each process has while two run: the limit holds for both together. */
+  private static final double MEMORY_SHARE_OF_TWO = 0.5;
 
   private final FrontDoor door;
   private final EventLoop loop;
   private final MergedRoster roster;
   private final ClientServer clients;
   private final ConnectionBudget budget;
+  private final MemoryBudget memory;
   private final ProcessFile processFile;
   private final ManagementClient managementClient;
   private final ManagementServer server = new ManagementServer(this);
@@ -54,12 +58,13 @@
   private boolean shuttingDown;
 
   FrontDoorOperations(FrontDoor door, MergedRoster roster, ClientServer clients, ConnectionBudget budget,
-      ProcessFile processFile) {
+      MemoryBudget memory, ProcessFile processFile) {
     this.door = door;
     this.loop = door.loop();
     this.roster = roster;
     this.clients = clients;
     this.budget = budget;
+    this.memory = memory;
     this.processFile = processFile;
     managementClient = new ManagementClient(loop, Transport.PREFERRED.socket());
   }
@@ -154,6 +159,7 @@
   private void setOtherProcess(InetSocketAddress other) {
     otherProcess = new PeerProcess(loop, managementClient, other, this::onOtherLost);
     budget.setShare(startedSecond ? SECOND_PROCESS_SHARE : FIRST_PROCESS_SHARE);
+    memory.setShare(MEMORY_SHARE_OF_TWO);
   }
 
   private void onOtherLost(PeerProcess lost) {
@@ -161,6 +167,7 @@
       otherProcess = null;
       startedSecond = false;
       budget.setShare(1);
+      memory.setShare(1);
       if (discoverable && !shuttingDown) {
         Thread writer = new Thread(this::writeProcessFile, "process-file");
         writer.setDaemon(true);
--- a/door/src/test/java/willowdoor/net/UpgradeTest.java
+++ b/door/src/test/java/willowdoor/net/UpgradeTest.java
@@ -137,6 +137,21 @@
     }
   }
 
+  /** Guards against two processes that together hold twice the memory that one may hold. */
+  @Test
+  void bothProcessesTogetherHaveOneMemoryPool() throws Exception {
+    long whole = memoryPool(old);
+    startReplacement();
+    assertTrue(memoryPool(old) + memoryPool(replacement) <= whole);
+    assertTrue(memoryPool(replacement) > 0);
+    replacement.stop();
+    awaitCondition(() -> memoryPool(old) == whole);
+  }
+
+  private static long memoryPool(FrontDoor door) throws Exception {
+    return door.loop().submit(() -> door.memory().poolBytes()).get();
+  }
+
   @Test
   void afterTheReplacementEndsAnotherOneMayStart() throws Exception {
     startReplacement();
--- a/policy/src/main/java/willowdoor/memory/MemoryBudget.java
+++ b/policy/src/main/java/willowdoor/memory/MemoryBudget.java
@@ -56,6 +56,11 @@
     add(holder, -bytes);
   }
 
+  /** What may be held beyond the floors at present. */
+  public long poolBytes() {
+    return poolBytes;
+  }
+
   public long totalBytes() {
     return totalBytes;
   }
