A response with more than 100 headers is malformed

Callers saw: a backend, or 400 connections to some, that answers with 1,500 short headers each ends the process. Cause: heads of responses were bounded by their 8 kB only; as objects each took a quarter of a megabyte of heap, and one a connection is held until its response is complete. Evidence: MemoryBoundTest#manyResponsesWithManyHeaders ends with EOF at the clients in 3 of 3 runs before (the process ended), as the test of requests' heads did by 'OutOfMemoryError: Java heap space'; the log of these runs was not kept. Change: ResponseDecoder refuses the 101st header of a response, as it refuses one without a colon. That bounds heads that are still arriving too, without a count in the budget: 24 kB a connection at most. Shown: the test passes here, 2 of 2.

--- a/door/src/main/java/willowdoor/net/ResponseDecoder.java
+++ b/door/src/main/java/willowdoor/net/ResponseDecoder.java
@@ -11,6 +11,10 @@
 
   private static final int MAX_STATUS_LINE_BYTES = 1_024;
   private static final int MAX_HEADER_BYTES = 8_192;
+  /** Headers of one response, with its trailers. Short ones take tens of times their bytes as objects. */
+  private static final int MAX_HEADERS = 100;
+
+  private int headers;
 
   ResponseDecoder() {
     super(new HttpDecoderConfig().setMaxInitialLineLength(MAX_STATUS_LINE_BYTES)
@@ -30,15 +34,24 @@
     return false;
   }
 
+  @Override
+  protected HttpMessage createMessage(String[] initialLine) {
+    headers = 0;
+    return super.createMessage(initialLine);
+  }
+
   /**
-   * Rejects a line without a colon. Netty also ends a response's header name at a blank, and would accept
-   * it.
+   * Rejects a line without a colon, and more lines than are accepted. Netty also ends a response's header name
+   * at a blank, and would accept it.
    */
   @Override
   protected AsciiString splitHeaderName(byte[] line, int start, int length) {
     if (start + length >= line.length || line[start + length] != ':') {
       throw new IllegalArgumentException("header without a colon");
     }
+    if (++headers > MAX_HEADERS) {
+      throw new IllegalArgumentException("too many headers");
+    }
     return super.splitHeaderName(line, start, length);
   }
 
--- a/door/src/test/java/willowdoor/net/MemoryBoundTest.java
+++ b/door/src/test/java/willowdoor/net/MemoryBoundTest.java
@@ -35,6 +35,7 @@
   private static final int REQUESTS_AT_ONCE = 40;
   private static final int BODY_BYTES = 60_000;
   private static final int HEADERS = 3_000;
+  private static final int RESPONSE_HEADERS = 1_500;
   private static final long DISRUPTION_MS = 4_000;
   /** The time of the usual clients' requests, and what is allowed beyond it. */
   private static final int TIMEOUT_MS = 3_000;
@@ -258,6 +259,36 @@
     assertTrue(complete.get() >= SLOW_READERS / 2, "complete: " + complete + ", refused: " + refused);
   }
 
+  /** Guards against heads of responses in no bound: the heap of the process ran out. */
+  @Test
+  void manyResponsesWithManyHeaders() throws Exception {
+    String head = "HTTP/1.1 200 OK\r\nX-Units-Charged: 1\r\nContent-Length: 4\r\n"
+        + "a:b\r\n".repeat(RESPONSE_HEADERS) + "\r\n";
+    peers.answer = (request, out) -> {
+      if (request.firstLine().startsWith("POST")) {
+        return Peers.write(out, Peers.OK);
+      }
+      Peers.write(out, head + "f");
+      for (char c : "ine".toCharArray()) {
+        pause(500);
+        Peers.write(out, String.valueOf(c));
+      }
+      return true;
+    };
+    List<Client> clients = new ArrayList<>();
+    for (int i = 0; i < SLOW_READERS; i++) {
+      Client client = gateway.client();
+      opened.add(client.socket);
+      clients.add(client);
+      client.send(Peers.get("held" + i, TIMEOUT_MS).replace(USUAL_CUSTOMER, customer(i)));
+    }
+    for (Client client : clients) {
+      assertTrue(client.receive().status() >= 200, "a final answer");
+    }
+    assertEquals(200, gateway.client().ask(Peers.post("usual", "small")).status());
+    assertTrue(gateway.isAlive(), gateway.log());
+  }
+
   /** Guards against answers in no bound on one connection, whose client sends on and reads nothing. */
   @Test
   void aClientThatReadsNoAnswersIsHeldBack() throws Exception {
