Test: responses held without room are passed on whole

Need: a response that finds no room in the memory bound is passed on as it comes, and no test took that path.

--- a/door/src/main/java/willowdoor/net/ResponseDecoder.java
+++ b/door/src/main/java/willowdoor/net/ResponseDecoder.java
@@ -41,8 +41,8 @@
   }
 
   /**
-   * Rejects a line without a colon, and more lines than are accepted. Netty also ends a response's header name
-   * at a blank, and would accept it.
+   * Rejects a line without a colon, and more lines than are accepted. Netty also ends a response's header
+   * name at a blank, and would accept it.
    */
   @Override
   protected AsciiString splitHeaderName(byte[] line, int start, int length) {
--- a/door/src/test/java/willowdoor/net/DirectMemoryTest.java
+++ b/door/src/test/java/willowdoor/net/DirectMemoryTest.java
@@ -14,8 +14,8 @@
 import org.junit.jupiter.api.io.TempDir;
 
 /**
- * Guards against an event loop that stalls where direct memory runs out, whatever holds it: the JVM waits half
- * a second for each buffer that it cannot give.
+ * Guards against an event loop that stalls where direct memory runs out, whatever holds it: the JVM waits
+ * half a second for each buffer that it cannot give.
  */
 @Timeout(60)
 class DirectMemoryTest {
--- a/door/src/test/java/willowdoor/net/MemoryBoundTest.java
+++ b/door/src/test/java/willowdoor/net/MemoryBoundTest.java
@@ -259,6 +259,33 @@
     assertTrue(complete.get() >= SLOW_READERS / 2, "complete: " + complete + ", refused: " + refused);
   }
 
+  /** Guards against answers lost where responses that are held until they are complete find no room. */
+  @Test
+  void manyHeldResponsesAreAllComplete() throws Exception {
+    String half = "x".repeat(BODY_BYTES / 2);
+    peers.answer = (request, out) -> {
+      Peers.write(out, "HTTP/1.1 200 OK\r\nX-Units-Charged: 1\r\nContent-Length: " + BODY_BYTES + "\r\n\r\n"
+          + half);
+      pause(500);
+      return Peers.write(out, half);
+    };
+    List<Client> clients = new ArrayList<>();
+    for (int i = 0; i < SLOW_READERS; i++) {
+      Client client = gateway.client();
+      opened.add(client.socket);
+      clients.add(client);
+      client.send(Peers.get("held" + i, TIMEOUT_MS).replace(USUAL_CUSTOMER, customer(i)));
+    }
+    int complete = 0;
+    for (Client client : clients) {
+      Peers.Message answer = client.receive();
+      boolean served = answer.status() == 200;
+      complete += served ? 1 : 0;
+      assertEquals(served ? BODY_BYTES : 0, answer.body().length, "status " + answer.status());
+    }
+    assertTrue(complete >= SLOW_READERS / 2, "complete: " + complete);
+  }
+
   /** Guards against heads of responses in no bound: the heap of the process ran out. */
   @Test
   void manyResponsesWithManyHeaders() throws Exception {
