A stopped front door closes its listening sockets

Seen: UpgradeTest#bothProcessesTogetherHaveOneMemoryPool, new in this work, failed in a run of the door's tests: the old process didn't have its whole pool back 10 s after the new one was stopped. Repeated 25 times: 10 failures. Cause: FrontDoor.stop() ended the event loop without a wait, and the loop may end before it has closed its channels. Evidence: in each of the 10 the stopped loop was terminated and its management socket still listened (ss, 10 connections in its queue), so the other one's checks found somebody who never answers. A process that ends closes its sockets, so callers never saw it; a program that embeds a front door does. Change: stop() closes both listening sockets before it ends the loop. Shown: the same 25 repetitions pass. KNOWN-RED's UpgradeTest#afterTheReplacementEndsAnotherOneMayStart may have the same cause; it passed 15 of 15 before this change and after it, so that isn't shown and its entry stays.

--- a/door/src/main/java/willowdoor/management/ManagementServer.java
+++ b/door/src/main/java/willowdoor/management/ManagementServer.java
@@ -86,6 +86,13 @@
     return serverChannel.localAddress();
   }
 
+  /** Stops listening; may be called on any thread. */
+  public void close() {
+    if (serverChannel != null) {
+      serverChannel.close();
+    }
+  }
+
   private void open(Channel channel) {
     if (incompleteCallers.size() >= MAX_CONNECTIONS) {
       incompleteCallers.poll().close();
--- a/door/src/main/java/willowdoor/net/FrontDoor.java
+++ b/door/src/main/java/willowdoor/net/FrontDoor.java
@@ -473,11 +473,20 @@
     clients.closeIdleConnections(0);
   }
 
-  /** Stops the event loop, which closes every socket. */
+  /**
+   * Closes the listening sockets and stops the event loop. The loop alone would not close them for certain:
+   * it ends without waiting.
+   */
   public void stop() {
     if (counter != null) {
       counter.close();
     }
+    if (operations != null) {
+      operations.close();
+    }
+    if (serverChannel != null) {
+      serverChannel.close();
+    }
     group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
   }
 }
--- a/door/src/main/java/willowdoor/net/FrontDoorOperations.java
+++ b/door/src/main/java/willowdoor/net/FrontDoorOperations.java
@@ -96,6 +96,11 @@
     return (InetSocketAddress) server.address();
   }
 
+  /** Closes the management address; may be called on any thread. */
+  void close() {
+    server.close();
+  }
+
   private void restoreFrom(CallResult hello) throws IOException, InterruptedException {
     if (hello.outcome() != CallOutcome.ANSWER) {
       LOG.info("no other process of this front door answers");
