While memory is short, the next answer waits until its client has taken the one before

Need: found on reading: answers within the floor of their backend's connection were admitted without a look at the client's, so clients that read nothing could add up 48 kB each, 35 MB over 720 connections. Change: the next request on a connection, as the next piece of a streamed answer, begins while nothing is unwritten or the pool has room.

--- a/door/src/main/java/willowdoor/net/ClientConnection.java
+++ b/door/src/main/java/willowdoor/net/ClientConnection.java
@@ -212,7 +212,7 @@
   @Override
   protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest message) {
     onRequestComplete();
-    boolean first = currentRequestId == null && pending.isEmpty() && channel.isWritable();
+    boolean first = currentRequestId == null && pending.isEmpty() && takesAnswers();
     int heldBytes = MessageSize.of(message);
     if (!wantsInput()) {
       message.release();
@@ -257,7 +257,7 @@
    * its connection before it has its answer gets none, as is already the case when it does so later.
    */
   private void scheduleNext() {
-    if (!nextScheduled && currentRequestId == null && !pending.isEmpty() && channel.isWritable()) {
+    if (!nextScheduled && currentRequestId == null && !pending.isEmpty() && takesAnswers()) {
       nextScheduled = true;
       channel.eventLoop().execute(() -> {
         nextScheduled = false;
@@ -476,10 +476,15 @@
   /** Reads the streamed answer on, or holds its backend back while this client takes no more. */
   private void readStreamedAnswer() {
     if (streamedAnswer != null) {
-      streamedAnswer.setReading(channel.isWritable() && memory.admitsPiece());
+      streamedAnswer.setReading(takesAnswers());
     }
   }
 
+  /** Whether this client takes what it is sent, as far as memory is short. */
+  private boolean takesAnswers() {
+    return channel.isWritable() && memory.admitsMoreAnswer();
+  }
+
   private boolean decideKeepAlive() {
     // When connections are scarce, one that is kept open is one that another client may not get. Requests
     // that were already read are answered first.
@@ -538,6 +543,7 @@
     readStreamedAnswer();
     if (currentRequestId == null) {
       idleSinceMs = server.now();
+      scheduleNext();
     }
   }
 
--- a/door/src/main/java/willowdoor/net/ConnectionMemory.java
+++ b/door/src/main/java/willowdoor/net/ConnectionMemory.java
@@ -73,8 +73,8 @@
     return answerBytes > 0;
   }
 
-  /** Whether a further piece of a streamed answer may be read from its backend. */
-  boolean admitsPiece() {
+  /** Whether a further piece of an answer, or the next answer, may be added to what is not written yet. */
+  boolean admitsMoreAnswer() {
     return answerBytes == 0 || budget.admits(Holder.ANSWERS, answerBytes, Holder.PIECE_FLOOR_BYTES);
   }
 }
