A process that has ended writes no process file

Cause: each process asks the other twice a second whether it lives. When the loop of one stops while its question is under way, the question's connection closes, which counts as "the other has ended", and the stopping process wrote the file with its own address, on a thread nobody waited for. If that came after the write of the process that goes on, the file named a process that had ended, and the next one started as a first one. Ruled out: a late check of the old process. Change: one writer thread for the file, shut down and awaited when the management address is closed; later writes are discarded.

--- a/door/src/main/java/willowdoor/net/FrontDoorOperations.java
+++ b/door/src/main/java/willowdoor/net/FrontDoorOperations.java
@@ -5,8 +5,12 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ThreadFactory;
+import java.util.concurrent.ThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.logging.Logger;
 import willowdoor.management.ManagementClient;
@@ -39,6 +43,8 @@
   /** Share of the memory pool that each process has while two run: the limit holds for both together. */
   private static final double MEMORY_SHARE_OF_TWO = 0.5;
 
+  private static final long FILE_WRITE_LIMIT_MS = 1_000;
+
   private final FrontDoor door;
   private final EventLoop loop;
   private final MergedRoster roster;
@@ -48,6 +54,8 @@
   private final ProcessFile processFile;
   private final ManagementClient managementClient;
   private final ManagementServer server = new ManagementServer(this);
+  /** Writes the process file while the loop runs; after the shutdown of this process it writes nothing. */
+  private final ThreadPoolExecutor fileWrites = createFileWriter();
   /** The other process of this front door, or null. */
   private PeerProcess otherProcess;
   /** Whether operators have drained the clients. */
@@ -96,9 +104,28 @@
     return (InetSocketAddress) server.address();
   }
 
-  /** Closes the management address; may be called on any thread. */
+  /**
+   * Closes the management address, and writes no process file afterwards; may be called on any thread but the
+   * loop's.
+   */
   void close() {
     server.close();
+    fileWrites.shutdown();
+    try {
+      fileWrites.awaitTermination(FILE_WRITE_LIMIT_MS, TimeUnit.MILLISECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private static ThreadPoolExecutor createFileWriter() {
+    ThreadFactory daemonThreads = task -> {
+      Thread thread = new Thread(task, "process-file");
+      thread.setDaemon(true);
+      return thread;
+    };
+    return new ThreadPoolExecutor(0, 1, 0, TimeUnit.MILLISECONDS, new ArrayBlockingQueue<>(1), daemonThreads,
+        new ThreadPoolExecutor.DiscardPolicy());
   }
 
   private void restoreFrom(CallResult hello) throws IOException, InterruptedException {
@@ -174,9 +201,7 @@
       budget.setShare(1);
       memory.setShare(1);
       if (discoverable && !shuttingDown) {
-        Thread writer = new Thread(this::writeProcessFile, "process-file");
-        writer.setDaemon(true);
-        writer.start();
+        fileWrites.execute(this::writeProcessFile);
       }
     }
   }
--- a/door/src/test/java/willowdoor/net/UpgradeTest.java
+++ b/door/src/test/java/willowdoor/net/UpgradeTest.java
@@ -1,6 +1,7 @@
 package willowdoor.net;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -11,6 +12,8 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -24,6 +27,9 @@
 class UpgradeTest {
 
   private static final String UP_REQUEST = "GET /up HTTP/1.1\r\nHost: a\r\n\r\n";
+  /** Longer than the interval of the processes' checks, shorter than it and the limit of a check. */
+  private static final long CHECK_IN_PROGRESS_MS = 600;
+
   @TempDir
   private Path folder;
   private final Peers peers = new Peers();
@@ -165,6 +171,29 @@
     assertEquals(503, upStatus());
   }
 
+  /** Guards against a process file that names a process which has ended: the next one would start as first. */
+  @Test
+  void aStoppedProcessWritesNoProcessFile() throws Exception {
+    startReplacement();
+    CountDownLatch releaseOld = new CountDownLatch(1);
+    old.loop().execute(() -> {
+      try {
+        releaseOld.await(10, TimeUnit.SECONDS);
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
+    });
+    // By then the replacement waits for the old process, which it asks twice a second whether it lives.
+    Thread.sleep(CHECK_IN_PROGRESS_MS);
+    Path file = folder.resolve("front-door.process");
+    Files.delete(file);
+    replacement.stop();
+    Thread.sleep(CHECK_IN_PROGRESS_MS);
+    assertFalse(Files.exists(file), "written by a process that has ended");
+    releaseOld.countDown();
+    awaitCondition(() -> Files.exists(file));
+  }
+
   @Test
   void invalidProcessFileIsIgnored() throws Exception {
     Path file = folder.resolve("front-door.process");
