What an attempt needs holds at its first byte and until its last one

Cause: the window was asked when the retry was decided (QuotaPolicy.retryOrGiveUp), and not when its connection came up, by a retransmitted SYN a second later; AttemptStart knew the client, the time and the request only. The same class, found by tests with real processes: an attempt decided for one start of a backend was written to the next start (6 of 6, past the slow-start budget); of a long request the kernel holds what its backend does not read, and delivered it whole after the request's time was over and after the client had left, as a usual close goes on sending. Change: each Send carries its conditions (AttemptConditions): until when it may begin (repeat window less its margin; 300 ms for a backend in slow start, whose delayed connections would come up together), until when it must be complete, and the start of the backend. AttemptStart asks them with the request, the client, other attempts in flight and the backend's listing just before the first byte. Until the backend must have the last byte (a body over 16 kB, and no byte of the answer yet), the end of a condition resets the connection, which drops what the kernel holds. A time to begin that runs out while connecting ends the attempt at once, and so does a backend's restart or move.

--- a/door/src/main/java/willowdoor/net/Attempt.java
+++ b/door/src/main/java/willowdoor/net/Attempt.java
@@ -3,29 +3,40 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.util.concurrent.Future;
+import willowdoor.policy.AttemptConditions;
 import willowdoor.policy.AttemptStart;
 import willowdoor.policy.GatewayApi.Status;
 
 /** One attempt of a request at one backend, from the policy's send action to its single outcome. */
 abstract class Attempt {
 
+  /**
+   * Length of a body up to which a backend's receive buffer is taken to have room for the request. Of a
+   * longer one, the kernel may hold a part for as long as the backend does not read.
+   */
+  private static final int PROMPT_BODY_BYTES = 16 * 1024;
+
   final FullHttpRequest message;
   /** Deadline on the door's clock; never later than the moment at which the client gives up. */
   final double deadlineMs;
+  final AttemptConditions conditions;
   long backendId;
   /** Null until the request is about to be written. */
   BackendConnection connection;
   /** True once the request's last byte was handed to the kernel; from then on the backend may have run it. */
   boolean written;
-  /** Fires at the deadline. */
+  /** True once something of the response was read: the backend has the request. */
+  boolean answerBegun;
+  /** Fires when the time is over in which the attempt has to begin, to be complete, or to be answered. */
   Future<?> timer;
   /** The rest of a response that is passed through, or null. */
   AnswerPipe restOfAnswer;
   private boolean ended;
 
-  Attempt(FullHttpRequest message, double deadlineMs) {
+  Attempt(FullHttpRequest message, double deadlineMs, AttemptConditions conditions) {
     this.message = message;
     this.deadlineMs = deadlineMs;
+    this.conditions = conditions;
   }
 
   final String requestId() {
@@ -36,6 +47,22 @@
     return ended;
   }
 
+  /**
+   * Whether the backend may lack a part of the request, which it would still get if the connection were left
+   * open or closed in the usual way.
+   */
+  final boolean mayLackBytes() {
+    return !written || !answerBegun && message.content().readableBytes() > PROMPT_BODY_BYTES;
+  }
+
+  /** The time at which the attempt ends unless it has got on by then. */
+  final double limitMs() {
+    if (connection == null) {
+      return Math.min(deadlineMs, conditions.beginByMs());
+    }
+    return mayLackBytes() ? Math.min(deadlineMs, conditions.completeByMs()) : deadlineMs;
+  }
+
   /**
    * The status of this attempt when its connection breaks. Only the write shows whether the request may
    * have run.
@@ -69,27 +96,37 @@
     onEnd(status, answer);
   }
 
+  /** Called when {@link #limitMs} has passed. */
+  final void onTimeUp() {
+    abandon(statusOnTimeout());
+  }
+
   /**
-   * Ends the attempt without its response. Its connection is closed, as the response may still arrive on
-   * it.
+   * Ends the attempt without its response. Its connection is closed, as the response may still arrive on it;
+   * if the backend may lack a part of the request, with a reset, so that it never gets that part.
    */
   final void abandon(Status status) {
     if (ended) {
       return;
     }
-    BackendConnection usedConnection = connection;
+    boolean incomplete = mayLackBytes();
     end(status, null);
-    if (usedConnection != null) {
-      usedConnection.close();
+    if (connection != null && incomplete) {
+      connection.abort();
+    } else if (connection != null) {
+      connection.close();
     }
   }
 
   /**
    * Whether the attempt may start, by all that is known at this moment; called just before its first byte
    * is sent.
+   *
+   * @param backendReplaced whether the backend is another one than the attempt was decided for
    */
-  AttemptStart startDecision(double nowMs) {
-    return AttemptStart.of(ended, false, false, deadlineMs - nowMs);
+  AttemptStart startDecision(double nowMs, boolean backendReplaced) {
+    return AttemptStart.of(new AttemptStart.Circumstances(ended, false, false, false, backendReplaced,
+        conditions.beginByMs() - nowMs, deadlineMs - nowMs));
   }
 
   /** Called instead of the write when the attempt is not allowed to start, with the reason. */
--- a/door/src/main/java/willowdoor/net/BackendConnection.java
+++ b/door/src/main/java/willowdoor/net/BackendConnection.java
@@ -52,6 +52,8 @@
   final BackendPool.Backend backend;
   /** The address that this connection was opened to; its backend may have moved since. */
   final InetSocketAddress address;
+  /** Start of the backend that this connection was opened to. */
+  final double startedMs;
   private Channel channel;
   private Attempt currentAttempt;
   double idleSinceMs;
@@ -80,6 +82,7 @@
     this.pool = pool;
     this.backend = backend;
     this.address = backend.address;
+    this.startedMs = backend.startedMs();
     this.decoder = decoder;
   }
 
@@ -97,13 +100,20 @@
     channel.close();
   }
 
+  /** Closes the connection with a reset, which drops what the kernel holds unsent or undelivered. */
+  void abort() {
+    Transport.setReset(channel);
+    close();
+  }
+
   /**
    * Writes the attempt's request if the attempt may still start; no layer below the policy ever writes it
    * again. Every attempt passes this check, however long and for whatever reason it waited before.
    */
   void start(Attempt attempt) {
     double now = pool.now();
-    AttemptStart decision = attempt.startDecision(now);
+    AttemptStart decision =
+        attempt.startDecision(now, !backend.isAsDecided(attempt.conditions.backendStartedMs(), this));
     if (decision != AttemptStart.ALLOWED) {
       RequestLog.note(attempt.requestId(), "attempt withheld", "reason", decision);
       close();
@@ -127,6 +137,9 @@
   @Override
   protected void channelRead0(ChannelHandlerContext ctx, HttpObject part) {
     partsRead++;
+    if (currentAttempt != null) {
+      currentAttempt.answerBegun = true;
+    }
     if (pipe != null) {
       forward(part);
     } else if (currentAttempt == null) {
--- a/door/src/main/java/willowdoor/net/BackendPool.java
+++ b/door/src/main/java/willowdoor/net/BackendPool.java
@@ -48,6 +48,20 @@
      */
     private final ArrayDeque<BackendConnection> idle = new ArrayDeque<>();
     private final Set<Attempt> connecting = new HashSet<>();
+
+    double startedMs() {
+      return startedMs;
+    }
+
+    /** Whether the connection leads to this backend as it is listed now. */
+    private boolean isReachedBy(BackendConnection connection) {
+      return !removed && address.equals(connection.address) && startedMs == connection.startedMs;
+    }
+
+    /** Whether this is the backend that was decided for, by its start, and the connection leads to it. */
+    boolean isAsDecided(double decidedStartedMs, BackendConnection connection) {
+      return isReachedBy(connection) && startedMs == decidedStartedMs;
+    }
   }
 
   private final EventLoop loop;
@@ -71,8 +85,8 @@
   }
 
   /**
-   * Applies a roster update. Idle connections are closed when their backend drains, is removed, has moved to
-   * another address or has restarted.
+   * Applies a roster update. Idle connections are closed, and attempts that still wait for their connection
+   * are withdrawn, when their backend drains, is removed, has moved to another address or has restarted.
    */
   void onRoster(EndpointUpdate update) {
     Set<Long> listedIds = new HashSet<>();
@@ -85,7 +99,7 @@
       Backend backend = backends.computeIfAbsent(entry.id(), id -> new Backend());
       InetSocketAddress address = update.addresses().get(entry.id());
       if (!address.equals(backend.address) || backend.startedMs != entry.startedMs()) {
-        List.copyOf(backend.idle).forEach(BackendConnection::close);
+        withdraw(backend);
         backend.address = address;
         backend.startedMs = entry.startedMs();
       }
@@ -95,19 +109,20 @@
     }
   }
 
-  /**
-   * Removes a backend that drains or is gone. Attempts that still wait for their connection end as NOT_SENT,
-   * because no request may be written to a draining backend.
-   */
   private void remove(long id) {
     Backend backend = backends.remove(id);
     if (backend != null) {
       backend.removed = true;
-      List.copyOf(backend.idle).forEach(BackendConnection::close);
-      List.copyOf(backend.connecting).forEach(a -> a.abandon(Status.NOT_SENT));
+      withdraw(backend);
     }
   }
 
+  /** Closes the backend's idle connections, and ends the attempts that wait for a connection to it. */
+  private static void withdraw(Backend backend) {
+    List.copyOf(backend.idle).forEach(BackendConnection::close);
+    List.copyOf(backend.connecting).forEach(a -> a.abandon(Status.NOT_SENT));
+  }
+
   double now() {
     return clock.now();
   }
@@ -131,9 +146,7 @@
       attempt.end(Status.NOT_SENT, null);
       return;
     }
-    long timeoutMicros = Math.max(0, (long) ((attempt.deadlineMs - clock.now()) * 1000));
-    attempt.timer = loop.schedule(() -> attempt.abandon(attempt.statusOnTimeout()), timeoutMicros,
-        TimeUnit.MICROSECONDS);
+    checkLimit(attempt);
     BackendConnection connection = takeIdle(backend);
     if (connection != null) {
       connection.start(attempt);
@@ -144,6 +157,17 @@
     }
   }
 
+  /** Ends the attempt if its limit has passed, and otherwise checks again then. */
+  private void checkLimit(Attempt attempt) {
+    double leftMs = attempt.limitMs() - clock.now();
+    if (attempt.timer != null && leftMs <= 0) {
+      attempt.onTimeUp();
+    } else if (!attempt.ended()) {
+      attempt.timer = loop.schedule(() -> checkLimit(attempt), (long) Math.max(0, Math.ceil(leftMs * 1000)),
+          TimeUnit.MICROSECONDS);
+    }
+  }
+
   /**
    * Takes the most recently used connection that has been idle for longer than {@link #SETTLE_MS}, or
    * returns null. Connections on the way that are closed, or idle for so long that the backend may be
@@ -213,7 +237,7 @@
   }
 
   void release(BackendConnection connection) {
-    if (!connection.backend.removed && connection.backend.address.equals(connection.address)) {
+    if (connection.backend.isReachedBy(connection)) {
       connection.idleSinceMs = clock.now();
       connection.backend.idle.addLast(connection);
     } else {
--- a/door/src/main/java/willowdoor/net/ClientConnection.java
+++ b/door/src/main/java/willowdoor/net/ClientConnection.java
@@ -461,9 +461,7 @@
   private void reset(String reason) {
     RequestLog.note(currentRequestId, "connection ends", "reason", reason);
     closing = true;
-    if (channel.isActive() && channel instanceof SocketChannel socket) {
-      socket.config().setSoLinger(0);
-    }
+    Transport.setReset(channel);
     channel.close();
   }
 
--- a/door/src/main/java/willowdoor/net/ModuleDriver.java
+++ b/door/src/main/java/willowdoor/net/ModuleDriver.java
@@ -149,17 +149,22 @@
     }
 
     /**
-     * Ends the attempts that are not completely written to their backend: nobody waits for them any more, and
-     * they have not run.
+     * Ends the attempts whose backend may not have the whole request yet: nobody waits for them any more, and
+     * they must not begin.
      */
     void abandonUnsent() {
       for (Attempt attempt : List.copyOf(attempts)) {
-        if (!attempt.written) {
-          attempt.abandon(Status.NOT_SENT);
+        if (attempt.mayLackBytes()) {
+          attempt.abandon(attempt.written ? Status.SPOILT : Status.NOT_SENT);
         }
       }
     }
 
+    /** Whether an attempt other than this one may still reach a backend. */
+    boolean hasOtherInFlight(Attempt attempt) {
+      return attempts.stream().anyMatch(a -> a != attempt && !a.ended());
+    }
+
     /**
      * Removes the finished request unless an attempt is in flight: the module still gets the outcome of that
      * attempt.
@@ -524,10 +529,12 @@
     double sentMs = clock.now();
     double giveUpMs = state.request.giveUpMs();
     double attemptDeadlineMs = a.timeoutMs() > 0 ? Math.min(sentMs + a.timeoutMs(), giveUpMs) : giveUpMs;
-    Attempt attempt = new Attempt(state.message, attemptDeadlineMs) {
+    Attempt attempt = new Attempt(state.message, attemptDeadlineMs, a.conditions()) {
       @Override
-      AttemptStart startDecision(double nowMs) {
-        return AttemptStart.of(ended(), state.finished, state.client.isGone(), attemptDeadlineMs - nowMs);
+      AttemptStart startDecision(double nowMs, boolean backendReplaced) {
+        return AttemptStart.of(new AttemptStart.Circumstances(ended(), state.finished, state.client.isGone(),
+            state.hasOtherInFlight(this), backendReplaced, conditions.beginByMs() - nowMs,
+            attemptDeadlineMs - nowMs));
       }
 
       @Override
--- a/door/src/main/java/willowdoor/net/Transport.java
+++ b/door/src/main/java/willowdoor/net/Transport.java
@@ -71,6 +71,17 @@
     }
   }
 
+  /** Makes the close of a connection reset it: bytes that the kernel holds are dropped. */
+  static void setReset(Channel channel) {
+    if (channel instanceof SocketChannel socket && channel.isActive()) {
+      try {
+        socket.config().setSoLinger(0);
+      } catch (ChannelException e) {
+        LOG.log(Level.FINE, "the connection is closed without a reset", e);
+      }
+    }
+  }
+
   /** Creates a server channel on a descriptor that is already listening; requires epoll. */
   static ServerChannel adoptServerSocket(int descriptor) {
     if (!Epoll.isAvailable()) {
--- a/door/src/test/java/willowdoor/net/BackendPoolTest.java
+++ b/door/src/test/java/willowdoor/net/BackendPoolTest.java
@@ -25,6 +25,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import willowdoor.memory.MemoryBudget;
+import willowdoor.policy.AttemptConditions;
 import willowdoor.policy.GatewayApi.BackendEntry;
 import willowdoor.policy.GatewayApi.Phase;
 import willowdoor.policy.GatewayApi.Status;
@@ -55,7 +56,7 @@
 
   private Attempt attempt(double timeoutMs) {
     return new Attempt(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/quote/1",
-        Unpooled.EMPTY_BUFFER), new Clock().now() + timeoutMs) {
+        Unpooled.EMPTY_BUFFER), new Clock().now() + timeoutMs, AttemptConditions.NONE) {
       @Override
       void onEnd(Status status, FullHttpResponse answer) {
         ends.add(status);
--- a/door/src/test/java/willowdoor/net/UpgradeTest.java
+++ b/door/src/test/java/willowdoor/net/UpgradeTest.java
@@ -171,7 +171,7 @@
     assertEquals(503, upStatus());
   }
 
-  /** Guards against a process file that names a process which has ended: the next one would start as first. */
+  /** Guards against a process file that names an ended process: the next one would start as the first. */
   @Test
   void aStoppedProcessWritesNoProcessFile() throws Exception {
     startReplacement();
--- a/policy/src/main/java/willowdoor/policy/GatewayApi.java
+++ b/policy/src/main/java/willowdoor/policy/GatewayApi.java
@@ -220,8 +220,13 @@
   /** An action that a gateway has to take for its decision module. */
   public sealed interface Action { }
 
-  /** Starts an attempt. The attempts of a request are numbered from 0, in the order of these actions. */
-  public record Send(String request, long backend, double timeoutMs) implements Action { }
+  /**
+   * Starts an attempt. The attempts of a request are numbered from 0, in the order of these actions.
+   *
+   * @param conditions what has to hold when the attempt is written
+   */
+  public record Send(String request, long backend, double timeoutMs, AttemptConditions conditions)
+      implements Action { }
 
   /**
    * Gives the final answer: the request is refused, and trying again is harmless.
--- a/policy/src/main/java/willowdoor/policy/QuotaPolicy.java
+++ b/policy/src/main/java/willowdoor/policy/QuotaPolicy.java
@@ -170,6 +170,13 @@
    * repeat may have to queue until the backends no longer recognise it.
    */
   private static final double REPEAT_MARGIN_SHARE = 0.25;
+  /** Time in milliseconds for which a gateway may be held up between a decision and its effect. */
+  private static final double HOLD_UP_MS = 150;
+  /**
+   * Time in milliseconds in which an attempt at a backend in slow start has to begin. Attempts whose
+   * connections come up together later would exceed what the backend may get then.
+   */
+  private static final double SLOW_START_BEGIN_MS = 300;
   /**
    * Time in milliseconds before the client gives up at which the last answer is sent, so that the answer
    * itself arrives in time.
@@ -1397,7 +1404,8 @@
       giveUp(job);
       return;
     }
-    if (backend.isCold(settings.rules(), now)) {
+    boolean cold = backend.isCold(settings.rules(), now);
+    if (cold) {
       backend.coldTokens -= 1;
     }
     sendRate = sendRate * Math.exp((sendRateAt - now) / PRESSURE_DECAY_MS) + 1000 / PRESSURE_DECAY_MS;
@@ -1413,7 +1421,15 @@
     attemptsInFlight++;
     backend.attemptsInFlight.add(attempt);
     attemptsByKey.put(job.request.id() + "#" + attempt.number, attempt);
-    actions.add(new Send(job.request.id(), backend.id, leftMs));
+    double beginBy = Math.min(repeatUntil(job), cold ? now + SLOW_START_BEGIN_MS : Double.POSITIVE_INFINITY);
+    actions.add(new Send(job.request.id(), backend.id, leftMs,
+        new AttemptConditions(beginBy, job.repeatsDroppedUntil - HOLD_UP_MS, backend.reportedStartMs)));
+  }
+
+  /** The time until which a repeat of the request may begin; infinity if nothing limits it. */
+  private static double repeatUntil(Job job) {
+    return job.repeatsDroppedUntil
+        - Math.max(HOLD_UP_MS, REPEAT_MARGIN_SHARE * job.requestClass.repeatWindowMs());
   }
 
   /** Ends a request whose client left. One that waits for the counter is not sent when the answer comes. */
@@ -1462,7 +1478,7 @@
   private void retryOrGiveUp(Job job) {
     boolean allowed = !job.mayHaveRun || job.requestClass.repeat() == Repeat.SAFE
         || job.requestClass.repeat() == Repeat.KEYED
-        && now < job.repeatsDroppedUntil - REPEAT_MARGIN_SHARE * job.requestClass.repeatWindowMs();
+        && now < repeatUntil(job);
     double leftMs = job.request.giveUpMs() - now;
     if (!allowed || retryTokens < 1 && !job.retryExempt || leftMs < fleetServiceMs / 2 + ANSWER_MARGIN_MS) {
       giveUp(job);
