An answer has one lifecycle, and only a stalled one is given up

Causes, told apart by who closed the connection and when: the end of the client's time (held under 64 kB by then), the cancel of a silent backend between head and whole answer, the check of 0.7 s during a late body, the stop of the process 0.3 s after its last refusals, and the close of a connection whose whole answer its client had not taken yet (found by the way). Each knew finished answers only, and counted by itself. Ruled out: backends that broke off (they went on writing after the close). Change: AnswerLifecycle (a decision: states, times in) tells progress from a stall; the check, the attempt's time, the cancel, the client's time, the last call, the pipe and the shutdown ask it. At the end of its time an answer without a length that makes progress is passed on; it counts as stalled after 1.5 s of silence before its body, 1 s in it, and, passed on, after 1 to 2 s, by when its client's time ends, until over 64 kB have come. One of known length under 64 kB stays at 0.7 s and its time, as its last byte is due. The policy hears of progress (AnswerProgress) and cancels silent backends only. A process that stops stays for answers under way, 60 s at most.

--- a/door/src/main/java/willowdoor/net/AnswerPipe.java
+++ b/door/src/main/java/willowdoor/net/AnswerPipe.java
@@ -4,6 +4,9 @@
 import io.netty.channel.Channel;
 import java.util.ArrayDeque;
 import java.util.concurrent.TimeUnit;
+import java.util.function.DoubleSupplier;
+import willowdoor.policy.AnswerLifecycle;
+import willowdoor.policy.AnswerLifecycle.State;
 
 /**
  * Passes the rest of a long response through as it arrives. Bytes from the backend are forwarded to the
@@ -13,11 +16,9 @@
  */
 final class AnswerPipe {
 
-  /**
-   * Interval of the stall checks. A pipe without progress between two checks is aborted; pauses of seconds
-   * are allowed.
-   */
-  static final long STALL_LIMIT_MS = 15_000;
+  private static final double MIN_CHECK_MS = 1;
+  /** The limit may become nearer while a check is scheduled. */
+  private static final double MAX_CHECK_MS = 250;
 
   /** The client's side. */
   interface Receiver {
@@ -32,27 +33,37 @@
   }
 
   private final Channel backend;
+  private final AnswerLifecycle lifecycle;
+  private final DoubleSupplier clockMs;
   /** Pieces that arrived before the receiver was set: no more than one read returns. */
   private final ArrayDeque<ByteBuf> buffered = new ArrayDeque<>(2);
   private Receiver receiver;
   private boolean ended;
   private boolean completed;
-  private boolean progressed;
 
-  AnswerPipe(Channel backend) {
+  /**
+   * Creates a pipe for an answer that is passed on from now on.
+   *
+   * @param lifecycle tells when the answer has stalled
+   */
+  AnswerPipe(Channel backend, AnswerLifecycle lifecycle, DoubleSupplier clockMs) {
     this.backend = backend;
+    this.lifecycle = lifecycle;
+    this.clockMs = clockMs;
+    lifecycle.onPassedOn();
     scheduleStallCheck();
   }
 
   private void scheduleStallCheck() {
+    double waitMs = Math.max(MIN_CHECK_MS, lifecycle.stalledAtMs() - clockMs.getAsDouble());
     backend.eventLoop().schedule(() -> {
-      if (!ended && !progressed) {
+      if (!ended && lifecycle.state(clockMs.getAsDouble()) == State.STALLED) {
+        RequestLog.note(null, "answer given up", "reason", "stalled");
         abort();
       } else if (!ended) {
-        progressed = false;
         scheduleStallCheck();
       }
-    }, STALL_LIMIT_MS, TimeUnit.MILLISECONDS);
+    }, (long) Math.min(MAX_CHECK_MS, waitMs), TimeUnit.MILLISECONDS);
   }
 
   /** Sets the receiver, which gets the pieces that have arrived and all that follow. */
@@ -69,18 +80,22 @@
   /** Resumes or pauses reading from the backend, as the client's side accepts more or not. */
   void setReading(boolean reading) {
     if (!ended) {
-      progressed |= reading;
+      lifecycle.setHeldBack(clockMs.getAsDouble(), !reading);
       backend.config().setAutoRead(reading);
     }
   }
 
+  /** Called when the client has taken a piece. */
+  void onClientProgress() {
+    lifecycle.onClientProgress(clockMs.getAsDouble());
+  }
+
   /** Forwards a piece from the backend and takes ownership of its buffer. */
   void forward(ByteBuf bytes) {
     if (ended) {
       bytes.release();
       return;
     }
-    progressed = true;
     if (receiver == null) {
       buffered.add(bytes);
     } else {
@@ -90,6 +105,7 @@
 
   /** Called when the backend has sent the complete response. */
   void complete() {
+    lifecycle.onWhole();
     end(true);
   }
 
--- a/door/src/main/java/willowdoor/net/Attempt.java
+++ b/door/src/main/java/willowdoor/net/Attempt.java
@@ -96,9 +96,23 @@
     onEnd(status, answer);
   }
 
-  /** Called when {@link #limitMs} has passed. */
+  /** Called when {@link #limitMs} has passed: passes on what still comes, and otherwise ends the attempt. */
   final void onTimeUp() {
-    abandon(statusOnTimeout());
+    if (!passOnAnswer()) {
+      abandon(statusOnTimeout());
+    }
+  }
+
+  /** Passes on an answer that has begun and makes progress, if it may be long; returns whether it did. */
+  final boolean passOnAnswer() {
+    return !ended && connection != null && connection.passOnIfUnderWay();
+  }
+
+  /** Cancels the attempt, unless its answer has begun and makes progress. */
+  final void cancel() {
+    if (connection == null || !connection.isAnswerUnderWay()) {
+      abandon(Status.CANCELLED);
+    }
   }
 
   /**
@@ -129,6 +143,11 @@
         conditions.beginByMs() - nowMs, deadlineMs - nowMs));
   }
 
+  /** Called when a part of the answer was read, and the answer is not complete. */
+  void onAnswerBegun() {
+    answerBegun = true;
+  }
+
   /** Called instead of the write when the attempt is not allowed to start, with the reason. */
   void onWithheld(AttemptStart reason) {
     end(Status.NOT_SENT, null);
--- a/door/src/main/java/willowdoor/net/BackendConnection.java
+++ b/door/src/main/java/willowdoor/net/BackendConnection.java
@@ -21,6 +21,8 @@
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
 import willowdoor.memory.Holder;
+import willowdoor.policy.AnswerLifecycle;
+import willowdoor.policy.AnswerLifecycle.State;
 import willowdoor.policy.AttemptStart;
 import willowdoor.policy.GatewayApi.Status;
 
@@ -30,22 +32,13 @@
  */
 final class BackendConnection extends SimpleChannelInboundHandler<HttpObject> {
 
-  /** A response body up to this size is held until it is complete; a larger one is passed through. */
-  private static final int MAX_HELD_BODY_BYTES = 64 * 1024;
   /** A response that announces a longer body is treated as malformed. */
   private static final long MAX_CONTENT_LENGTH_BYTES = 1L << 30;
   /** Informational (1xx) responses that are accepted before the final response. */
   private static final int MAX_INFORMATIONAL = 16;
-  /**
-   * Interval of the progress checks on an incomplete response. The attempt ends when nothing was decoded
-   * between two checks; there is no limit on the total, as backends may take seconds to write a response.
-   */
-  private static final long PROGRESS_CHECK_MS = 700;
-  /**
-   * An incomplete response of unknown length that is older than this is passed through, so as not to delay
-   * it.
-   */
-  private static final long MAX_HOLD_MS = 1_000;
+  private static final double MIN_CHECK_MS = 1;
+  /** The next check may become due earlier while one is scheduled. */
+  private static final double MAX_CHECK_MS = 250;
 
   private final BackendPool pool;
   private final ResponseDecoder decoder;
@@ -68,11 +61,10 @@
   private int informationalCount;
   /** More than the one response has been read. */
   private boolean excessRead;
-  /** The next progress check on an incomplete response, or null. */
+  /** Tells whether the response makes progress; null until an attempt is written. */
+  private AnswerLifecycle lifecycle;
+  /** The next check on an incomplete response, or null. */
   private Future<?> progressTimer;
-  private int partsAtLastCheck;
-  private int partsRead;
-  private double headReadMs;
   /** Receives the rest of a response that is passed through; null while the response is held. */
   private AnswerPipe pipe;
   /** The connection failed: a response whose end is the end of the connection is incomplete. */
@@ -122,6 +114,7 @@
     }
     FullHttpRequest request = BackendPool.requestFor(attempt, now);
     currentAttempt = attempt;
+    lifecycle = new AnswerLifecycle(attempt.deadlineMs);
     attempt.connection = this;
     RequestLog.note(attempt.requestId(), "attempt written", "timeout_ms",
         request.headers().get(Headers.TIMEOUT_MS));
@@ -136,10 +129,6 @@
 
   @Override
   protected void channelRead0(ChannelHandlerContext ctx, HttpObject part) {
-    partsRead++;
-    if (currentAttempt != null) {
-      currentAttempt.answerBegun = true;
-    }
     if (pipe != null) {
       forward(part);
     } else if (currentAttempt == null) {
@@ -170,8 +159,9 @@
       endAsSpoilt();
     } else {
       head = response;
-      headReadMs = pool.now();
-      boolean held = length <= MAX_HELD_BODY_BYTES && reserve(length);
+      boolean passable = !isInformational && statusOf(response) == Status.OK;
+      lifecycle.onHead(pool.now(), HttpUtil.isContentLengthSet(response) ? length : -1, passable);
+      boolean held = length <= AnswerLifecycle.MAX_SHORT_BYTES && reserve(length);
       body = channel.alloc().buffer(held ? (int) length : 0);
       if (!held) {
         passThrough();
@@ -181,21 +171,26 @@
 
   private void onContent(HttpContent content) {
     int bodyBytes = body.readableBytes() + content.content().readableBytes();
-    if (bodyBytes > MAX_HELD_BODY_BYTES || !reserve(bodyBytes)) {
+    if (bodyBytes > AnswerLifecycle.MAX_SHORT_BYTES || !reserve(bodyBytes)) {
       passThrough();
       if (pipe != null) {
         forward(content);
       }
       return;
     }
+    if (content.content().isReadable()) {
+      lifecycle.onBody(pool.now(), content.content().readableBytes());
+    }
     body.writeBytes(content.content());
     if (content instanceof LastHttpContent) {
       if (wasReset) {
         endAsSpoilt();
       } else if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
         clearAnswer();
+        lifecycle.onInformational(pool.now());
       } else {
         complete = true;
+        lifecycle.onWhole();
       }
     }
   }
@@ -233,7 +228,7 @@
     body = null;
     currentAttempt = null;
     clearAnswer();
-    pipe = new AnswerPipe(channel);
+    pipe = new AnswerPipe(channel, lifecycle, pool::now);
     pipe.forward(readSoFar);
     attempt.restOfAnswer = pipe;
     attempt.end(Status.OK, new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, response.status(),
@@ -246,6 +241,7 @@
       target.abort();
     } else {
       if (content.content().isReadable()) {
+        lifecycle.onBody(pool.now(), content.content().readableBytes());
         target.forward(content.content().retain());
       }
       if (content instanceof LastHttpContent && !wasReset) {
@@ -269,30 +265,56 @@
       onComplete();
     } else if (currentAttempt != null && progressTimer == null
         && (head != null || decoder.hasUnconsumedBytes())) {
-      partsAtLastCheck = partsRead;
-      progressTimer = ctx.executor().schedule(this::checkProgress, PROGRESS_CHECK_MS, TimeUnit.MILLISECONDS);
+      if (head == null) {
+        lifecycle.onFirstBytes(pool.now());
+      }
+      currentAttempt.onAnswerBegun();
+      scheduleCheck();
     } else if (currentAttempt == null && decoder.hasUnconsumedBytes()) {
       ctx.close();
     }
   }
 
-  /** Checks whether a response that has begun and is not complete makes progress. */
+  private void scheduleCheck() {
+    double now = pool.now();
+    double waitMs = Math.min(MAX_CHECK_MS, Math.max(MIN_CHECK_MS, lifecycle.nextCheckMs(now) - now));
+    progressTimer = channel.eventLoop().schedule(this::checkProgress, (long) Math.ceil(waitMs),
+        TimeUnit.MILLISECONDS);
+  }
+
+  /** Gives a held response up if it has stalled, and passes it on if it is due. */
   private void checkProgress() {
     progressTimer = null;
     if (currentAttempt == null || pipe != null) {
       return;
     }
-    boolean unknownLength = head != null && body != null && body.isReadable()
-        && !HttpUtil.isContentLengthSet(head);
-    if (partsRead == partsAtLastCheck) {
+    double now = pool.now();
+    if (lifecycle.state(now) == State.STALLED) {
+      RequestLog.note(currentAttempt.requestId(), "answer given up", "reason", "stalled");
       endAsSpoilt();
-    } else if (unknownLength && pool.now() - headReadMs >= MAX_HOLD_MS) {
+    } else if (lifecycle.isDueToPassOn(now)) {
       passThrough();
     } else {
-      partsAtLastCheck = partsRead;
-      progressTimer = channel.eventLoop().schedule(this::checkProgress, PROGRESS_CHECK_MS,
-          TimeUnit.MILLISECONDS);
+      scheduleCheck();
+    }
+  }
+
+  /** Whether a response is being read, and makes progress. */
+  boolean isAnswerUnderWay() {
+    return lifecycle != null && lifecycle.isUnderWay(pool.now());
+  }
+
+  /**
+   * Passes a held response on, which ends its attempt, if the response makes progress and may be long. Called
+   * when the time for the request is up.
+   */
+  boolean passOnIfUnderWay() {
+    if (currentAttempt == null || pipe != null || head == null || !lifecycle.mayBePassedOn(pool.now())) {
+      return false;
     }
+    RequestLog.note(currentAttempt.requestId(), "answer passed on", "reason", "its time is up");
+    passThrough();
+    return true;
   }
 
   private void onComplete() {
--- a/door/src/main/java/willowdoor/net/ClientConnection.java
+++ b/door/src/main/java/willowdoor/net/ClientConnection.java
@@ -34,6 +34,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.logging.Level;
 import java.util.logging.Logger;
+import willowdoor.policy.AnswerLifecycle;
 import willowdoor.policy.GatewayApi.Request;
 
 /** Connection of one client. Handles one request at a time and sends exactly one final answer to each. */
@@ -194,7 +195,7 @@
       return;
     }
     if (memory.hasUnwrittenAnswer()) {
-      if (nowMs - idleSinceMs > AnswerPipe.STALL_LIMIT_MS) {
+      if (nowMs - idleSinceMs > AnswerLifecycle.MAX_SILENCE_MS) {
         reset("its answer is not read");
       }
     } else if (closing) {
@@ -538,10 +539,16 @@
 
   private void onWritten(long held) {
     memory.removeAnswer(held);
+    if (streamedAnswer != null) {
+      streamedAnswer.onClientProgress();
+    }
     readStreamedAnswer();
     if (currentRequestId == null) {
       idleSinceMs = server.now();
       scheduleNext();
+      if (server.hasStoppedAccepting()) {
+        closeIfIdle();
+      }
     }
   }
 
@@ -570,11 +577,17 @@
     channel.eventLoop().schedule(() -> channel.close(), LINGER_MS, TimeUnit.MILLISECONDS);
   }
 
+  /** Whether an answer is being passed on, or the socket has not taken all of one. */
+  boolean hasAnswerUnderWay() {
+    return streamedAnswer != null || memory.hasUnwrittenAnswer();
+  }
+
   /**
-   * Closes the connection if it has no request; one that is answered during a drain closes with its answer.
+   * Closes the connection if it has no request, and no answer that its client still takes; one that is
+   * answered during a drain closes with its answer.
    */
   void closeIfIdle() {
-    if (currentRequestId == null && pending.isEmpty() && !closing) {
+    if (currentRequestId == null && pending.isEmpty() && !closing && !hasAnswerUnderWay()) {
       RequestLog.note(null, "connection ends", "reason", "idle", "open_ms", server.now() - idleSinceMs);
       closing = true;
       channel.close();
@@ -590,7 +603,7 @@
    */
   boolean isIdle(double nowMs, double forMs) {
     return currentRequestId == null && pending.isEmpty() && !closing && Double.isNaN(receivingSinceMs)
-        && nowMs - idleSinceMs >= (requestSeen ? forMs : EVICT_SILENT_MS);
+        && !hasAnswerUnderWay() && nowMs - idleSinceMs >= (requestSeen ? forMs : EVICT_SILENT_MS);
   }
 
   /** Closes the connection if it has been idle since that moment. */
--- a/door/src/main/java/willowdoor/net/ClientServer.java
+++ b/door/src/main/java/willowdoor/net/ClientServer.java
@@ -91,6 +91,7 @@
   private boolean ready;
   private boolean draining;
   private boolean closeAfterAnswer;
+  private boolean stoppedAccepting;
   /** When the closing of idle connections begins, or NaN. */
   private double closeIdleFromMs = Double.NaN;
 
@@ -331,10 +332,21 @@
 
   /** Stops accepting connections, and closes those without a request. */
   void stopAccepting(Channel listening) {
+    stoppedAccepting = true;
     listening.close();
     List.copyOf(connections).forEach(ClientConnection::closeIfIdle);
   }
 
+  /** Whether connections without a request are closed at once. */
+  boolean hasStoppedAccepting() {
+    return stoppedAccepting;
+  }
+
+  /** Whether an answer is being passed on, or a client has not taken all of one. */
+  boolean hasAnswersUnderWay() {
+    return connections.stream().anyMatch(ClientConnection::hasAnswerUnderWay);
+  }
+
   boolean hasNoConnections() {
     return connections.isEmpty();
   }
--- a/door/src/main/java/willowdoor/net/FrontDoor.java
+++ b/door/src/main/java/willowdoor/net/FrontDoor.java
@@ -11,9 +11,11 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
+import java.util.logging.Level;
 import java.util.logging.Logger;
 import willowdoor.management.ManagementServer;
 import willowdoor.membership.DisabledBackend;
@@ -33,6 +35,8 @@
   private static final Logger LOG = Logger.getLogger(FrontDoor.class.getName());
   private static final long KEEP_ACCEPTING_MS = ShutdownTimes.KEEP_ACCEPTING_MS;
   private static final long POLL_MS = 10;
+  /** How long a process that has answered all requests stays for answers which still make progress. */
+  private static final long MAX_ANSWERS_UNDER_WAY_MS = 60_000;
 
   private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, Transport.PREFERRED.ioHandler());
   final EventLoop loop = group.next();
@@ -427,7 +431,8 @@
   }
 
   /**
-   * Graceful shutdown: accepts a little longer, answers all accepted requests, then lets the process exit.
+   * Graceful shutdown: accepts a little longer, answers all accepted requests, then lets the process exit once
+   * no answer is under way any more.
    */
   void drain() {
     loop.execute(() -> {
@@ -446,13 +451,25 @@
       if (!drained.await(shutdownTimes.failUnansweredMs(), TimeUnit.MILLISECONDS)) {
         loop.submit(driver::failAll).sync();
         drained.await(KEEP_ACCEPTING_MS / 2, TimeUnit.MILLISECONDS);
+        awaitAnswersUnderWay();
       }
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
+    } catch (ExecutionException e) {
+      LOG.log(Level.SEVERE, "the end of the answers is not waited for", e);
     }
     stop();
   }
 
+  /** Waits for the answers that are passed on or taken by their clients; each ends by its own limits. */
+  private void awaitAnswersUnderWay() throws InterruptedException, ExecutionException {
+    long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(MAX_ANSWERS_UNDER_WAY_MS);
+    while (System.nanoTime() < endNanos && loop.submit(clients::hasAnswersUnderWay).get()
+        && !drained.await(POLL_MS, TimeUnit.MILLISECONDS)) {
+      LOG.log(Level.FINE, "answers are under way");
+    }
+  }
+
   private void shutDownAlone() {
     clients.setDraining(true);
     loop.schedule(() -> clients.stopListening(serverChannel), KEEP_ACCEPTING_MS, TimeUnit.MILLISECONDS);
--- a/door/src/main/java/willowdoor/net/ModuleDriver.java
+++ b/door/src/main/java/willowdoor/net/ModuleDriver.java
@@ -19,6 +19,7 @@
 import willowdoor.policy.AttemptStart;
 import willowdoor.policy.GatewayApi.Action;
 import willowdoor.policy.GatewayApi.Add;
+import willowdoor.policy.GatewayApi.AnswerProgress;
 import willowdoor.policy.GatewayApi.Cancel;
 import willowdoor.policy.GatewayApi.ClientLeft;
 import willowdoor.policy.GatewayApi.Counted;
@@ -394,10 +395,11 @@
 
   /**
    * Safety net below module and filter: fails a request that both left unanswered, while its client still
-   * listens. Nothing of a request in the filter has run, so such a request is refused, and the client may
-   * retry.
+   * listens. An answer that still comes is passed on instead. Nothing of a request in the filter has run, so
+   * such a request is refused, and the client may retry.
    */
   private void fail(RequestState state) {
+    List.copyOf(state.attempts).forEach(Attempt::passOnAnswer);
     if (state.finish(state.inFilter ? RequestFilter.RequestEnd.REFUSED : RequestFilter.RequestEnd.FAILED)) {
       if (state.inFilter) {
         state.client.refused(0);
@@ -502,7 +504,7 @@
     } else if (action instanceof Cancel a) {
       RequestState state = requests.get(a.request());
       if (state != null && a.attempt() < state.attempts.size()) {
-        state.attempts.get(a.attempt()).abandon(Status.CANCELLED);
+        state.attempts.get(a.attempt()).cancel();
       }
     }
     // FollowRoster needs no action: the backend list is watched from the start.
@@ -537,6 +539,14 @@
             attemptDeadlineMs - nowMs));
       }
 
+      @Override
+      void onAnswerBegun() {
+        if (!answerBegun) {
+          deliver(new AnswerProgress(a.request(), number));
+        }
+        super.onAnswerBegun();
+      }
+
       @Override
       void onWithheld(AttemptStart reason) {
         if (reason == AttemptStart.CLIENT_GONE) {
--- a/door/src/test/java/willowdoor/net/AnswerPipeTest.java
+++ b/door/src/test/java/willowdoor/net/AnswerPipeTest.java
@@ -7,6 +7,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
 import org.junit.jupiter.api.Test;
+import willowdoor.policy.AnswerLifecycle;
 
 /** A pipe without a receiver releases its buffers when it is aborted. */
 class AnswerPipeTest {
@@ -14,7 +15,7 @@
   @Test
   void abortReleasesBufferedPieces() {
     EmbeddedChannel backend = new EmbeddedChannel();
-    AnswerPipe pipe = new AnswerPipe(backend);
+    AnswerPipe pipe = new AnswerPipe(backend, new AnswerLifecycle(0), () -> 0);
     ByteBuf first = Unpooled.buffer().writeZero(100);
     pipe.forward(first);
     pipe.abort();
--- a/door/src/test/java/willowdoor/net/MemoryBoundTest.java
+++ b/door/src/test/java/willowdoor/net/MemoryBoundTest.java
@@ -20,6 +20,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import willowdoor.net.Peers.Client;
+import willowdoor.policy.AnswerLifecycle;
 
 /**
  * Peers that would make a gateway hold more than its memory, in its own process with the memory of the run
@@ -332,7 +333,7 @@
   void aClientThatNeverReadsItsAnswersIsClosed() throws Exception {
     Client client = gateway.client();
     int sent = sendUntilHeldBack(client);
-    TimeUnit.MILLISECONDS.sleep(AnswerPipe.STALL_LIMIT_MS + STALL_CHECK_MS);
+    TimeUnit.MILLISECONDS.sleep((long) AnswerLifecycle.MAX_SILENCE_MS + STALL_CHECK_MS);
     assertThrows(IOException.class, () -> {
       for (int i = 0; i < sent; i++) {
         client.receive();
--- /dev/null
+++ b/policy/src/main/java/willowdoor/policy/AnswerLifecycle.java
@@ -0,0 +1,172 @@
+package willowdoor.policy;
+
+/**
+ * Lifecycle of one backend's answer, from its first byte to its last: the one place that tells whether an
+ * answer still makes progress or has stalled. Whoever would close the connection of an answer, for whatever
+ * reason, asks here first; only a stalled answer is given up, and a short one that is late.
+ *
+ * <p>Where an answer tells no length, nobody knows beforehand whether it will be long. The first bytes of a
+ * long answer are due in time, and its last byte whenever it comes; so an answer without a length that still
+ * makes progress at the end of its time is passed on. After that it is given up soon enough for its client if
+ * it falls silent, as it may as well be a short one that never ends.
+ *
+ * <p>All times are milliseconds on the clock of the caller, which passes them in.
+ */
+public final class AnswerLifecycle {
+
+  /** State of an answer. A stalled answer is over as a whole one is. */
+  public enum State { NONE, HEAD, PROGRESS, PASSED_ON, WHOLE, STALLED }
+
+  /** A body of more bytes is long: it is passed on as it comes. */
+  public static final int MAX_SHORT_BYTES = 64 * 1024;
+  /** Silence after which a long answer that is passed on has stalled; so long may a client take nothing. */
+  public static final double MAX_SILENCE_MS = 15_000;
+
+  /** Silence after which an answer has stalled that cannot be long, or of which no whole head has come. */
+  private static final double SHORT_SILENCE_MS = 700;
+  /** The same for an answer without a length, of which the head alone, or a part of the body, has come. */
+  private static final double HEAD_SILENCE_MS = 1_500;
+  private static final double BODY_SILENCE_MS = 1_000;
+  /** Bounds of the silence of an answer that was passed on before it was known to be long. */
+  private static final double MIN_PASSED_ON_SILENCE_MS = 1_000;
+  private static final double MAX_PASSED_ON_SILENCE_MS = 2_000;
+  /** A final answer may come so long after the deadline of its attempt. */
+  private static final double MAX_LATE_MS = 450;
+  /** Age at which an answer without a length is passed on, so as not to delay it. */
+  private static final double MAX_HOLD_MS = 1_000;
+  /** An answer is passed on at that age only if something came so shortly before: it may have stalled. */
+  private static final double RECENT_MS = 400;
+
+  private final double deadlineMs;
+  private State state = State.NONE;
+  private boolean hasLength;
+  private boolean passable;
+  private long bodyBytes;
+  private long announcedBytes;
+  private double headAtMs;
+  /** When the backend gave something last, or its client took something last while it is held back. */
+  private double progressAtMs;
+  private boolean heldBack;
+
+  /**
+   * An answer of which nothing was read yet.
+   *
+   * @param deadlineMs the end of the attempt's time
+   */
+  public AnswerLifecycle(double deadlineMs) {
+    this.deadlineMs = deadlineMs;
+  }
+
+  /** The first bytes of a head have come. */
+  public void onFirstBytes(double nowMs) {
+    progressAtMs = nowMs;
+  }
+
+  /** An informational answer was complete; the final one follows. */
+  public void onInformational(double nowMs) {
+    state = State.NONE;
+    progressAtMs = nowMs;
+  }
+
+  /**
+   * The head of the answer has come.
+   *
+   * @param lengthBytes length of the body that the head tells; negative if it tells none
+   * @param isPassable whether the answer may be passed on before it is complete
+   */
+  public void onHead(double nowMs, long lengthBytes, boolean isPassable) {
+    state = State.HEAD;
+    hasLength = lengthBytes >= 0;
+    announcedBytes = lengthBytes;
+    passable = isPassable;
+    headAtMs = nowMs;
+    progressAtMs = nowMs;
+  }
+
+  /** A part of the body has come. */
+  public void onBody(double nowMs, int bytes) {
+    state = state == State.HEAD ? State.PROGRESS : state;
+    bodyBytes += bytes;
+    progressAtMs = nowMs;
+  }
+
+  /** The answer is being passed on from now on. */
+  public void onPassedOn() {
+    state = State.PASSED_ON;
+  }
+
+  /** The client takes no more for now, so that the backend is not read; or it takes again. */
+  public void setHeldBack(double nowMs, boolean isHeldBack) {
+    if (heldBack != isHeldBack) {
+      heldBack = isHeldBack;
+      progressAtMs = nowMs;
+    }
+  }
+
+  /** The client has taken a piece. */
+  public void onClientProgress(double nowMs) {
+    if (heldBack) {
+      progressAtMs = nowMs;
+    }
+  }
+
+  /** The answer has ended as it should. */
+  public void onWhole() {
+    state = State.WHOLE;
+  }
+
+  /** The state at this moment. */
+  public State state(double nowMs) {
+    if (state != State.WHOLE && nowMs >= stalledAtMs()) {
+      return State.STALLED;
+    }
+    return state;
+  }
+
+  /** Whether the answer has begun, is not complete, and makes progress. */
+  public boolean isUnderWay(double nowMs) {
+    State current = state(nowMs);
+    return current == State.HEAD || current == State.PROGRESS || current == State.PASSED_ON;
+  }
+
+  /** Whether the answer may be passed on although it is not complete: at the end of its time. */
+  public boolean mayBePassedOn(double nowMs) {
+    State current = state(nowMs);
+    return passable && (!hasLength || isLong()) && (current == State.HEAD || current == State.PROGRESS);
+  }
+
+  /** Whether the answer has been held for so long that its client should get what there is. */
+  public boolean isDueToPassOn(double nowMs) {
+    return state == State.PROGRESS && mayBePassedOn(nowMs) && nowMs >= headAtMs + MAX_HOLD_MS
+        && nowMs <= progressAtMs + RECENT_MS;
+  }
+
+  /** When {@link #state} or {@link #isDueToPassOn} is to be asked again, unless something comes. */
+  public double nextCheckMs(double nowMs) {
+    double dueMs = headAtMs + MAX_HOLD_MS;
+    boolean becomesDue = state == State.PROGRESS && mayBePassedOn(nowMs) && nowMs < dueMs;
+    return becomesDue ? Math.min(dueMs, stalledAtMs()) : stalledAtMs();
+  }
+
+  /** When the answer has stalled unless something comes until then. */
+  public double stalledAtMs() {
+    return progressAtMs + maxSilenceMs();
+  }
+
+  private double maxSilenceMs() {
+    if (state == State.PASSED_ON) {
+      boolean knownLong = isLong() || heldBack;
+      double inTime = deadlineMs + MAX_LATE_MS - progressAtMs;
+      return knownLong ? MAX_SILENCE_MS
+          : Math.min(MAX_PASSED_ON_SILENCE_MS, Math.max(MIN_PASSED_ON_SILENCE_MS, inTime));
+    }
+    if (state == State.NONE || hasLength) {
+      return SHORT_SILENCE_MS;
+    }
+    return state == State.HEAD ? HEAD_SILENCE_MS : BODY_SILENCE_MS;
+  }
+
+  private boolean isLong() {
+    return announcedBytes > MAX_SHORT_BYTES || bodyBytes > MAX_SHORT_BYTES;
+  }
+}
--- a/policy/src/main/java/willowdoor/policy/GatewayApi.java
+++ b/policy/src/main/java/willowdoor/policy/GatewayApi.java
@@ -181,6 +181,9 @@
    */
   public record PreCheck(Request request) implements Event { }
 
+  /** An answer has begun and is not complete: its backend is slow, and not silent. */
+  public record AnswerProgress(String request, int attempt) implements Event { }
+
   /** A streamed answer has started. */
   public record StreamStarted(String request, int attempt) implements Event { }
 
--- a/policy/src/main/java/willowdoor/policy/GatewayState.java
+++ b/policy/src/main/java/willowdoor/policy/GatewayState.java
@@ -247,6 +247,8 @@
     final int number;
     final B backend;
     final double sentAt;
+    /** Whether a part of its answer has come. */
+    boolean answerBegun;
 
     Attempt(J job, int number, B backend, double sentAt) {
       this.job = job;
--- a/policy/src/main/java/willowdoor/policy/QuotaPolicy.java
+++ b/policy/src/main/java/willowdoor/policy/QuotaPolicy.java
@@ -322,6 +322,8 @@
       onClientLeft(e.request());
     } else if (event instanceof PreCheck e) {
       onPreCheck(e.request());
+    } else if (event instanceof AnswerProgress e) {
+      onAnswerProgress(e);
     } else if (event instanceof StreamStarted e && openJobs.containsKey(e.request())) {
       openJobs.get(e.request()).streaming = true;
     }
@@ -1442,6 +1444,15 @@
     }
   }
 
+  /** An attempt whose answer has begun is not cancelled as silent; whether it stalls is seen elsewhere. */
+  private void onAnswerProgress(AnswerProgress progress) {
+    Attempt<Job, Backend> attempt = attemptsByKey.get(progress.request() + "#" + progress.attempt());
+    if (attempt != null) {
+      attempt.answerBegun = true;
+      attempt.backend.lastAnswerAt = now;
+    }
+  }
+
   private void onOutcome(Outcome outcome) {
     Attempt<Job, Backend> attempt = attemptsByKey.remove(outcome.request() + "#" + outcome.attempt());
     if (attempt == null) {
@@ -1584,7 +1595,7 @@
    */
   private void cancelIfSilent(Job job) {
     Attempt<Job, Backend> attempt = job.currentAttempt;
-    if (attempt.backend.lastAnswerAt <= attempt.sentAt
+    if (!attempt.answerBegun && attempt.backend.lastAnswerAt <= attempt.sentAt
         && now - attempt.sentAt > Math.max(job.aimMs() * FIRST_ATTEMPT_SHARE_OF_AIM,
         SILENT_FACTOR * job.expectedMs())
         && !job.cancelledAsSilent && !job.streaming && settings.capabilities().mayCancel()
--- /dev/null
+++ b/policy/src/test/java/willowdoor/policy/AnswerLifecycleStatesTest.java
@@ -0,0 +1,86 @@
+package willowdoor.policy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+import willowdoor.policy.AnswerLifecycle.State;
+
+/** Histories of answers: what counts as progress, and when an answer counts as stalled. */
+class AnswerLifecycleStatesTest {
+
+  private static final double DEADLINE_MS = 3_000;
+  private static final int PIECE_BYTES = 10_000;
+  private final AnswerLifecycle answer = new AnswerLifecycle(DEADLINE_MS);
+
+  @Test
+  void anAnswerThatGivesOnAndOnNeverStalls() {
+    answer.onHead(0, -1, true);
+    assertEquals(State.HEAD, answer.state(900));
+    for (double now = 900; now < 20_000; now += 900) {
+      answer.onBody(now, PIECE_BYTES);
+      assertEquals(State.PROGRESS, answer.state(now + 899));
+      assertTrue(answer.isUnderWay(now + 899));
+    }
+  }
+
+  @Test
+  void aSilentAnswerStallsAndIsNotPassedOnThen() {
+    answer.onHead(0, -1, true);
+    answer.onBody(10, PIECE_BYTES);
+    assertTrue(answer.mayBePassedOn(900));
+    assertEquals(State.STALLED, answer.state(answer.stalledAtMs()));
+    assertFalse(answer.mayBePassedOn(answer.stalledAtMs()));
+    assertFalse(answer.isUnderWay(answer.stalledAtMs()));
+  }
+
+  @Test
+  void anAnswerIsPassedOnAtItsTimeOnlyIfItMayBeLong() {
+    answer.onHead(0, PIECE_BYTES, true);
+    answer.onBody(10, 1);
+    assertFalse(answer.mayBePassedOn(20), "its last byte is due in time");
+    AnswerLifecycle error = new AnswerLifecycle(DEADLINE_MS);
+    error.onHead(0, -1, false);
+    assertFalse(error.mayBePassedOn(20), "an error is no answer for the client");
+  }
+
+  @Test
+  void anAnswerIsPassedOnAfterASecondIfItGivesOn() {
+    answer.onHead(0, -1, true);
+    answer.onBody(10, PIECE_BYTES);
+    assertFalse(answer.isDueToPassOn(1_005), "it may have stalled");
+    answer.onBody(1_006, PIECE_BYTES);
+    assertTrue(answer.isDueToPassOn(1_007));
+  }
+
+  @Test
+  void aPassedOnAnswerIsGivenUpInTimeUntilItIsKnownToBeLong() {
+    AnswerLifecycle early = new AnswerLifecycle(600);
+    early.onHead(10, -1, true);
+    early.onBody(20, PIECE_BYTES);
+    early.onPassedOn();
+    assertTrue(early.stalledAtMs() <= 600 + 500, "the client hears of its end in time");
+    early.onBody(1_000, AnswerLifecycle.MAX_SHORT_BYTES);
+    assertTrue(early.stalledAtMs() > 10_000, "a long answer may pause for seconds");
+  }
+
+  @Test
+  void aClientThatTakesNothingDoesNotMakeItsBackendSilent() {
+    answer.onHead(0, -1, true);
+    answer.onPassedOn();
+    answer.setHeldBack(100, true);
+    assertEquals(State.PASSED_ON, answer.state(10_000));
+    answer.onClientProgress(10_000);
+    assertEquals(State.PASSED_ON, answer.state(20_000));
+    assertEquals(State.STALLED, answer.state(26_000));
+  }
+
+  @Test
+  void aWholeAnswerStallsNoMore() {
+    answer.onHead(0, 5, true);
+    answer.onWhole();
+    assertEquals(State.WHOLE, answer.state(1e9));
+    assertFalse(answer.isUnderWay(1));
+  }
+}
