An identity is more than an address or an id: begun requests, processes of a front door

Causes: an id was known only while its request was held; the two processes of an upgrade told each other nothing of requests; the other process was known by its management address alone, and so was the process that the file names. While two processes run, each tells the other the ids that begin, and the state for the second names the earlier ones. A process has an identity of its own, told with the hello and the state; calls name the process that they mean, and another one says 410, which counts as ended. The hello tells where the front door listens; another front door rejects it (421). An id that reaches the second process before the first one's report does is still open.

--- a/daemon/src/main/java/willowdoor/daemon/life/Management.java
+++ b/daemon/src/main/java/willowdoor/daemon/life/Management.java
@@ -19,6 +19,7 @@
 import willowdoor.management.ManagementServer;
 import willowdoor.management.Operations;
 import willowdoor.management.ManagementCommand;
+import willowdoor.management.ProcessGreeting;
 import willowdoor.management.Reply;
 import willowdoor.net.FrontDoor;
 import willowdoor.net.EndpointUpdate;
@@ -91,7 +92,7 @@
   }
 
   @Override
-  public Reply hello(String at, boolean serves) {
+  public Reply hello(ProcessGreeting greeting) {
     return new Reply(CONFLICT_STATUS, "a daemon is replaced by --take-over");
   }
 
--- a/door/src/main/java/willowdoor/management/Call.java
+++ b/door/src/main/java/willowdoor/management/Call.java
@@ -16,13 +16,11 @@
   /** A command to carry out. */
   record Execute(ManagementCommand command) implements Call { }
 
-  /**
-   * The other process of this front door announces itself.
-   *
-   * @param address the other process's management address
-   * @param serves whether the other process takes clients
-   */
-  record Hello(String address, boolean serves) implements Call { }
+  /** The other process of this front door announces itself. */
+  record Hello(ProcessGreeting greeting) implements Call { }
+
+  /** Requests with these ids have begun at the other process of this front door. */
+  record Begun(List<String> ids) implements Call { }
 
   /** An invalid call, with the reply that refuses it. */
   record Invalid(Reply reply) implements Call { }
@@ -57,14 +55,21 @@
       case "/twin" -> fields.getOrDefault("at", List.of()).size() != 1
           || fields.getOrDefault("serves", List.of()).size() != 1
           ? invalid(400, "expected one at and one serves")
-          : requireMethod(message, HttpMethod.POST, new Hello(fields.get("at").get(0),
-              Boolean.parseBoolean(fields.get("serves").get(0))));
+          : requireMethod(message, HttpMethod.POST, new Hello(new ProcessGreeting(fields.get("at").get(0),
+              Boolean.parseBoolean(fields.get("serves").get(0)), first(fields.get("process")),
+              first(fields.get("listen")))));
+      case "/begun" -> requireMethod(message, HttpMethod.POST,
+          new Begun(List.copyOf(fields.getOrDefault("id", List.of()))));
       case "/backends/disable", "/backends/enable" -> memberCall(message, path, fields.get("member"));
       default -> invalid(404, "no such call: expected /ready, /backends/disable, /backends/enable, /drain or"
           + " /undrain");
     };
   }
 
+  private static String first(List<String> values) {
+    return values == null || values.isEmpty() ? "" : values.get(0);
+  }
+
   private static Call memberCall(FullHttpRequest message, String path, List<String> values) {
     if (!message.method().equals(HttpMethod.POST)) {
       return invalid(405, "POST is expected");
--- a/door/src/main/java/willowdoor/management/ManagementClient.java
+++ b/door/src/main/java/willowdoor/management/ManagementClient.java
@@ -48,9 +48,11 @@
   /**
    * Makes a call; on the loop. The callback runs there once, after the limit at the latest.
    *
+   * @param processId identity of the process that is meant, or empty for any: another process at the address
+   *     counts as {@link CallOutcome#NOBODY}
    * @param limitMs the time limit in milliseconds
    */
-  public void call(InetSocketAddress address, HttpMethod method, String target, long limitMs,
+  public void call(InetSocketAddress address, String processId, HttpMethod method, String target, long limitMs,
       Consumer<CallResult> callback) {
     PendingCall pendingCall = new PendingCall(callback);
     ChannelFuture connecting = new Bootstrap().group(loop).channel(channelType)
@@ -73,6 +75,9 @@
       request.headers().set(HttpHeaderNames.HOST, address.getAddress().getHostAddress())
           .set(HttpHeaderNames.CONTENT_LENGTH, 0).set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
           .set(ManagementServer.FORWARDED_HEADER, "1");
+      if (!processId.isEmpty()) {
+        request.headers().set(ManagementServer.PROCESS_HEADER, processId);
+      }
       f.channel().writeAndFlush(request);
     });
   }
@@ -96,8 +101,10 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse answer) {
-      finish(ctx.channel(), new CallResult(CallOutcome.ANSWER, new Reply(answer.status().code(),
-          answer.content().toString(StandardCharsets.UTF_8))));
+      boolean otherProcess = answer.status().code() == ManagementServer.ANOTHER_PROCESS;
+      finish(ctx.channel(), otherProcess ? new CallResult(CallOutcome.NOBODY, null)
+          : new CallResult(CallOutcome.ANSWER,
+              new Reply(answer.status().code(), answer.content().toString(StandardCharsets.UTF_8))));
     }
 
     /** A process that dies during a call counts as {@link CallOutcome#NOBODY}. */
--- a/door/src/main/java/willowdoor/management/ManagementServer.java
+++ b/door/src/main/java/willowdoor/management/ManagementServer.java
@@ -51,6 +51,10 @@
   private static final int MAX_BODY_BYTES = 1_024;
   /** Header that marks a call forwarded by the other process of this front door. */
   static final String FORWARDED_HEADER = "Door-Forwarded";
+  /** Header with the identity of the process that a call is meant for. */
+  static final String PROCESS_HEADER = "Door-Process";
+  /** Status of a call that is meant for another process. */
+  static final int ANOTHER_PROCESS = 410;
 
   private final Operations operations;
   /** Callers with an unfinished call, oldest first. */
@@ -120,11 +124,16 @@
       }
       callReceived = true;
       incompleteCallers.remove(ctx.channel());
+      String expectedProcess = message.headers().get(PROCESS_HEADER, operations.processId());
       Call call = Call.read(message);
-      if (call instanceof Call.Ready) {
+      if (!expectedProcess.equals(operations.processId())) {
+        answer(ctx, new Reply(ANOTHER_PROCESS, "this is another process"));
+      } else if (call instanceof Call.Ready) {
         answer(ctx, operations.ready() ? Reply.ok("ready") : new Reply(503, "not ready"));
       } else if (call instanceof Call.Hello hello) {
-        answer(ctx, operations.hello(hello.address(), hello.serves()));
+        answer(ctx, operations.hello(hello.greeting()));
+      } else if (call instanceof Call.Begun begun) {
+        answer(ctx, operations.begun(begun.ids()));
       } else if (call instanceof Call.Invalid invalid) {
         answer(ctx, invalid.reply());
       } else if (call instanceof Call.Execute execute) {
--- a/door/src/main/java/willowdoor/management/Operations.java
+++ b/door/src/main/java/willowdoor/management/Operations.java
@@ -1,5 +1,6 @@
 package willowdoor.management;
 
+import java.util.List;
 import java.util.function.Consumer;
 
 /** The operations of a front door that operators can call; called on the front door's loop. */
@@ -11,11 +12,26 @@
   /**
    * The other process of this front door announces itself.
    *
-   * @param address the other process's management address
-   * @param serves whether the other process takes clients
    * @return if successful, the state that the other process restores
    */
-  Reply hello(String address, boolean serves);
+  Reply hello(ProcessGreeting greeting);
+
+  /**
+   * The identity of this process. A call that is meant for another process is rejected; empty if there is no
+   * such identity.
+   */
+  default String processId() {
+    return "";
+  }
+
+  /**
+   * Requests that must not run twice have begun at the other process of this front door.
+   *
+   * @param ids their ids
+   */
+  default Reply begun(List<String> ids) {
+    return new Reply(404, "this process has no other process");
+  }
 
   /**
    * Applies the command to whatever begins after it.
--- a/door/src/main/java/willowdoor/net/Attempt.java
+++ b/door/src/main/java/willowdoor/net/Attempt.java
@@ -139,8 +139,13 @@
    * @param backendReplaced whether the backend is another one than the attempt was decided for
    */
   AttemptStart startDecision(double nowMs, boolean backendReplaced) {
-    return AttemptStart.of(new AttemptStart.Circumstances(ended, false, false, false, backendReplaced,
-        conditions.beginByMs() - nowMs, deadlineMs - nowMs));
+    return AttemptStart.of(new AttemptStart.Circumstances(ended, false, false, false, false,
+        backendReplaced, conditions.beginByMs() - nowMs, deadlineMs - nowMs));
+  }
+
+  /** Called immediately before the first byte is written. */
+  void onBegin() {
+    // The driver notes the request's id.
   }
 
   /** Called when a part of the answer was read, and the answer is not complete. */
--- a/door/src/main/java/willowdoor/net/BackendConnection.java
+++ b/door/src/main/java/willowdoor/net/BackendConnection.java
@@ -116,6 +116,7 @@
     currentAttempt = attempt;
     lifecycle = new AnswerLifecycle(attempt.deadlineMs);
     attempt.connection = this;
+    attempt.onBegin();
     RequestLog.note(attempt.requestId(), "attempt written", "timeout_ms",
         request.headers().get(Headers.TIMEOUT_MS));
     channel.writeAndFlush(request).addListener((ChannelFuture f) -> {
--- a/door/src/main/java/willowdoor/net/ClientServer.java
+++ b/door/src/main/java/willowdoor/net/ClientServer.java
@@ -13,6 +13,7 @@
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -209,6 +210,9 @@
     if (driver.holds(request.id())) {
       throw new RequestReader.BadRequest("Request-Id is in use");
     }
+    if (driver.hasBegun(request.id()) && !message.method().equals(HttpMethod.GET)) {
+      throw new RequestReader.BadRequest("Request-Id was used before");
+    }
     return request;
   }
 
--- a/door/src/main/java/willowdoor/net/FrontDoor.java
+++ b/door/src/main/java/willowdoor/net/FrontDoor.java
@@ -51,6 +51,7 @@
   private DiscoveryClient discovery;
   private MergedRoster roster;
   private Channel serverChannel;
+  private InetSocketAddress configuredListen;
   private ConnectionBudget budget;
   private MemoryBudget memory;
   /** Null if no management address is configured. */
@@ -113,7 +114,7 @@
     FrontDoor door = create(config);
     try {
       if (config.management() != null) {
-        door.manage(config.management(), folder);
+        door.manage(config.management(), config.listen(), folder);
       }
       beforeListening.prepare(door);
       door.bind(config.listen(), config.management() != null);
@@ -296,10 +297,13 @@
    * Opens the management address for operators, and restores the state of another process of this front door,
    * if one runs. Not to be called on the loop's thread.
    *
+   * @param listen the address at which clients are to be taken
    * @param folder where processes of this front door find each other, or null
    */
-  void manage(InetSocketAddress address, String folder) throws IOException, InterruptedException {
+  void manage(InetSocketAddress address, InetSocketAddress listen, String folder) throws IOException, InterruptedException {
+    configuredListen = listen;
     operations = new FrontDoorOperations(this, roster, clients, budget, memory, new ProcessFile(folder));
+    driver.setBegunListener(operations::reportBegun);
     operations.open(group, address);
   }
 
@@ -311,6 +315,22 @@
     server.listen(group, Transport.PREFERRED.serverSocket(), at);
   }
 
+  /** The address at which this front door listens: the bound one, or before that the configured one. */
+  String listenAddress() {
+    InetSocketAddress at = serverChannel == null ? configuredListen
+        : (InetSocketAddress) serverChannel.localAddress();
+    return at.getAddress().getHostAddress() + ":" + at.getPort();
+  }
+
+  List<String> begunIds() {
+    return driver.begunIds();
+  }
+
+  /** Notes ids of requests that have begun at the other process of this front door. */
+  void noteBegunElsewhere(List<String> ids) {
+    driver.noteBegunElsewhere(ids);
+  }
+
   MemoryBudget memory() {
     return memory;
   }
--- a/door/src/main/java/willowdoor/net/FrontDoorOperations.java
+++ b/door/src/main/java/willowdoor/net/FrontDoorOperations.java
@@ -4,7 +4,9 @@
 import io.netty.channel.EventLoopGroup;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.UUID;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
@@ -19,6 +21,7 @@
 import willowdoor.management.ManagementServer;
 import willowdoor.management.Operations;
 import willowdoor.management.ManagementCommand;
+import willowdoor.management.ProcessGreeting;
 import willowdoor.management.Reply;
 import willowdoor.membership.DisabledBackend;
 import willowdoor.memory.MemoryBudget;
@@ -44,6 +47,10 @@
   private static final double MEMORY_SHARE_OF_TWO = 0.5;
 
   private static final long FILE_WRITE_LIMIT_MS = 1_000;
+  /** Status of the reply to a process of another front door. */
+  private static final int ANOTHER_FRONT_DOOR = 421;
+  /** Bytes of ids in one call, whose line is limited to 1 kB; a byte may be encoded by three. */
+  private static final int ID_BYTES_PER_REPORT = 256;
 
   private final FrontDoor door;
   private final EventLoop loop;
@@ -64,6 +71,9 @@
   /** Whether this process was started beside one that served. */
   private volatile boolean startedSecond;
   private boolean shuttingDown;
+  private final String processId = UUID.randomUUID().toString();
+  /** Ids of requests that have begun here and were not told to the other process yet. */
+  private final List<String> unreportedIds = new ArrayList<>();
 
   FrontDoorOperations(FrontDoor door, MergedRoster roster, ClientServer clients, ConnectionBudget budget,
       MemoryBudget memory, ProcessFile processFile) {
@@ -91,7 +101,7 @@
     loop.execute(() -> {
       startedSecond = true;
       setOtherProcess(other);
-      otherProcess.announce(address(), false, hello::complete);
+      otherProcess.announce(greeting(false), hello::complete);
     });
     try {
       restoreFrom(hello.get());
@@ -128,11 +138,20 @@
         new ThreadPoolExecutor.DiscardPolicy());
   }
 
+  private ProcessGreeting greeting(boolean serves) {
+    InetSocketAddress own = address();
+    return new ProcessGreeting(own.getAddress().getHostAddress() + ":" + own.getPort(), serves, processId,
+        door.listenAddress());
+  }
+
   private void restoreFrom(CallResult hello) throws IOException, InterruptedException {
     if (hello.outcome() != CallOutcome.ANSWER) {
       LOG.info("no other process of this front door answers");
     } else if (hello.reply().status() == 409) {
       throw new IOException("two processes of this front door run already");
+    } else if (hello.reply().status() == ANOTHER_FRONT_DOOR) {
+      LOG.warning("the process file names a process of another front door");
+      loop.submit(() -> onOtherLost(otherProcess)).sync();
     } else {
       try {
         FrontDoorState state = FrontDoorState.parse(hello.reply().text());
@@ -146,6 +165,8 @@
   private void restore(FrontDoorState state) {
     LOG.info("goes on from the other process: " + state.backendsOut().size()
         + " backends out, clients sent away: " + state.clientsSentAway());
+    otherProcess.setProcessId(state.processId());
+    door.noteBegunElsewhere(state.begunIds());
     roster.inherit(state.backendsOut());
     if (state.clientsSentAway()) {
       drain();
@@ -174,7 +195,7 @@
     if (otherProcess == null) {
       serving.run();
     } else {
-      otherProcess.announce(address(), true, end -> serving.run());
+      otherProcess.announce(greeting(true), end -> serving.run());
     }
   }
 
@@ -212,21 +233,73 @@
   }
 
   @Override
-  public Reply hello(String at, boolean serves) {
-    InetSocketAddress other = EndpointUpdate.parseAddress(at);
+  public Reply hello(ProcessGreeting greeting) {
+    InetSocketAddress other = EndpointUpdate.parseAddress(greeting.address());
     if (other == null || other.getPort() == 0 || other.equals(address())) {
-      return new Reply(400, "expected the address of another process, found '" + at + "'");
+      return new Reply(400, "expected the address of another process, found '" + greeting.address() + "'");
     }
     if (otherProcess != null && !otherProcess.address().equals(other)) {
       return new Reply(409, "two processes of this front door run already");
     }
+    if (!greeting.listen().isEmpty() && !greeting.listen().equals(door.listenAddress())) {
+      return new Reply(ANOTHER_FRONT_DOOR, "this front door listens on " + door.listenAddress());
+    }
+    if (otherProcess != null && !otherProcess.isProcess(greeting.processId())) {
+      onOtherLost(otherProcess);
+    }
     if (otherProcess == null) {
       setOtherProcess(other);
     }
-    if (serves) {
+    otherProcess.setProcessId(greeting.processId());
+    if (greeting.serves()) {
       otherProcess.markServing();
     }
-    return Reply.ok(new FrontDoorState(drainedByOperator, roster.backendsOut()).format());
+    return Reply.ok(
+        new FrontDoorState(drainedByOperator, roster.backendsOut(), processId, door.begunIds()).format());
+  }
+
+  @Override
+  public String processId() {
+    return processId;
+  }
+
+  @Override
+  public Reply begun(List<String> ids) {
+    door.noteBegunElsewhere(ids);
+    return Reply.ok("noted");
+  }
+
+  /** Tells the other process, if there is one, that a request has begun which must not run twice. */
+  void reportBegun(String id) {
+    if (otherProcess == null) {
+      return;
+    }
+    if (unreportedIds.isEmpty()) {
+      loop.execute(this::reportBegunIds);
+    }
+    unreportedIds.add(id);
+  }
+
+  private void reportBegunIds() {
+    int bytes = 0;
+    List<String> batch = new ArrayList<>();
+    for (String id : unreportedIds) {
+      if (bytes + id.length() > ID_BYTES_PER_REPORT && !batch.isEmpty()) {
+        reportBatch(batch);
+        batch = new ArrayList<>();
+        bytes = 0;
+      }
+      batch.add(id);
+      bytes += id.length();
+    }
+    reportBatch(batch);
+    unreportedIds.clear();
+  }
+
+  private void reportBatch(List<String> ids) {
+    if (otherProcess != null) {
+      otherProcess.reportBegun(ids);
+    }
   }
 
   @Override
--- a/door/src/main/java/willowdoor/net/FrontDoorState.java
+++ b/door/src/main/java/willowdoor/net/FrontDoorState.java
@@ -1,6 +1,9 @@
 package willowdoor.net;
 
 import java.io.IOException;
+import java.net.URLDecoder;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
@@ -13,12 +16,17 @@
  *
  * @param clientsSentAway whether operators have sent the clients away
  * @param backendsOut the backends that operators have taken out of use
+ * @param processId identity of the process that tells the state; empty from a version that tells none
+ * @param begunIds ids of requests that have begun there and must not run twice, at most {@link #MAX_IDS}
  */
-record FrontDoorState(boolean clientsSentAway, List<DisabledBackend> backendsOut) {
+record FrontDoorState(boolean clientsSentAway, List<DisabledBackend> backendsOut, String processId,
+    List<String> begunIds) {
 
   private static final String HEADER = "front-door-state 1";
   private static final String END_MARK = "end";
   static final int MAX_LINES = 20_000;
+  /** Of more ids, the newest are told. */
+  static final int MAX_IDS = 5_000;
 
   String format() {
     StringBuilder text = new StringBuilder(HEADER).append('\n');
@@ -27,6 +35,12 @@
       text.append("out ").append(Long.toHexString(backend.id())).append(' ')
           .append(String.format(Locale.ROOT, "%.0f", backend.sinceMs())).append('\n');
     }
+    if (!processId.isEmpty()) {
+      text.append("process ").append(processId).append('\n');
+    }
+    for (String id : begunIds.subList(Math.max(0, begunIds.size() - MAX_IDS), begunIds.size())) {
+      text.append("begun ").append(URLEncoder.encode(id, StandardCharsets.UTF_8)).append('\n');
+    }
     return text.append(END_MARK).toString();
   }
 
@@ -43,6 +57,8 @@
     }
     boolean clientsSentAway = false;
     List<DisabledBackend> backendsOut = new ArrayList<>();
+    String processId = "";
+    List<String> begunIds = new ArrayList<>();
     for (int i = 1; i < lines.size() - 1; i++) {
       String[] words = lines.get(i).split(" ");
       try {
@@ -51,14 +67,16 @@
           case "out" ->
               backendsOut.add(
                   new DisabledBackend(Long.parseLong(words[1], 16), Double.parseDouble(words[2])));
+          case "process" -> processId = words[1];
+          case "begun" -> begunIds.add(URLDecoder.decode(words[1], StandardCharsets.UTF_8));
           default -> {
             // Lines of other kinds, which a newer version may write, are skipped.
           }
         }
-      } catch (NumberFormatException | ArrayIndexOutOfBoundsException e) {
+      } catch (IllegalArgumentException | ArrayIndexOutOfBoundsException e) {
         throw new IOException("state, line " + (i + 1) + ": '" + lines.get(i) + "' cannot be parsed", e);
       }
     }
-    return new FrontDoorState(clientsSentAway, backendsOut);
+    return new FrontDoorState(clientsSentAway, backendsOut, processId, begunIds);
   }
 }
--- a/door/src/main/java/willowdoor/net/ModuleDriver.java
+++ b/door/src/main/java/willowdoor/net/ModuleDriver.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.util.concurrent.Future;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -12,11 +13,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 import willowdoor.memory.Holder;
 import willowdoor.memory.MemoryBudget;
 import willowdoor.policy.AttemptStart;
+import willowdoor.policy.BegunRequests;
 import willowdoor.policy.GatewayApi.Action;
 import willowdoor.policy.GatewayApi.Add;
 import willowdoor.policy.GatewayApi.AnswerProgress;
@@ -52,6 +55,8 @@
    * answers of the module come earlier.
    */
   private static final double FINAL_ANSWER_MARGIN_MS = 6;
+  /** Longest time that clients wait, where the other process tells an id without it. */
+  private static final double MAX_DEADLINE_MS = 5_000;
   /** Delay in milliseconds before a wake-up on which the module failed is delivered again. */
   private static final long WAKE_RETRY_MS = 100;
 
@@ -98,6 +103,8 @@
     final List<Attempt> attempts = new ArrayList<>(1);
     Future<?> finalAnswerTimer;
     boolean finished;
+    /** Whether an attempt of this request has begun. */
+    boolean begun;
     int attemptsInFlight;
     /** True while the request is in the filter: the module has not been given the request yet. */
     boolean inFilter;
@@ -161,6 +168,24 @@
       }
     }
 
+    /** Whether the request may run any number of times. */
+    boolean isSafe() {
+      return message.method().equals(HttpMethod.GET);
+    }
+
+    /** Whether a request with this id that must not run twice has begun, and is not this one. */
+    boolean idBegunByAnother() {
+      return !begun && !isSafe() && begunRequests.contains(clock.now(), request.id());
+    }
+
+    void noteBegun() {
+      if (!begun && !isSafe()) {
+        begun = true;
+        begunRequests.add(clock.now(), request.id(), request.giveUpMs());
+        begunListener.accept(request.id());
+      }
+    }
+
     /** Whether an attempt other than this one may still reach a backend. */
     boolean hasOtherInFlight(Attempt attempt) {
       return attempts.stream().anyMatch(a -> a != attempt && !a.ended());
@@ -190,6 +215,9 @@
   /** Null if all doors use the firms' ceilings jointly through the shared count. */
   private CeilingShares ceilingShares;
   private final Map<String, RequestState> requests = new HashMap<>();
+  private final BegunRequests begunRequests = new BegunRequests();
+  /** Is told the id of each request that must not run twice when its first attempt begins. */
+  private Consumer<String> begunListener = id -> { };
   private final ArrayDeque<Event> pendingEvents = new ArrayDeque<>();
   private boolean delivering;
   /** True once the process is about to exit: a request accepted now would not be answered. */
@@ -264,6 +292,26 @@
     return requests.containsKey(id);
   }
 
+  /** Whether a request with this id has begun, here or at the other process, and must not run twice. */
+  boolean hasBegun(String id) {
+    return begunRequests.contains(clock.now(), id);
+  }
+
+  void setBegunListener(Consumer<String> listener) {
+    begunListener = listener;
+  }
+
+  /** The ids of the requests that have begun and must not run twice. */
+  List<String> begunIds() {
+    return begunRequests.ids(clock.now());
+  }
+
+  /** Notes ids of requests that have begun at the other process of this front door. */
+  void noteBegunElsewhere(List<String> ids) {
+    double now = clock.now();
+    ids.forEach(id -> begunRequests.add(now, id, now + MAX_DEADLINE_MS));
+  }
+
   /**
    * Accepts a request; the message is retained until no attempt needs it.
    *
@@ -535,10 +583,15 @@
       @Override
       AttemptStart startDecision(double nowMs, boolean backendReplaced) {
         return AttemptStart.of(new AttemptStart.Circumstances(ended(), state.finished, state.client.isGone(),
-            state.hasOtherInFlight(this), backendReplaced, conditions.beginByMs() - nowMs,
+            state.idBegunByAnother(), state.hasOtherInFlight(this), backendReplaced, conditions.beginByMs() - nowMs,
             attemptDeadlineMs - nowMs));
       }
 
+      @Override
+      void onBegin() {
+        state.noteBegun();
+      }
+
       @Override
       void onAnswerBegun() {
         if (!answerBegun) {
@@ -551,6 +604,8 @@
       void onWithheld(AttemptStart reason) {
         if (reason == AttemptStart.CLIENT_GONE) {
           handleClientLeft(state);
+        } else if (reason == AttemptStart.ID_HAS_BEGUN) {
+          fail(state);
         }
         super.onWithheld(reason);
       }
--- a/door/src/main/java/willowdoor/net/PeerProcess.java
+++ b/door/src/main/java/willowdoor/net/PeerProcess.java
@@ -2,7 +2,9 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.QueryStringEncoder;
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.logging.Logger;
@@ -10,6 +12,7 @@
 import willowdoor.management.ManagementClient.CallOutcome;
 import willowdoor.management.ManagementClient.CallResult;
 import willowdoor.management.ManagementCommand;
+import willowdoor.management.ProcessGreeting;
 import willowdoor.management.Reply;
 
 /**
@@ -28,6 +31,8 @@
   private final EventLoop loop;
   private final ManagementClient caller;
   private final InetSocketAddress address;
+  /** Identity of the process, as another one may come up at its address; empty until it is known. */
+  private String processId = "";
   private final Consumer<PeerProcess> goneListener;
   /** The other process takes clients at the same address as this one. */
   private boolean serving;
@@ -54,15 +59,24 @@
     serving = true;
   }
 
-  /**
-   * Announces this process to the other one.
-   *
-   * @param ownAddress management address of this process
-   * @param takesClients whether this process takes clients
-   */
-  void announce(InetSocketAddress ownAddress, boolean takesClients, Consumer<CallResult> endListener) {
-    caller.call(address, HttpMethod.POST, "/twin?at=" + ownAddress.getAddress().getHostAddress() + ":"
-        + ownAddress.getPort() + "&serves=" + takesClients, HELLO_LIMIT_MS, end -> {
+  /** Whether the process with that identity is this one, as far as both identities are known. */
+  boolean isProcess(String otherId) {
+    return processId.isEmpty() || otherId.isEmpty() || processId.equals(otherId);
+  }
+
+  /** Sets the identity of the process; empty if it tells none. */
+  void setProcessId(String id) {
+    processId = id;
+  }
+
+  /** Announces this process to the other one. */
+  void announce(ProcessGreeting greeting, Consumer<CallResult> endListener) {
+    QueryStringEncoder target = new QueryStringEncoder("/twin");
+    target.addParam("at", greeting.address());
+    target.addParam("serves", Boolean.toString(greeting.serves()));
+    target.addParam("process", greeting.processId());
+    target.addParam("listen", greeting.listen());
+    caller.call(address, processId, HttpMethod.POST, target.toString(), HELLO_LIMIT_MS, end -> {
           if (end.outcome() == CallOutcome.NOBODY) {
             markGone();
           }
@@ -70,12 +84,23 @@
         });
   }
 
+  /** Tells the other process the ids of requests that have begun here and must not run twice. */
+  void reportBegun(List<String> ids) {
+    QueryStringEncoder target = new QueryStringEncoder("/begun");
+    ids.forEach(id -> target.addParam("id", id));
+    caller.call(address, processId, HttpMethod.POST, target.toString(), ORDER_LIMIT_MS, end -> {
+      if (end.outcome() == CallOutcome.NOBODY) {
+        markGone();
+      }
+    });
+  }
+
   /**
    * Forwards an order to the other process. The result is this process's own reply, also if the other
    * process has ended, but 503 if the other process does not answer in time.
    */
   void forward(ManagementCommand order, Reply ownReply, Consumer<Reply> replyListener) {
-    caller.call(address, HttpMethod.POST, order.target(), ORDER_LIMIT_MS, end -> {
+    caller.call(address, processId, HttpMethod.POST, order.target(), ORDER_LIMIT_MS, end -> {
       if (end.outcome() == CallOutcome.NOBODY) {
         markGone();
       }
@@ -86,7 +111,7 @@
 
   private void checkAlive() {
     if (!gone && !loop.isShuttingDown()) {
-      caller.call(address, HttpMethod.GET, "/ready", CHECK_INTERVAL_MS, end -> {
+      caller.call(address, processId, HttpMethod.GET, "/ready", CHECK_INTERVAL_MS, end -> {
         if (end.outcome() == CallOutcome.NOBODY) {
           markGone();
         } else {
--- a/door/src/test/java/willowdoor/net/ServingProcess.java
+++ b/door/src/test/java/willowdoor/net/ServingProcess.java
@@ -19,6 +19,8 @@
 
   private static final long START_LIMIT_MS = 20_000;
   private static final long POLL_MS = 20;
+  private static final List<String> DEFAULT_OPTIONS = List.of("-XX:TieredStopAtLevel=1",
+      "-Djava.util.logging.config.file=../deploy/request-log.properties");
 
   final InetSocketAddress address;
   private final Path folder;
@@ -26,26 +28,41 @@
 
   /** Starts a gateway with a listening port that is chosen here, and waits until it serves. */
   ServingProcess(Path folder, String config) throws Exception {
-    this(folder, config, List.of("-XX:TieredStopAtLevel=1",
-        "-Djava.util.logging.config.file=../deploy/request-log.properties"));
+    this(folder, config, DEFAULT_OPTIONS);
   }
 
   /** Does the same with the given options of the JVM. */
   ServingProcess(Path folder, String config, List<String> jvmOptions) throws Exception {
+    this(folder, config, jvmOptions, freeAddress());
+    awaitUp();
+  }
+
+  private ServingProcess(Path folder, String config, List<String> jvmOptions, InetSocketAddress address)
+      throws IOException {
     this.folder = folder;
-    try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      address = (InetSocketAddress) free.getLocalSocketAddress();
-    }
+    this.address = address;
     Path file = write("config.json", config);
     List<String> command = new ArrayList<>();
     command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
     command.addAll(jvmOptions);
     command.addAll(List.of("-cp", System.getProperty("java.class.path"), "willowdoor.Main", "serve"));
     ProcessBuilder builder = new ProcessBuilder(command)
-        .redirectErrorStream(true).redirectOutput(folder.resolve("log").toFile());
+        .redirectErrorStream(true)
+        .redirectOutput(ProcessBuilder.Redirect.appendTo(folder.resolve("log").toFile()));
     builder.environment().put("GW_CONFIG", file.toString());
+    builder.environment().put("TMPDIR", folder.toString());
     process = builder.start();
-    awaitUp();
+  }
+
+  /** Starts a second process of the same front door with that configuration; does not wait for it. */
+  ServingProcess startSecond(String config) throws IOException {
+    return new ServingProcess(folder, config, DEFAULT_OPTIONS, address);
+  }
+
+  static InetSocketAddress freeAddress() throws IOException {
+    try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      return (InetSocketAddress) free.getLocalSocketAddress();
+    }
   }
 
   private Path write(String name, String config) throws IOException {
--- a/door/src/test/java/willowdoor/net/UpgradeTest.java
+++ b/door/src/test/java/willowdoor/net/UpgradeTest.java
@@ -194,6 +194,45 @@
     awaitCondition(() -> Files.exists(file));
   }
 
+  /** Guards against another process at the address of one that has ended, which is taken for that one. */
+  @Test
+  void anotherProcessAtTheAddressOfAnEndedOneIsNotTheOther() throws Exception {
+    long whole = memoryPool(old);
+    startReplacement();
+    int port = ((InetSocketAddress) replacement.managementAddress()).getPort();
+    replacement.stop();
+    FrontDoor another = startAnotherFrontDoor(port);
+    try {
+      awaitCondition(() -> memoryPool(old) == whole);
+    } finally {
+      another.stop();
+    }
+  }
+
+  /** Guards against a process file that names an address at which another front door answers by now. */
+  @Test
+  void aProcessOfAnotherFrontDoorIsNotTheOther() throws Exception {
+    FrontDoor another = startAnotherFrontDoor(0);
+    try {
+      assertEquals(200, call(another, "POST /backends/disable?member=s-1"));
+      int port = ((InetSocketAddress) another.managementAddress()).getPort();
+      Files.writeString(folder.resolve("front-door.process"), "front-door-process 1 127.0.0.1:" + port + " end\n");
+      long whole = memoryPool(old);
+      startReplacement();
+      assertEquals(List.of(), idsOut(replacement));
+      assertEquals(whole, memoryPool(replacement));
+      assertEquals(whole, memoryPool(another));
+    } finally {
+      another.stop();
+    }
+  }
+
+  private FrontDoor startAnotherFrontDoor(int managementPort) throws Exception {
+    String entry = Peers.rosterEntry("s-1", peers.backend.getLocalPort(), "active");
+    return FrontDoor.start(Peers.parse(peers.config(entry)
+        .replace("\"seed\"", "\"management\":\"127.0.0.1:" + managementPort + "\",\"seed\"")));
+  }
+
   @Test
   void invalidProcessFileIsIgnored() throws Exception {
     Path file = folder.resolve("front-door.process");
@@ -211,7 +250,7 @@
   void incompleteStateIsRejected() throws Exception {
     FrontDoorState state = new FrontDoorState(true,
         List.of(new DisabledBackend(EndpointUpdate.idOf("s-1"), 1_700_000_000_123.0),
-        new DisabledBackend(7, 2)));
+        new DisabledBackend(7, 2)), "1f-2", List.of("r1", "a b%"));
     assertEquals(state, FrontDoorState.parse(state.format()));
     assertEquals(state, FrontDoorState.parse(state.format().replace("sent-away", "later 3 4\nsent-away")));
     String text = state.format();
--- a/policy/src/main/java/willowdoor/policy/AttemptStart.java
+++ b/policy/src/main/java/willowdoor/policy/AttemptStart.java
@@ -13,6 +13,8 @@
   REQUEST_OVER,
   /** The client has closed or reset its connection, or ended its side of it, which was not reported yet. */
   CLIENT_GONE,
+  /** A request with this id, which must not run twice, has begun before or at the other process. */
+  ID_HAS_BEGUN,
   /** Another attempt of the same request may still reach a backend. */
   OTHER_ATTEMPT_IN_FLIGHT,
   /** The backend is not listed any more, has moved, or has started anew since the decision. */
@@ -25,12 +27,14 @@
   /**
    * What is known at the moment of the decision.
    *
+   * @param idHasBegun whether another request with this id has begun, and must not run twice
    * @param backendReplaced whether the backend is another one than the policy chose
    * @param beginLeftMs time in which the attempt may begin, in milliseconds
    * @param leftMs time until the deadline of the attempt, in milliseconds
    */
   public record Circumstances(boolean attemptOver, boolean requestOver, boolean clientGone,
-      boolean otherAttemptInFlight, boolean backendReplaced, double beginLeftMs, double leftMs) { }
+      boolean idHasBegun, boolean otherAttemptInFlight, boolean backendReplaced, double beginLeftMs,
+      double leftMs) { }
 
   /** Decides by what is known at this moment. */
   public static AttemptStart of(Circumstances now) {
@@ -43,6 +47,9 @@
     if (now.clientGone()) {
       return CLIENT_GONE;
     }
+    if (now.idHasBegun()) {
+      return ID_HAS_BEGUN;
+    }
     if (now.otherAttemptInFlight()) {
       return OTHER_ATTEMPT_IN_FLIGHT;
     }
