No request is begun while its connection holds more that is unread

Cause: the end of the connection comes after all that was written before it, and may not even have reached the kernel while the receive buffer is full, so neither the loop nor the kernel's state of the connection told of it when the first request was begun; a turn of the loop reads 64 kB of a connection at most. Change: a request is handled once a turn has left nothing unread on its connection, 0.1 s later at most, so that a client that writes without end is served too.

--- a/door/src/main/java/willowdoor/net/ClientConnection.java
+++ b/door/src/main/java/willowdoor/net/ClientConnection.java
@@ -73,6 +73,13 @@
    * kept are answered, and then the connection is closed.
    */
   private static final int MAX_PENDING = 16;
+  /**
+   * How long, in milliseconds, requests wait while their connection holds more that is unread, as the end of
+   * the connection comes last.
+   */
+  private static final double MAX_WAIT_FOR_UNREAD_MS = 100;
+  /** Interval of the checks meanwhile, in milliseconds. */
+  private static final long UNREAD_CHECK_MS = 5;
 
   /** The handlers that hold a request until it has arrived completely. */
   private static final List<Class<? extends ChannelHandler>> REQUEST_PARTS =
@@ -105,6 +112,8 @@
   /** Pipelined requests; {@link #nextScheduled} tells whether the first of them is about to be handled. */
   private final ArrayDeque<PendingRequest> pending = new ArrayDeque<>(1);
   private boolean nextScheduled;
+  /** Since when each turn of the loop left something unread on this connection, or NaN. */
+  private double unreadSinceMs = Double.NaN;
 
   /**
    * A request, when its last byte arrived at this machine, from which on its timeout counts, and what it
@@ -152,6 +161,19 @@
     }
   }
 
+  /**
+   * Called when the loop turns to the next connection.
+   *
+   * @param moreUnread whether this connection may hold more, as the reads of one turn are limited
+   */
+  void onTurnEnd(boolean moreUnread) {
+    if (!moreUnread) {
+      unreadSinceMs = Double.NaN;
+    } else if (Double.isNaN(unreadSinceMs)) {
+      unreadSinceMs = server.now();
+    }
+  }
+
   /** Frees what has arrived of a request that is not read any further. */
   private void discardIncompleteRequest() {
     for (Class<? extends ChannelHandler> part : REQUEST_PARTS) {
@@ -260,14 +282,20 @@
   private void scheduleNext() {
     if (!nextScheduled && currentRequestId == null && !pending.isEmpty() && takesAnswers()) {
       nextScheduled = true;
-      channel.eventLoop().execute(() -> {
-        nextScheduled = false;
-        PendingRequest next = pending.poll();
-        if (next != null) {
-          memory.removeWaiting(next.heldBytes);
-          handle(next);
-        }
-      });
+      channel.eventLoop().execute(this::handleNext);
+    }
+  }
+
+  private void handleNext() {
+    if (server.now() - unreadSinceMs < MAX_WAIT_FOR_UNREAD_MS) {
+      channel.eventLoop().schedule(this::handleNext, UNREAD_CHECK_MS, TimeUnit.MILLISECONDS);
+      return;
+    }
+    nextScheduled = false;
+    PendingRequest next = pending.poll();
+    if (next != null) {
+      memory.removeWaiting(next.heldBytes);
+      handle(next);
     }
   }
 
--- a/door/src/main/java/willowdoor/net/ClientServer.java
+++ b/door/src/main/java/willowdoor/net/ClientServer.java
@@ -160,6 +160,7 @@
   private static final class ReceivedBytesHandler extends ChannelInboundHandlerAdapter {
     private final ClientConnection connection;
     private final RequestDecoder decoder;
+    private int readsInThisTurn;
 
     ReceivedBytesHandler(ClientConnection connection, RequestDecoder decoder) {
       this.connection = connection;
@@ -168,6 +169,7 @@
 
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object bytes) {
+      readsInThisTurn++;
       if (!connection.wantsInput()) {
         ReferenceCountUtil.release(bytes);
         return;
@@ -176,6 +178,13 @@
       ctx.fireChannelRead(bytes);
       connection.onDecoded(decoder);
     }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) {
+      ctx.fireChannelReadComplete();
+      connection.onTurnEnd(readsInThisTurn >= READS_PER_TURN);
+      readsInThisTurn = 0;
+    }
   }
 
   /**
--- a/door/src/test/java/willowdoor/net/ClientDisconnectTest.java
+++ b/door/src/test/java/willowdoor/net/ClientDisconnectTest.java
@@ -3,6 +3,9 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -36,6 +39,7 @@
    */
   private static final long ALL_READ_MS = 50;
   private static final int CLIENTS = 4;
+  private static final int UNREAD_REQUESTS = 4_000;
   /** The kernel retries a connect after one second, and again after two more. */
   private static final String SLOW_CONNECTS = "\"DialTimeoutMs\":2500";
 
@@ -261,6 +265,28 @@
     leaveWhileStopped(() -> { }, new Clients());
   }
 
+  /**
+   * Guards against work for a client that has closed its connection behind much that the gateway has not read:
+   * the end of the connection comes after all of it.
+   */
+  @Test
+  void leavesBehindMuchThatIsUnread() throws Exception {
+    startWithPooledConnections();
+    gateway.signal("STOP");
+    try (SocketChannel client = SocketChannel.open(gateway.address)) {
+      client.configureBlocking(false);
+      StringBuilder requests = new StringBuilder();
+      for (int i = 0; i < UNREAD_REQUESTS; i++) {
+        requests.append(Peers.get("unread" + i, 3_500));
+      }
+      client.write(ByteBuffer.wrap(requests.toString().getBytes(StandardCharsets.ISO_8859_1)));
+    }
+    pause(AFTER_LEAVING_MS);
+    gateway.signal("CONT");
+    pause(AFTER_LEAVING_MS);
+    assertEquals(Set.of(), ids(peers.backendRequests), gateway.log());
+  }
+
   /** Guards against requests of disconnected clients that are held for as long as a connect takes. */
   @Test
   void aWithdrawnRequestHoldsNothing() throws Exception {
