One peer's names and input are bounded: accounts by number, a turn of the loop by time

Change: 16,384 accounts at most beside those with attempts in flight, the longest unused dropped first. The input of one connection is read no further in a turn of the loop once it has taken 1 ms there.

--- a/door/src/main/java/willowdoor/net/ClientConnection.java
+++ b/door/src/main/java/willowdoor/net/ClientConnection.java
@@ -112,8 +112,10 @@
   /** Pipelined requests; {@link #nextScheduled} tells whether the first of them is about to be handled. */
   private final ArrayDeque<PendingRequest> pending = new ArrayDeque<>(1);
   private boolean nextScheduled;
-  /** Since when each turn of the loop left something unread on this connection, or NaN. */
+  /** Since when each turn of the loop may have left something unread on this connection, or NaN. */
   private double unreadSinceMs = Double.NaN;
+  /** Whether something was read, or reading was resumed, since the last check of what is unread. */
+  private boolean readSinceCheck;
 
   /**
    * A request, when its last byte arrived at this machine, from which on its timeout counts, and what it
@@ -167,6 +169,7 @@
    * @param moreUnread whether this connection may hold more, as the reads of one turn are limited
    */
   void onTurnEnd(boolean moreUnread) {
+    readSinceCheck = true;
     if (!moreUnread) {
       unreadSinceMs = Double.NaN;
     } else if (Double.isNaN(unreadSinceMs)) {
@@ -174,6 +177,11 @@
     }
   }
 
+  /** Called when the connection is read again after a pause. */
+  void onReadingResumed() {
+    readSinceCheck = true;
+  }
+
   /** Frees what has arrived of a request that is not read any further. */
   private void discardIncompleteRequest() {
     for (Class<? extends ChannelHandler> part : REQUEST_PARTS) {
@@ -287,7 +295,8 @@
   }
 
   private void handleNext() {
-    if (server.now() - unreadSinceMs < MAX_WAIT_FOR_UNREAD_MS) {
+    if (server.now() - unreadSinceMs < MAX_WAIT_FOR_UNREAD_MS && readSinceCheck) {
+      readSinceCheck = false;
       channel.eventLoop().schedule(this::handleNext, UNREAD_CHECK_MS, TimeUnit.MILLISECONDS);
       return;
     }
--- a/door/src/main/java/willowdoor/net/ClientServer.java
+++ b/door/src/main/java/willowdoor/net/ClientServer.java
@@ -48,6 +48,12 @@
   /** Largest read of a client's connection, in bytes, and reads of one connection before the next one. */
   private static final int MAX_READ_BYTES = 16 * 1024;
   private static final int READS_PER_TURN = 4;
+  /**
+   * Time that the input of one connection may take before the loop turns to the next one, beyond the read
+   * during which it is over; input in tiny pieces takes many times that of the same bytes in one.
+   */
+  private static final long MAX_TURN_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
+  private static final long PAUSE_MS = 1;
   /** Low and high water mark, in bytes, of a streamed answer that waits to be taken by its client. */
   private static final WriteBufferWaterMark STREAM_WATER_MARK =
       new WriteBufferWaterMark(16 * 1024, 48 * 1024);
@@ -161,6 +167,7 @@
     private final ClientConnection connection;
     private final RequestDecoder decoder;
     private int readsInThisTurn;
+    private long nanosInThisTurn;
 
     ReceivedBytesHandler(ClientConnection connection, RequestDecoder decoder) {
       this.connection = connection;
@@ -174,16 +181,33 @@
         ReferenceCountUtil.release(bytes);
         return;
       }
+      long startNanos = System.nanoTime();
       connection.onBytes(((ByteBuf) bytes).readableBytes());
       ctx.fireChannelRead(bytes);
       connection.onDecoded(decoder);
+      nanosInThisTurn += System.nanoTime() - startNanos;
+      if (nanosInThisTurn > MAX_TURN_NANOS) {
+        pause(ctx.channel());
+      }
+    }
+
+    /** Reads no more in this turn. */
+    private void pause(Channel channel) {
+      if (channel.config().isAutoRead()) {
+        channel.config().setAutoRead(false);
+        channel.eventLoop().schedule(() -> {
+          connection.onReadingResumed();
+          channel.config().setAutoRead(true);
+        }, PAUSE_MS, TimeUnit.MILLISECONDS);
+      }
     }
 
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
       ctx.fireChannelReadComplete();
-      connection.onTurnEnd(readsInThisTurn >= READS_PER_TURN);
+      connection.onTurnEnd(readsInThisTurn >= READS_PER_TURN || nanosInThisTurn > MAX_TURN_NANOS);
       readsInThisTurn = 0;
+      nanosInThisTurn = 0;
     }
   }
 
--- a/policy/src/main/java/willowdoor/policy/QuotaPolicy.java
+++ b/policy/src/main/java/willowdoor/policy/QuotaPolicy.java
@@ -38,6 +38,10 @@
    * would be a refusal.
    */
   private static final double SURELY_SPENT_SHARE = 0.5;
+  /** Limit of the accounts that are followed. */
+  static final int MAX_ACCOUNTS = 16_384;
+  /** Accounts that are checked for removal with each request. */
+  private static final int ACCOUNTS_CHECKED = 4;
   /** Time after which the counter forgets a count, in milliseconds. */
   private static final double COUNT_TTL_MS = 60_000;
   /**
@@ -493,16 +497,8 @@
     }
   }
 
-  /**
-   * Accounts in order of use. Adding an account drops the one that was unused for the longest time, if that
-   * exceeds the lifetime of a count, so that the map does not grow without bound.
-   */
-  final Map<Long, Account> accounts = new LinkedHashMap<>(16, 0.75f, true) {
-    @Override
-    protected boolean removeEldestEntry(Map.Entry<Long, Account> e) {
-      return now - e.getValue().levelUpdatedAt > COUNT_TTL_MS && e.getValue().attemptsInFlight == 0;
-    }
-  };
+  /** Accounts in order of use, {@link #MAX_ACCOUNTS} at most beside those with attempts in flight. */
+  final Map<Long, Account> accounts = new LinkedHashMap<>(16, 0.75f, true);
   private final Map<String, ArrayDeque<CounterCall<Account, Job>>> pendingCalls = new HashMap<>();
   /** Accounts whose units are still to be restored at a counter that replaced another. */
   private final ArrayDeque<Account> accountsToRestore = new ArrayDeque<>();
@@ -520,9 +516,28 @@
     Account account = accounts.computeIfAbsent(request.customer(), c -> new Account(request,
         plans.getOrDefault(request.planName(), strictestPlan())));
     account.updateCeilingShare(request.ceilingShare());
+    dropUnusedAccounts();
     return account;
   }
 
+  /**
+   * Drops accounts that were unused for longer than the counter keeps a count, and the ones unused for
+   * longest beyond the bound: names that never come again must not fill the memory. A customer that comes
+   * again is followed anew, by the shared count.
+   */
+  private void dropUnusedAccounts() {
+    Iterator<Account> eldest = accounts.values().iterator();
+    for (int checked = 0; checked < ACCOUNTS_CHECKED && eldest.hasNext(); checked++) {
+      Account account = eldest.next();
+      if (accounts.size() <= MAX_ACCOUNTS && now - account.levelUpdatedAt <= COUNT_TTL_MS) {
+        return;
+      }
+      if (account.attemptsInFlight == 0) {
+        eldest.remove();
+      }
+    }
+  }
+
   private Plan strictestPlan() {
     return settings.plans().stream().filter(p -> p.rate() > 0).min(Comparator.comparingDouble(Plan::rate))
         .orElse(new Plan("", 0, 0, 0, 0, 0, 0, 0, 0, 0));
