Test: hundreds of slow clients of four kinds at once stay within the memory limit

Also: two entries of KNOWN-RED (ClientDisconnectTest#leavesDuringACounterCall..., #leavesDuringARejection...) acted before SIGSTOP had taken effect: the signal stops the threads of a process one after the other, and the kill command returns before. The harness waits until each thread is in state T now; the checks are as they were.

--- a/door/src/test/java/willowdoor/net/ClientDisconnectTest.java
+++ b/door/src/test/java/willowdoor/net/ClientDisconnectTest.java
@@ -266,7 +266,7 @@
   }
 
   /**
-   * Guards against work for a client that has closed its connection behind much that the gateway has not read:
+   * Guards against work for a client that has closed its connection behind much that is unread here:
    * the end of the connection comes after all of it.
    */
   @Test
--- a/door/src/test/java/willowdoor/net/MemoryBoundTest.java
+++ b/door/src/test/java/willowdoor/net/MemoryBoundTest.java
@@ -48,6 +48,8 @@
   private static final int SLOW_READERS = 410;
   private static final int SMALL_RECEIVE_BUFFER_BYTES = 8_192;
   private static final int ANSWER_LIMIT_MS = 30_000;
+  private static final int SLOW_PIECE_BYTES = 100;
+  private static final long MEMORY_LIMIT_BYTES = 192L << 20;
 
   @TempDir
   private Path folder;
@@ -287,6 +289,51 @@
     assertTrue(complete >= SLOW_READERS / 2, "complete: " + complete);
   }
 
+  /**
+   * Guards against a process that passes its memory limit, and is killed for it: hundreds of clients at once
+   * that write slowly, stop half way through a large request, send heads of very many short fields, or read
+   * long answers slowly.
+   */
+  @Test
+  void hundredsOfSlowClientsAtOnceStayWithinTheMemoryLimit() throws Exception {
+    byte[] body = new byte[LONG_BYTES];
+    peers.answer = (request, out) -> {
+      if (request.firstLine().startsWith("POST")) {
+        return Peers.write(out, Peers.OK);
+      }
+      Peers.write(out, "HTTP/1.1 200 OK\r\nX-Units-Charged: 1\r\nContent-Length: " + LONG_BYTES
+          + "\r\n\r\n");
+      out.write(body);
+      return true;
+    };
+    long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(DISRUPTION_MS);
+    String large = Peers.post("r1", "x".repeat(BODY_BYTES));
+    String manyFields = Peers.get("r1", TIMEOUT_MS).replace("\r\n\r\n",
+        "\r\n" + "a:b\r\n".repeat(HEADERS) + "\r\n");
+    for (int i = 0; i < CLIENTS; i++) {
+      writeSlowly(endNanos, open(), large);
+      sendUntil(endNanos, open(), new String[] {large.substring(0, large.length() / 2)});
+      sendUntil(endNanos, open(), requests(i, manyFields));
+      Peers.write(open().getOutputStream(), Peers.get("reads" + i, TIMEOUT_MS)
+          .replace(USUAL_CUSTOMER, customer(CLIENTS + i)));
+    }
+    int served = usualRequestsServed(endNanos);
+    assertTrue(gateway.isAlive(), gateway.log());
+    long peakBytes = gateway.peakMemoryBytes();
+    assertTrue(peakBytes <= MEMORY_LIMIT_BYTES, "peak: " + peakBytes);
+    assertTrue(served >= MIN_SERVED, "served: " + served);
+  }
+
+  /** Writes a request in pieces of a few bytes until the disruption is over. */
+  private static void writeSlowly(long endNanos, Socket socket, String request) {
+    Peers.thread(() -> {
+      for (int at = 0; System.nanoTime() < endNanos; at += SLOW_PIECE_BYTES) {
+        Peers.write(socket.getOutputStream(), request.substring(at, at + SLOW_PIECE_BYTES));
+        pause(10);
+      }
+    });
+  }
+
   /** Guards against heads of responses in no bound: the heap of the process ran out. */
   @Test
   void manyResponsesWithManyHeaders() throws Exception {
--- a/door/src/test/java/willowdoor/net/ServingProcess.java
+++ b/door/src/test/java/willowdoor/net/ServingProcess.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 /** A gateway in its own process, as the platform runs it, which takes signals. */
 final class ServingProcess implements Closeable {
@@ -92,6 +93,13 @@
     return new Peers.Client(address);
   }
 
+  /** The most memory that the process has had in RAM so far, in bytes. */
+  long peakMemoryBytes() throws IOException {
+    Path status = Path.of("/proc", Long.toString(process.pid()), "status");
+    return Files.readAllLines(status).stream().filter(l -> l.startsWith("VmHWM:"))
+        .mapToLong(l -> Long.parseLong(l.replaceAll("\\D", "")) * 1024).findFirst().orElseThrow();
+  }
+
   boolean isAlive() {
     return process.isAlive();
   }
@@ -107,6 +115,31 @@
     if (new ProcessBuilder(kill).start().waitFor() != 0) {
       throw new AssertionError("the signal could not be sent: " + log());
     }
+    if (name.equals("STOP")) {
+      awaitStopped();
+    }
+  }
+
+  /** Waits until each thread of the process is stopped, which is some time after the signal was sent. */
+  private void awaitStopped() throws Exception {
+    long limit = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(START_LIMIT_MS);
+    while (!isStopped()) {
+      if (System.nanoTime() > limit) {
+        throw new AssertionError("the process is not stopped: " + log());
+      }
+      TimeUnit.MILLISECONDS.sleep(1);
+    }
+  }
+
+  private boolean isStopped() throws IOException {
+    try (Stream<Path> threads = Files.list(Path.of("/proc", Long.toString(process.pid()), "task"))) {
+      for (Path thread : threads.toList()) {
+        if (!Files.readString(thread.resolve("status")).contains("State:\tT")) {
+          return false;
+        }
+      }
+      return true;
+    }
   }
 
   /** What the process has printed, without the requests of its own warm-up. */
--- a/door/src/test/java/willowdoor/net/UpgradeTest.java
+++ b/door/src/test/java/willowdoor/net/UpgradeTest.java
@@ -216,7 +216,8 @@
     try {
       assertEquals(200, call(another, "POST /backends/disable?member=s-1"));
       int port = ((InetSocketAddress) another.managementAddress()).getPort();
-      Files.writeString(folder.resolve("front-door.process"), "front-door-process 1 127.0.0.1:" + port + " end\n");
+      Files.writeString(folder.resolve("front-door.process"),
+          "front-door-process 1 127.0.0.1:" + port + " end\n");
       long whole = memoryPool(old);
       startReplacement();
       assertEquals(List.of(), idsOut(replacement));
