The connection of a given-up attempt is closed before its end is told

Cause: Attempt.abandon told the end first; the module decides on the next attempt in that call, and on a kept connection it was written before the old connection was closed. Change: the connection is closed first, without ending the attempt.

--- a/door/src/main/java/willowdoor/net/Attempt.java
+++ b/door/src/main/java/willowdoor/net/Attempt.java
@@ -116,20 +116,18 @@
   }
 
   /**
-   * Ends the attempt without its response. Its connection is closed, as the response may still arrive on it;
-   * if the backend may lack a part of the request, with a reset, so that it never gets that part.
+   * Ends the attempt without its response. Its connection is closed first, as the response may still arrive on
+   * it and the next attempt begins with the end of this one; if the backend may lack a part of the request,
+   * with a reset, so that it never gets that part.
    */
   final void abandon(Status status) {
     if (ended) {
       return;
     }
-    boolean incomplete = mayLackBytes();
-    end(status, null);
-    if (connection != null && incomplete) {
-      connection.abort();
-    } else if (connection != null) {
-      connection.close();
+    if (connection != null) {
+      connection.abandonAttempt(mayLackBytes());
     }
+    end(status, null);
   }
 
   /**
--- a/door/src/main/java/willowdoor/net/BackendConnection.java
+++ b/door/src/main/java/willowdoor/net/BackendConnection.java
@@ -92,9 +92,17 @@
     channel.close();
   }
 
-  /** Closes the connection with a reset, which drops what the kernel holds unsent or undelivered. */
-  void abort() {
-    Transport.setReset(channel);
+  /**
+   * Closes the connection of an attempt that is given up, without ending the attempt.
+   *
+   * @param reset whether what the kernel holds unsent or undelivered is dropped
+   */
+  void abandonAttempt(boolean reset) {
+    currentAttempt = null;
+    clearAnswer();
+    if (reset) {
+      Transport.setReset(channel);
+    }
     close();
   }
 
@@ -121,7 +129,7 @@
         request.headers().get(Headers.TIMEOUT_MS));
     channel.writeAndFlush(request).addListener((ChannelFuture f) -> {
       attempt.written = f.isSuccess();
-      if (!f.isSuccess()) {
+      if (!f.isSuccess() && currentAttempt == attempt) {
         attempt.end(Status.BROKEN, null);
         channel.close();
       }
--- a/door/src/test/java/willowdoor/net/BackendPoolTest.java
+++ b/door/src/test/java/willowdoor/net/BackendPoolTest.java
@@ -40,6 +40,7 @@
   private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, Transport.PREFERRED.ioHandler());
   private final EventLoop loop = group.next();
   private final BlockingQueue<Status> ends = new LinkedBlockingQueue<>();
+  private final BlockingQueue<Boolean> openAtEnd = new LinkedBlockingQueue<>();
 
   @AfterEach
   void close() throws Exception {
@@ -59,6 +60,7 @@
         Unpooled.EMPTY_BUFFER), new Clock().now() + timeoutMs, AttemptConditions.NONE) {
       @Override
       void onEnd(Status status, FullHttpResponse answer) {
+        openAtEnd.add(connection != null && connection.isActive());
         ends.add(status);
       }
     };
@@ -125,6 +127,16 @@
     }
   }
 
+  /** Guards against a next attempt that is written while the one that was given up is still out. */
+  @Test
+  void theConnectionIsClosedBeforeTheEndOfAnAttemptIsTold() throws Exception {
+    try (ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+      loop.submit(() -> pool(100, server.getLocalPort()).start(1, attempt(100))).sync();
+      assertEquals(Status.TIMED_OUT, Peers.next(ends));
+      assertEquals(false, Peers.next(openAtEnd));
+    }
+  }
+
   private static int freePort() throws IOException {
     try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
       return server.getLocalPort();
