--- a/door/src/test/java/willowdoor/net/AnswerLifecycleTest.java
+++ b/door/src/test/java/willowdoor/net/AnswerLifecycleTest.java
@@ -196,8 +196,9 @@
   /** Asks by a safe and by a keyed request; both get the whole answer, and its first bytes in time. */
   private void passesWhole(String kind, String framing, int timeoutMs, Peers.Answer answer) throws Exception {
     peers.answer = answer;
-    Future<Received> safe = clients.submit(() -> ask(Peers.get("safe", timeoutMs)));
-    Future<Received> keyed = clients.submit(() -> ask(post("keyed", timeoutMs)));
+    String id = "r" + FRAMINGS.indexOf(framing);
+    Future<Received> safe = clients.submit(() -> ask(Peers.get(id + "-safe", timeoutMs)));
+    Future<Received> keyed = clients.submit(() -> ask(post(id + "-keyed", timeoutMs)));
     for (Received received : List.of(safe.get(), keyed.get())) {
       String what = kind + ", " + framing + ", first byte after " + received.firstByteMs + " ms\n";
       assertEquals(200, received.status, what + gateway.log());
