--- /dev/null
+++ b/door/src/test/java/willowdoor/net/SoakBackend.java
@@ -0,0 +1,171 @@
+package willowdoor.net;
+
+import java.io.BufferedInputStream;
+import java.io.Closeable;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.Random;
+import java.util.SplittableRandom;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** A backend with faults that a seed draws for each request; it records what came and what became of it. */
+final class SoakBackend implements Closeable {
+
+  /** What a backend does with one request. */
+  enum Mood { QUICK, SLOW, REJECT, RESET, HANG, STALL, LONG_STEADY, LONG_LUMPS, LONG_LATE_BODY }
+
+  /** How an attempt ended: answered, given up by the gateway, or broken off by the backend itself. */
+  enum End { ANSWERED, GIVEN_UP, BROKEN_OFF }
+
+  /**
+   * One request that came whole, at nanoseconds of the machine's clock.
+   *
+   * @param readLate whether it may have waited here, as its connection was accepted late
+   */
+  record Run(String id, Mood mood, boolean readLate, long arrivedNanos, long endNanos, End end) { }
+
+  static final int LONG_BYTES = 160_000;
+  private static final long MAX_REQUESTS = 1_000_000;
+  /** So short that the kernel drops a SYN now and then, and the connection opens a second later. */
+  private static final int BACKLOG = 1;
+  private static final double LATE_ACCEPT_SHARE = 0.1;
+  private static final int MAX_LATE_ACCEPT_MS = 400;
+  /** Connections accepted so shortly after a pause may have waited for its end. */
+  private static final long LATE_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
+  private static final int PIECES = 16;
+  private static final long PIECE_PAUSE_MS = 70;
+  private static final int LUMPS = 4;
+  private static final long LUMP_PAUSE_MS = 400;
+  private static final long LATE_BODY_MS = 800;
+  private static final long STALL_MS = 8_000;
+  private static final Mood[] FAULTS = {Mood.REJECT, Mood.RESET, Mood.HANG, Mood.STALL};
+  private static final double FAULT_SHARE = 0.2;
+  private static final double SLOW_SHARE = 0.2;
+  private static final Mood[] LONG_MOODS = {Mood.LONG_STEADY, Mood.LONG_LUMPS, Mood.LONG_LATE_BODY};
+
+  final ConcurrentLinkedQueue<Run> runs = new ConcurrentLinkedQueue<>();
+  private final long seed;
+  private final AtomicInteger requests = new AtomicInteger();
+  private final ServerSocket server = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
+
+  SoakBackend(long seed) throws IOException {
+    this.seed = seed;
+    Peers.thread(this::accept);
+  }
+
+  int port() {
+    return server.getLocalPort();
+  }
+
+  private void accept() throws IOException {
+    Random random = new Random(seed);
+    long pausedNanos = System.nanoTime();
+    while (true) {
+      if (random.nextDouble() < LATE_ACCEPT_SHARE) {
+        pause(random.nextInt(MAX_LATE_ACCEPT_MS));
+        pausedNanos = System.nanoTime();
+      }
+      Socket socket = server.accept();
+      boolean late = System.nanoTime() - pausedNanos < LATE_NANOS;
+      InputStream in = new BufferedInputStream(socket.getInputStream());
+      Peers.thread(() -> serve(in, socket.getOutputStream(), socket, late));
+    }
+  }
+
+  @Override
+  public void close() throws IOException {
+    server.close();
+  }
+
+  private void serve(InputStream in, OutputStream out, Socket socket, boolean acceptedLate)
+      throws IOException {
+    boolean open = true;
+    boolean late = acceptedLate;
+    while (open) {
+      Peers.Message request = Peers.read(in);
+      long arrivedNanos = System.nanoTime();
+      // Neighbouring seeds of Random begin alike.
+      long mixed = new SplittableRandom(seed * MAX_REQUESTS + requests.incrementAndGet()).nextLong();
+      Random random = new Random(mixed);
+      String id = request.header("Request-Id");
+      Mood mood = id.startsWith("long") ? LONG_MOODS[random.nextInt(LONG_MOODS.length)] : shortMood(random);
+      End end = End.GIVEN_UP;
+      try {
+        end = act(mood, id, random, in, out, socket);
+      } finally {
+        runs.add(new Run(id, mood, late, arrivedNanos, System.nanoTime(), end));
+        late = false;
+      }
+      open = end == End.ANSWERED;
+    }
+    socket.close();
+  }
+
+  private static Mood shortMood(Random random) {
+    if (random.nextDouble() < FAULT_SHARE) {
+      return FAULTS[random.nextInt(FAULTS.length)];
+    }
+    return random.nextDouble() < SLOW_SHARE ? Mood.SLOW : Mood.QUICK;
+  }
+
+  private static End act(Mood mood, String id, Random random, InputStream in, OutputStream out, Socket socket)
+      throws IOException {
+    switch (mood) {
+      case QUICK, SLOW -> {
+        pause(mood == Mood.QUICK ? random.nextInt(30) : 100 + random.nextInt(250));
+        Peers.write(out, "HTTP/1.1 200 OK\r\nX-Units-Charged: 2\r\nContent-Length: " + id.length()
+            + "\r\n\r\n" + id);
+        return End.ANSWERED;
+      }
+      case REJECT -> {
+        Peers.write(out, Peers.NOT_STARTED);
+        return End.ANSWERED;
+      }
+      case RESET -> {
+        ServingProcess.reset(socket);
+        return End.BROKEN_OFF;
+      }
+      case HANG -> {
+        return in.read() < 0 ? End.GIVEN_UP : End.BROKEN_OFF;
+      }
+      case STALL -> {
+        Peers.write(out, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n8\r\nno");
+        socket.setSoTimeout((int) STALL_MS);
+        return in.read() < 0 ? End.GIVEN_UP : End.BROKEN_OFF;
+      }
+      default -> {
+        writeLong(mood, random.nextBoolean(), out);
+        return End.ANSWERED;
+      }
+    }
+  }
+
+  private static void writeLong(Mood mood, boolean chunked, OutputStream out) throws IOException {
+    Peers.write(out, "HTTP/1.1 200 OK\r\n" + (chunked ? "Transfer-Encoding: chunked"
+        : "Content-Length: " + LONG_BYTES) + "\r\n\r\n");
+    pause(mood == Mood.LONG_LATE_BODY ? LATE_BODY_MS : 0);
+    int pieces = mood == Mood.LONG_LUMPS ? LUMPS : PIECES;
+    String piece = "x".repeat(LONG_BYTES / pieces);
+    for (int i = 0; i < pieces; i++) {
+      Peers.write(out, chunked ? Integer.toHexString(piece.length()) + "\r\n" + piece + "\r\n" : piece);
+      pause(mood == Mood.LONG_LUMPS ? LUMP_PAUSE_MS : PIECE_PAUSE_MS);
+    }
+    if (chunked) {
+      Peers.write(out, "0\r\n\r\n");
+    }
+  }
+
+  private static void pause(long ms) throws IOException {
+    try {
+      TimeUnit.MILLISECONDS.sleep(ms);
+    } catch (InterruptedException e) {
+      throw new IOException(e);
+    }
+  }
+}
