--- a/door/src/main/java/willowdoor/management/ManagementClient.java
+++ b/door/src/main/java/willowdoor/management/ManagementClient.java
@@ -52,8 +52,8 @@
    *     counts as {@link CallOutcome#NOBODY}
    * @param limitMs the time limit in milliseconds
    */
-  public void call(InetSocketAddress address, String processId, HttpMethod method, String target, long limitMs,
-      Consumer<CallResult> callback) {
+  public void call(InetSocketAddress address, String processId, HttpMethod method, String target,
+      long limitMs, Consumer<CallResult> callback) {
     PendingCall pendingCall = new PendingCall(callback);
     ChannelFuture connecting = new Bootstrap().group(loop).channel(channelType)
         .option(ChannelOption.TCP_NODELAY, true)
--- a/door/src/main/java/willowdoor/net/Attempt.java
+++ b/door/src/main/java/willowdoor/net/Attempt.java
@@ -116,9 +116,9 @@
   }
 
   /**
-   * Ends the attempt without its response. Its connection is closed first, as the response may still arrive on
-   * it and the next attempt begins with the end of this one; if the backend may lack a part of the request,
-   * with a reset, so that it never gets that part.
+   * Ends the attempt without its response. Its connection is closed first, as the response may still arrive
+   * on it and the next attempt begins with the end of this one. It is reset if the backend may lack a part of
+   * the request, which the backend then never gets.
    */
   final void abandon(Status status) {
     if (ended) {
--- a/door/src/main/java/willowdoor/net/BackendPool.java
+++ b/door/src/main/java/willowdoor/net/BackendPool.java
@@ -174,8 +174,8 @@
 
   /**
    * Takes the most recently used connection that has been quiet for as long as {@link ReuseGuard} wants, or
-   * returns null. Connections on the way that are closed, hold input that nobody asked for, or are idle for so
-   * long that the backend may be closing them, are discarded.
+   * returns null. Connections on the way that are closed, hold input that nobody asked for, or are idle for
+   * so long that the backend may be closing them, are discarded.
    */
   private BackendConnection takeIdle(Backend backend) {
     double now = clock.now();
--- a/door/src/main/java/willowdoor/net/FrontDoor.java
+++ b/door/src/main/java/willowdoor/net/FrontDoor.java
@@ -300,7 +300,8 @@
    * @param listen the address at which clients are to be taken
    * @param folder where processes of this front door find each other, or null
    */
-  void manage(InetSocketAddress address, InetSocketAddress listen, String folder) throws IOException, InterruptedException {
+  void manage(InetSocketAddress address, InetSocketAddress listen, String folder)
+      throws IOException, InterruptedException {
     configuredListen = listen;
     operations = new FrontDoorOperations(this, roster, clients, budget, memory, new ProcessFile(folder));
     driver.setBegunListener(operations::reportBegun);
@@ -451,8 +452,8 @@
   }
 
   /**
-   * Graceful shutdown: accepts a little longer, answers all accepted requests, then lets the process exit once
-   * no answer is under way any more.
+   * Graceful shutdown: accepts a little longer, answers all accepted requests, then lets the process exit
+   * once no answer is under way any more.
    */
   void drain() {
     loop.execute(() -> {
--- a/door/src/main/java/willowdoor/net/ModuleDriver.java
+++ b/door/src/main/java/willowdoor/net/ModuleDriver.java
@@ -583,8 +583,8 @@
       @Override
       AttemptStart startDecision(double nowMs, boolean backendReplaced) {
         return AttemptStart.of(new AttemptStart.Circumstances(ended(), state.finished, state.client.isGone(),
-            state.idBegunByAnother(), state.hasOtherInFlight(this), backendReplaced, conditions.beginByMs() - nowMs,
-            attemptDeadlineMs - nowMs));
+            state.idBegunByAnother(), state.hasOtherInFlight(this), backendReplaced,
+            conditions.beginByMs() - nowMs, attemptDeadlineMs - nowMs));
       }
 
       @Override
--- a/policy/src/main/java/willowdoor/policy/BegunRequests.java
+++ b/policy/src/main/java/willowdoor/policy/BegunRequests.java
@@ -7,8 +7,8 @@
 import java.util.Map;
 
 /**
- * The ids of requests that must not run twice and of which an attempt has begun, here or in another process of
- * the same front door. A request that comes again with such an id, after its client left or at the other
+ * The ids of requests that must not run twice and of which an attempt has begun, here or in another process
+ * of the same front door. A request that comes again with such an id, after its client left or at the other
  * process, is not run. An id is kept until its request can no longer be wanted; at the bound, the oldest is
  * dropped.
  */
