Test: the successor of HandoverTest reads the descriptor's byte as a byte

Cause: the byte that comes with the descriptor is arbitrary (printed: 16, 32, 40, 64, 68, 136, 208, 240), and the test read it through a UTF-8 reader, which waits for more from 128 on, until the ready limit ended the handover. A fault of the test's successor, which shows on arm64 only since epoll is there; the product's reads the descriptor itself. Change: ISO 8859-1, one byte a character; every check is as it was.

--- a/daemon/src/test/java/willowdoor/daemon/life/HandoverTest.java
+++ b/daemon/src/test/java/willowdoor/daemon/life/HandoverTest.java
@@ -352,8 +352,9 @@
 
     ScriptedSuccessor() throws IOException {
       channel.connect(UnixDomainSocketAddress.of(controlSocketPath()));
-      in = new BufferedReader(new InputStreamReader(Channels.newInputStream(channel), StandardCharsets.UTF_8),
-          1);
+      // The byte that carries the descriptor is arbitrary: in UTF-8 it might be the begin of a character.
+      in = new BufferedReader(new InputStreamReader(Channels.newInputStream(channel),
+          StandardCharsets.ISO_8859_1), 1);
     }
 
     void writeLine(String line) throws IOException {
