Test: a caller that leaves with the allow has sent its request before

Cause: the authoriser's script closes the caller's socket as soon as it is asked, which may be between the caller's write and its flush (Caller.sendRaw), so the caller fails, not the daemon. Change: the script waits until the caller has sent; the client still leaves just as the allow arrives, and every check is as it was.

--- a/daemon/src/test/java/willowdoor/daemon/life/ExternalAuthorisationTest.java
+++ b/daemon/src/test/java/willowdoor/daemon/life/ExternalAuthorisationTest.java
@@ -22,6 +22,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -285,16 +286,21 @@
     for (int i = 0; i < 30; i++) {
       DaemonFixture.Caller caller = fixture.caller(daemon);
       String id = "r" + i;
+      CountDownLatch sent = new CountDownLatch(1);
       authoriser.setScript(r -> {
         try {
+          sent.await(DaemonFixture.TIMEOUT_MS, TimeUnit.MILLISECONDS);
           fixture.daemons.rig.eventHistory().addRequestEntry(Kind.LEFT, id, "d0", 0, "");
           caller.close();
         } catch (IOException e) {
           throw new java.io.UncheckedIOException(e);
+        } catch (InterruptedException e) {
+          throw new IllegalStateException(e);
         }
         return StandInAuthoriser.allow();
       });
       caller.send(id, RequestKind.BUY, 2_000);
+      sent.countDown();
       fixture.daemons.awaitRecorded(id, Kind.ALLOWED);
     }
     authoriser.setScript(null);
