A process that leaves its clients to another one has them directed there first

Callers saw: a request on a new connection was reset during an upgrade. Cause: both processes listen at one address, and the kernel distributes new connections over both sockets; what comes to the leaving one between its last accept and its close is reset. Ruled out: an idle connection that was closed (a connection without a request is kept 300 ms), refusals (these are answers, and allowed there). Change: before it closes its socket, the process attaches a filter program to the group of sockets that directs new connections to the other one, accepts for 200 ms what had begun before, then closes. The one that stays detaches it. Without support the behaviour is as before.

--- a/door/src/main/java/willowdoor/net/ClientServer.java
+++ b/door/src/main/java/willowdoor/net/ClientServer.java
@@ -359,12 +359,12 @@
   }
 
   /**
-   * Like {@link #stopListening}, once the connections in the accept queue are accepted. Guards connections
+   * Like {@link #stopListening}, after a delay in which connections are still accepted. Guards connections
    * that came to this socket and not to that of the other process: closing the socket would reset them. The
    * loop polls its sockets before it runs its timers.
    */
-  void stopListeningAfterAccepting(Channel listening) {
-    listening.eventLoop().schedule(() -> listening.close(), 1, TimeUnit.MILLISECONDS);
+  void stopListeningAfterAccepting(Channel listening, long delayMs) {
+    listening.eventLoop().schedule(() -> listening.close(), delayMs, TimeUnit.MILLISECONDS);
   }
 
   /** Stops accepting connections, and closes those without a request. */
--- a/door/src/main/java/willowdoor/net/FrontDoor.java
+++ b/door/src/main/java/willowdoor/net/FrontDoor.java
@@ -35,6 +35,8 @@
   private static final Logger LOG = Logger.getLogger(FrontDoor.class.getName());
   private static final long KEEP_ACCEPTING_MS = ShutdownTimes.KEEP_ACCEPTING_MS;
   private static final long POLL_MS = 10;
+  /** How long connections that began before a process left its clients to another one may still come. */
+  private static final long MAX_HANDSHAKE_MS = 200;
   /** How long a process that has answered all requests stays for answers which still make progress. */
   private static final long MAX_ANSWERS_UNDER_WAY_MS = 60_000;
 
@@ -332,6 +334,13 @@
     driver.noteBegunElsewhere(ids);
   }
 
+  /** Called when this process is the only one of its front door again. */
+  void onAlone() {
+    if (serverChannel != null) {
+      ReusePortGroup.distribute(serverChannel);
+    }
+  }
+
   MemoryBudget memory() {
     return memory;
   }
@@ -507,7 +516,8 @@
   private void shutDownBesideOther() {
     driver.setDraining(true);
     clients.setCloseAfterAnswer(true);
-    clients.stopListeningAfterAccepting(serverChannel);
+    boolean directed = ReusePortGroup.directTo(serverChannel, operations.otherListenerIndex());
+    clients.stopListeningAfterAccepting(serverChannel, directed ? MAX_HANDSHAKE_MS : POLL_MS);
     clients.closeIdleConnections(0);
   }
 
--- a/door/src/main/java/willowdoor/net/FrontDoorOperations.java
+++ b/door/src/main/java/willowdoor/net/FrontDoorOperations.java
@@ -209,6 +209,11 @@
     return otherServes;
   }
 
+  /** Position of the other process's listening socket, in the order in which the two began to listen. */
+  int otherListenerIndex() {
+    return startedSecond ? 0 : 1;
+  }
+
   private void setOtherProcess(InetSocketAddress other) {
     otherProcess = new PeerProcess(loop, managementClient, other, this::onOtherLost);
     budget.setShare(startedSecond ? SECOND_PROCESS_SHARE : FIRST_PROCESS_SHARE);
@@ -219,6 +224,7 @@
     if (lost == otherProcess) {
       otherProcess = null;
       startedSecond = false;
+      door.onAlone();
       budget.setShare(1);
       memory.setShare(1);
       if (discoverable && !shuttingDown) {
--- a/door/src/test/java/willowdoor/net/UpgradeTest.java
+++ b/door/src/test/java/willowdoor/net/UpgradeTest.java
@@ -10,7 +10,9 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -29,6 +31,9 @@
   private static final String UP_REQUEST = "GET /up HTTP/1.1\r\nHost: a\r\n\r\n";
   /** Longer than the interval of the processes' checks, shorter than it and the limit of a check. */
   private static final long CHECK_IN_PROGRESS_MS = 600;
+  private static final int UPGRADES_UNDER_LOAD = 5;
+  private static final int CONNECTING_CLIENTS = 8;
+  private static final Set<Integer> SERVED_OR_REFUSED = Set.of(200, 429, 503);
 
   @TempDir
   private Path folder;
@@ -114,6 +119,65 @@
     }
   }
 
+  /** Guards against connections in the accept queue of a process that stops listening: they were reset. */
+  @Test
+  void connectionsThatComeWhileAProcessStopsListeningAreAnswered() throws Exception {
+    long whole = memoryPool(old);
+    for (int upgrade = 0; upgrade < UPGRADES_UNDER_LOAD; upgrade++) {
+      startReplacement();
+      List<Connecting> clients = new ArrayList<>();
+      for (int i = 0; i < CONNECTING_CLIENTS; i++) {
+        clients.add(new Connecting("u" + upgrade + "-" + i + "-"));
+      }
+      clients.forEach(Thread::start);
+      Thread ending = end(old);
+      ending.join();
+      for (Connecting client : clients) {
+        client.finish();
+      }
+      old = replacement;
+      replacement = null;
+      awaitCondition(() -> memoryPool(old) == whole);
+    }
+  }
+
+  /** Opens one connection after another, each with one request, until told to finish. */
+  private final class Connecting extends Thread {
+    private final InetSocketAddress address = (InetSocketAddress) old.address();
+    private final String idPrefix;
+    private volatile boolean finished;
+    private int answered;
+    private Throwable failure;
+
+    Connecting(String idPrefix) {
+      this.idPrefix = idPrefix;
+    }
+
+    @Override
+    public void run() {
+      try {
+        while (!finished) {
+          try (Client client = new Client(address)) {
+            int status = client.ask(Peers.get(idPrefix + answered, 3000)).status();
+            assertTrue(SERVED_OR_REFUSED.contains(status), "status " + status);
+            answered++;
+          }
+        }
+      } catch (IOException | AssertionError e) {
+        failure = e;
+      }
+    }
+
+    void finish() throws Exception {
+      finished = true;
+      join();
+      if (failure != null) {
+        throw new AssertionError("after " + answered + " requests of " + idPrefix, failure);
+      }
+      assertTrue(answered > 0);
+    }
+  }
+
   @Test
   void operatorStateIsInheritedAndOrdersApplyToBothProcesses() throws Exception {
     assertEquals(200, call(old, "POST /backends/disable?member=s-1"));
