The daemon's stop asks for answers that are under way, as the platform's does

Cause: InstanceLifecycle knew no answers, only the time since the last refusals; the platform's FrontDoor.drain had a limit of its own. Change: ShutdownHold (a decision) says for both whether the process stays; the lifecycle hears with each wake whether answers are under way. Not run: a stalled client's 15 s, the 60 s (unit test only).

--- a/daemon/src/main/java/willowdoor/daemon/life/Instance.java
+++ b/daemon/src/main/java/willowdoor/daemon/life/Instance.java
@@ -128,17 +128,23 @@
     wakeAtMs = atMs;
     loop.schedule(() -> {
       if (wakeAtMs == atMs) {
-        handle(new Woken());
+        reportAllAnswered();
+        handle(new Woken(door.hasAnswersUnderWay()));
       }
     }, (long) Math.ceil(Math.max(0, atMs - door.now()) * 1000) + 1, TimeUnit.MICROSECONDS);
   }
 
   /** Repeats the check until every accepted request is answered or the instance has stopped. */
   private void checkAllAnswered() {
+    reportAllAnswered();
+    if (lifecycle.phase() != Phase.STOPPED) {
+      loop.schedule(this::checkAllAnswered, IDLE_CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private void reportAllAnswered() {
     if (door.hasNoConnections()) {
       handle(new AllAnswered());
-    } else if (lifecycle.phase() != Phase.STOPPED) {
-      loop.schedule(this::checkAllAnswered, IDLE_CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
     }
   }
 }
--- a/daemon/src/test/java/willowdoor/daemon/life/ProcessTest.java
+++ b/daemon/src/test/java/willowdoor/daemon/life/ProcessTest.java
@@ -6,10 +6,13 @@
 
 import java.io.File;
 import java.io.IOException;
+import java.io.OutputStream;
 import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
@@ -22,12 +25,17 @@
 import willowdoor.testkit.DoorProcess;
 import willowdoor.testkit.EventHistory.Kind;
 import willowdoor.testkit.RequestKind;
+import willowdoor.testkit.StandInDiscovery.Listed;
 
 /** Behaviour that needs real processes and real signals. */
 @Timeout(90)
 class ProcessTest {
 
   private static final long SUSPENDED_MS = 5_000;
+  /** A long answer takes 6 s, and the limits of a shutdown are 3.7 s together. */
+  private static final int PIECES = 20;
+  private static final int PIECE_BYTES = 10_000;
+  private static final long PIECE_INTERVAL_MS = 300;
 
   private DaemonFixture fixture;
   private InetSocketAddress address;
@@ -81,6 +89,50 @@
     assertRulesKept();
   }
 
+  /** Guards against a stop, also one told twice, that cuts off an answer which its backend still writes. */
+  @Test
+  void sigtermWaitsForALongAnswerThatStillComes() throws Exception {
+    try (ServerSocket backend = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      fixture.rig.backendPool().all().forEach(b -> fixture.rig.discovery().setState(b.name(), "left"));
+      fixture.rig.discovery().publish(
+          new Listed("slow", (InetSocketAddress) backend.getLocalSocketAddress(), "a", "active", 0));
+      Thread answering = new Thread(() -> writeLongAnswers(backend));
+      answering.setDaemon(true);
+      answering.start();
+      startAndAwaitUp();
+      DaemonFixture.Caller caller = fixture.new Caller(address, "d0");
+      caller.sendRaw(caller.requestText("r1", RequestKind.QUOTE, 3_000));
+      Thread.sleep(PIECE_INTERVAL_MS);
+      door.terminate();
+      Thread.sleep(PIECE_INTERVAL_MS);
+      door.terminate();
+      int received = caller.socket.getInputStream().readAllBytes().length;
+      assertTrue(received > PIECES * PIECE_BYTES, () -> received + " bytes came\n" + readLog());
+      assertTrue(DoorProcess.join(door.process(), DaemonFixture.TIMEOUT_MS));
+      assertEquals(0, door.process().exitValue(), this::readLog);
+    }
+  }
+
+  /** Writes answers of over 64 KiB that take longer than the limits of a shutdown together. */
+  private static void writeLongAnswers(ServerSocket backend) {
+    try {
+      while (true) {
+        try (Socket socket = backend.accept()) {
+          socket.getInputStream().read(new byte[PIECE_BYTES]);
+          OutputStream out = socket.getOutputStream();
+          out.write(("HTTP/1.1 200 OK\r\nContent-Length: " + PIECES * PIECE_BYTES + "\r\n\r\n").getBytes(
+              StandardCharsets.US_ASCII));
+          for (int i = 0; i < PIECES; i++) {
+            out.write(new byte[PIECE_BYTES]);
+            Thread.sleep(PIECE_INTERVAL_MS);
+          }
+        }
+      }
+    } catch (IOException | InterruptedException e) {
+      // The test has ended, or the gateway has closed the connection.
+    }
+  }
+
   @Test
   void anInvalidFileOrAnAddressInUseFailsTheStartWithItsExitCode() throws Exception {
     startAndAwaitUp();
--- a/door/src/main/java/willowdoor/net/ClientConnection.java
+++ b/door/src/main/java/willowdoor/net/ClientConnection.java
@@ -475,7 +475,8 @@
         currentRequestId = null;
         memory.setCurrent(0);
         idleSinceMs = server.now();
-        closing |= !keep || closeAfterPending && pending.isEmpty();
+        boolean isLast = closeAfterPending || server.hasStoppedAccepting();
+        closing |= !keep || isLast && pending.isEmpty();
         channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT).addListener(closing
             ? ChannelFutureListener.CLOSE : ChannelFutureListener.CLOSE_ON_FAILURE);
         if (closing) {
--- a/door/src/main/java/willowdoor/net/FrontDoor.java
+++ b/door/src/main/java/willowdoor/net/FrontDoor.java
@@ -23,6 +23,7 @@
 import willowdoor.policy.GatewayApi.Request;
 import willowdoor.policy.LearnedState;
 import willowdoor.policy.QuotaPolicy;
+import willowdoor.policy.ShutdownHold;
 import willowdoor.recovery.CounterWatch;
 
 /**
@@ -37,8 +38,6 @@
   private static final long POLL_MS = 10;
   /** How long connections that began before a process left its clients to another one may still come. */
   private static final long MAX_HANDSHAKE_MS = 200;
-  /** How long a process that has answered all requests stays for answers which still make progress. */
-  private static final long MAX_ANSWERS_UNDER_WAY_MS = 60_000;
 
   private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, Transport.PREFERRED.ioHandler());
   final EventLoop loop = group.next();
@@ -431,6 +430,11 @@
     return clients.hasNoConnections();
   }
 
+  /** Whether an answer is being passed on, or a client has not taken all of one; called on the loop. */
+  public boolean hasAnswersUnderWay() {
+    return clients.hasAnswersUnderWay();
+  }
+
   /** Number of requests without a final answer, or with an attempt in flight. */
   public int heldRequests() {
     return driver.heldRequests();
@@ -493,8 +497,8 @@
 
   /** Waits for the answers that are passed on or taken by their clients; each ends by its own limits. */
   private void awaitAnswersUnderWay() throws InterruptedException, ExecutionException {
-    long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(MAX_ANSWERS_UNDER_WAY_MS);
-    while (System.nanoTime() < endNanos && loop.submit(clients::hasAnswersUnderWay).get()
+    double sinceMs = clock.now();
+    while (ShutdownHold.holds(clock.now() - sinceMs, loop.submit(clients::hasAnswersUnderWay).get())
         && !drained.await(POLL_MS, TimeUnit.MILLISECONDS)) {
       LOG.log(Level.FINE, "answers are under way");
     }
--- a/policy/src/main/java/willowdoor/life/InstanceLifecycle.java
+++ b/policy/src/main/java/willowdoor/life/InstanceLifecycle.java
@@ -22,6 +22,7 @@
 import willowdoor.life.LifecycleEvent.SuccessorReady;
 import willowdoor.life.LifecycleEvent.WarmUpEnded;
 import willowdoor.life.LifecycleEvent.Woken;
+import willowdoor.policy.ShutdownHold;
 
 /**
  * The state machine of one instance, from its start to its exit code: events and the time in, actions out.
@@ -34,7 +35,7 @@
  *   READY --OutOfService--> OUT --BackInService--> READY
  *   ANSWERING --answer limit--> FAILING
  *   ANSWERING, FAILING --AllAnswered--> STOPPED
- *   FAILING --last limit--> STOPPED
+ *   FAILING --last limit, no answer under way--> STOPPED
  *   any phase --FatalError--> STOPPED
  * </pre>
  *
@@ -43,7 +44,7 @@
  * <p>The state machine guards against three kinds of loss. Connections in the accept queue belong to this
  * instance, so if it is told to end while it warms up, it still accepts connections for its accept window and
  * serves them. Every accepted request is answered: normally until the answer limit, as failed at that limit;
- * only the last limit, for clients that read nothing, ends the process while an answer is not sent. And an
+ * from the last limit on the process stays for answers under way only, as {@link ShutdownHold} tells. And an
  * instance that was replaced serves again if its successor dies within the accept window; after that it has
  * closed the socket. A second end signal shortens the answer limit, counted from that signal.
  */
@@ -53,9 +54,12 @@
   public static final int EXIT_ORDERLY = 0;
   /** Exit code if the instance could not start or continue. */
   public static final int EXIT_FAILURE = 1;
-  /** Exit code if the last limit passed while clients had not read their answers. */
+  /** Exit code if connections were left open when the process could stay no longer. */
   public static final int EXIT_UNREAD = 3;
 
+  /** Interval of the checks for answers under way, in milliseconds. */
+  private static final double HOLD_CHECK_MS = 50;
+
   /** Phase of an instance; OUT is READY but out of service by the fleet's decision, sending clients away. */
   public enum Phase { STARTING, WARMING, READY, OUT, DRAINING, ANSWERING, FAILING, STOPPED }
 
@@ -66,8 +70,8 @@
    * @param answerMs time after the end signal at which pending requests are answered as failed; at least
    *     acceptMs
    * @param hurriedMs the same, counted from a second signal; at least 0
-   * @param lastMs how long clients may take, after pending requests were answered as failed, to read their
-   *     answers; at least 1
+   * @param lastMs how long after pending requests were answered as failed the process stays in any case;
+   *     after that it stays for answers under way; at least 1
    */
   public record ShutdownLimits(double acceptMs, double answerMs, double hurriedMs, double lastMs) {
 
@@ -134,8 +138,8 @@
       onBackInService(actions);
     } else if (event instanceof AllAnswered) {
       onAllAnswered(actions);
-    } else if (event instanceof Woken) {
-      onWoken(nowMs, actions);
+    } else if (event instanceof Woken woken) {
+      onWoken(nowMs, woken, actions);
     }
     return actions;
   }
@@ -250,7 +254,7 @@
     }
   }
 
-  private void onWoken(double now, List<LifecycleAction> actions) {
+  private void onWoken(double now, Woken woken, List<LifecycleAction> actions) {
     if (phase == Phase.DRAINING && now >= acceptUntil) {
       phase = Phase.ANSWERING;
       actions.add(new StopAccepting());
@@ -262,7 +266,11 @@
       actions.add(new FailPendingRequests());
       actions.add(new WakeAt(lastUntil));
     } else if (phase == Phase.FAILING && now >= lastUntil) {
-      stop(EXIT_UNREAD, actions);
+      if (ShutdownHold.holds(now - lastUntil, woken.answersUnderWay())) {
+        actions.add(new WakeAt(now + HOLD_CHECK_MS));
+      } else {
+        stop(EXIT_UNREAD, actions);
+      }
     }
   }
 
--- a/policy/src/main/java/willowdoor/life/LifecycleEvent.java
+++ b/policy/src/main/java/willowdoor/life/LifecycleEvent.java
@@ -27,8 +27,12 @@
   /** Every accepted request is answered, and no client's connection is open. */
   record AllAnswered() implements LifecycleEvent { }
 
-  /** The time of a {@link LifecycleAction.WakeAt} has come. */
-  record Woken() implements LifecycleEvent { }
+  /**
+   * The time of a {@link LifecycleAction.WakeAt} has come.
+   *
+   * @param answersUnderWay whether an answer is being passed on, or a client has not taken all of one
+   */
+  record Woken(boolean answersUnderWay) implements LifecycleEvent { }
 
   /** The instance can't continue: it could not bind its socket, or its event loop ended. */
   record FatalError(String cause) implements LifecycleEvent { }
--- a/policy/src/test/java/willowdoor/life/InstanceLifecycleTest.java
+++ b/policy/src/test/java/willowdoor/life/InstanceLifecycleTest.java
@@ -29,6 +29,7 @@
 import willowdoor.life.LifecycleEvent.SuccessorReady;
 import willowdoor.life.LifecycleEvent.WarmUpEnded;
 import willowdoor.life.LifecycleEvent.Woken;
+import willowdoor.policy.ShutdownHold;
 
 /** Single histories of an instance, and all short histories. */
 class InstanceLifecycleTest {
@@ -51,8 +52,8 @@
   void servesAndShutsDownGracefully() {
     becomeReady();
     assertActions(1_000, new EndSignal(), new BeginDrain(), new WakeAt(1_500));
-    assertActions(1_499, new Woken());
-    assertActions(1_500, new Woken(), new StopAccepting(), new WakeAt(4_000));
+    assertActions(1_499, new Woken(false));
+    assertActions(1_500, new Woken(false), new StopAccepting(), new WakeAt(4_000));
     assertActions(2_000, new AllAnswered(), new Close(InstanceLifecycle.EXIT_ORDERLY));
     assertActions(2_001, new EndSignal());
   }
@@ -61,9 +62,9 @@
   void failsPendingRequestsAtTheAnswerLimitAndEndsOnceTheAnswersAreRead() {
     becomeReady();
     assertActions(1_000, new EndSignal(), new BeginDrain(), new WakeAt(1_500));
-    assertActions(1_500, new Woken(), new StopAccepting(), new WakeAt(4_000));
-    assertActions(3_999, new Woken());
-    assertActions(4_000, new Woken(), new FailPendingRequests(), new WakeAt(4_400));
+    assertActions(1_500, new Woken(false), new StopAccepting(), new WakeAt(4_000));
+    assertActions(3_999, new Woken(false));
+    assertActions(4_000, new Woken(false), new FailPendingRequests(), new WakeAt(4_400));
     assertActions(4_100, new AllAnswered(), new Close(InstanceLifecycle.EXIT_ORDERLY));
   }
 
@@ -71,10 +72,35 @@
   void endsAtTheLastLimitIfAClientReadsNothing() {
     becomeReady();
     assertActions(1_000, new EndSignal(), new BeginDrain(), new WakeAt(1_500));
-    assertActions(1_500, new Woken(), new StopAccepting(), new WakeAt(4_000));
-    assertActions(4_000, new Woken(), new FailPendingRequests(), new WakeAt(4_400));
-    assertActions(4_399, new Woken());
-    assertActions(4_400, new Woken(), new Close(InstanceLifecycle.EXIT_UNREAD));
+    assertActions(1_500, new Woken(false), new StopAccepting(), new WakeAt(4_000));
+    assertActions(4_000, new Woken(false), new FailPendingRequests(), new WakeAt(4_400));
+    assertActions(4_399, new Woken(false));
+    assertActions(4_400, new Woken(false), new Close(InstanceLifecycle.EXIT_UNREAD));
+  }
+
+  /** Guards against a stop that cuts off answers which still make progress. */
+  @Test
+  void staysForAnswersUnderWayAfterTheLastLimitAndEndsOnceTheyHaveEnded() {
+    becomeReady();
+    assertActions(1_000, new EndSignal(), new BeginDrain(), new WakeAt(1_500));
+    assertActions(1_500, new Woken(true), new StopAccepting(), new WakeAt(4_000));
+    assertActions(4_000, new Woken(true), new FailPendingRequests(), new WakeAt(4_400));
+    assertActions(4_400, new Woken(true), new WakeAt(4_450));
+    assertActions(9_000, new EndSignal());
+    assertActions(9_000, new Woken(true), new WakeAt(9_050));
+    assertActions(9_040, new AllAnswered(), new Close(InstanceLifecycle.EXIT_ORDERLY));
+  }
+
+  @Test
+  void staysForAnswersUnderWayUntilTheLimitOfTheHold() {
+    becomeReady();
+    assertActions(1_000, new EndSignal(), new BeginDrain(), new WakeAt(1_500));
+    assertActions(1_500, new Woken(true), new StopAccepting(), new WakeAt(4_000));
+    assertActions(4_000, new Woken(true), new FailPendingRequests(), new WakeAt(4_400));
+    assertActions(4_399 + ShutdownHold.MAX_HOLD_MS, new Woken(true),
+        new WakeAt(4_449 + ShutdownHold.MAX_HOLD_MS));
+    assertActions(4_400 + ShutdownHold.MAX_HOLD_MS, new Woken(true),
+        new Close(InstanceLifecycle.EXIT_UNREAD));
   }
 
   @Test
@@ -83,7 +109,7 @@
     assertActions(1_000, new EndSignal(), new BeginDrain(), new WakeAt(1_500));
     assertActions(1_100, new EndSignal(), new WakeAt(1_300));
     assertActions(1_200, new EndSignal());
-    assertActions(1_300, new Woken(), new StopAccepting(), new WakeAt(1_300), new FailPendingRequests(),
+    assertActions(1_300, new Woken(false), new StopAccepting(), new WakeAt(1_300), new FailPendingRequests(),
         new WakeAt(1_700));
   }
 
@@ -91,9 +117,9 @@
   void aSecondSignalAfterTheAcceptWindowNeverLengthensTheLimit() {
     becomeReady();
     assertActions(1_000, new EndSignal(), new BeginDrain(), new WakeAt(1_500));
-    assertActions(1_500, new Woken(), new StopAccepting(), new WakeAt(4_000));
+    assertActions(1_500, new Woken(false), new StopAccepting(), new WakeAt(4_000));
     assertActions(3_900, new EndSignal(), new WakeAt(4_000));
-    assertActions(4_000, new Woken(), new FailPendingRequests(), new WakeAt(4_400));
+    assertActions(4_000, new Woken(false), new FailPendingRequests(), new WakeAt(4_400));
     assertActions(4_001, new EndSignal());
   }
 
@@ -136,7 +162,7 @@
     assertActions(10, new EndSignal());
     assertActions(20, new SocketBound(), new Accept(), new BeginDrain(), new WakeAt(520));
     assertActions(30, new WarmUpEnded());
-    assertActions(520, new Woken(), new StopAccepting(), new WakeAt(3_020));
+    assertActions(520, new Woken(false), new StopAccepting(), new WakeAt(3_020));
   }
 
   @Test
@@ -153,7 +179,7 @@
     assertActions(5_000, new SuccessorReady(), new LeaveSocketToSuccessor(), new BeginDrain(),
         new WakeAt(5_500));
     assertActions(5_100, new SuccessorReady());
-    assertActions(5_500, new Woken(), new StopAccepting(), new WakeAt(8_000));
+    assertActions(5_500, new Woken(false), new StopAccepting(), new WakeAt(8_000));
     assertActions(5_600, new SuccessorLost());
     assertActions(5_700, new AllAnswered(), new Close(InstanceLifecycle.EXIT_ORDERLY));
   }
@@ -164,7 +190,7 @@
     assertActions(5_000, new SuccessorReady(), new LeaveSocketToSuccessor(), new BeginDrain(),
         new WakeAt(5_500));
     assertActions(5_100, new SuccessorLost(), new Accept(), new Resume());
-    assertActions(5_500, new Woken());
+    assertActions(5_500, new Woken(false));
     assertEquals(Phase.READY, lifecycle.phase());
     assertActions(6_000, new SuccessorReady(), new LeaveSocketToSuccessor(), new BeginDrain(),
         new WakeAt(6_500));
@@ -198,12 +224,12 @@
   void unexpectedEventsAreIgnored() {
     assertActions(0, new WarmUpEnded());
     assertActions(0, new AllAnswered());
-    assertActions(0, new Woken());
+    assertActions(0, new Woken(false));
     becomeReady();
     assertActions(800, new SocketBound());
     assertActions(800, new WarmUpEnded());
     assertActions(800, new AllAnswered());
-    assertActions(800, new Woken());
+    assertActions(800, new Woken(false));
   }
 
   @Test
@@ -220,7 +246,7 @@
   void inEveryShortHistoryTheSocketIsServedUntilItsEndAndTheEndComesOnce() {
     List<LifecycleEvent> events = List.of(new SocketBound(), new WarmUpEnded(), new EndSignal(),
         new SuccessorReady(),
-        new SuccessorLost(), new AllAnswered(), new Woken());
+        new SuccessorLost(), new AllAnswered(), new Woken(false));
     int[] history = new int[6];
     int choices = events.size() * 2;
     long histories = 1;
