The daemon's hand-over claims ids too, over its own connection

Cause: the processes told each other the learned state, and nothing of requests. IdClaims comes last of the filters.

--- a/daemon/src/main/java/willowdoor/daemon/life/ControlSocket.java
+++ b/daemon/src/main/java/willowdoor/daemon/life/ControlSocket.java
@@ -41,16 +41,18 @@
   private final FrontDoor door;
   private final Path path;
   private final long readyLimitMs;
+  private final HandoverClaims claims;
   private Channel serverChannel;
   private int connections;
   /** The connection of the successor that currently takes over, or null. */
   private SuccessorConnection successor;
 
-  ControlSocket(FrontDoor door, Instance instance, Path path, long readyLimitMs) {
+  ControlSocket(FrontDoor door, Instance instance, Path path, long readyLimitMs, HandoverClaims claims) {
     this.door = door;
     this.instance = instance;
     this.path = path;
     this.readyLimitMs = readyLimitMs;
+    this.claims = claims;
   }
 
   /** Listens on the path. Blocks, so it must not be called on an event loop. */
@@ -113,6 +115,9 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, String line) {
+      if (successor == this && descriptorSent && claims.handle(ctx, line)) {
+        return;
+      }
       String[] words = line.split(" ");
       if (words[0].equals(HandoverProtocol.TAKE_OVER) && words.length == 4) {
         handleTakeOver(ctx, words);
@@ -123,6 +128,7 @@
           || line.equals(HandoverProtocol.READY_FOR_LEARNED_STATE)) && descriptorSent && !ready) {
         ready = true;
         LOG.info("process " + pid + " has taken over " + listenAddress());
+        claims.onOtherTakesClients(ctx);
         instance.post(new SuccessorReady());
         HandoverProtocol.writeLine(ctx, HandoverProtocol.CONFIRMED);
         if (line.equals(HandoverProtocol.READY_FOR_LEARNED_STATE)) {
@@ -153,7 +159,7 @@
           }
         }, readyLimitMs, TimeUnit.MILLISECONDS);
         HandoverProtocol.writeLine(ctx, HandoverProtocol.HANDING + " " + ProcessHandle.current().pid() + " "
-            + LearnedStateLines.LINE_PREFIX);
+            + HandoverClaims.SUPPORTED + " " + LearnedStateLines.LINE_PREFIX);
       }
     }
 
@@ -170,6 +176,7 @@
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
       connections -= counted ? 1 : 0;
+      claims.detach(ctx);
       if (successor == this) {
         successor = null;
         if (ready) {
--- a/daemon/src/main/java/willowdoor/daemon/life/Daemon.java
+++ b/daemon/src/main/java/willowdoor/daemon/life/Daemon.java
@@ -21,6 +21,7 @@
 import willowdoor.life.LifecycleEvent.EndSignal;
 import willowdoor.net.Config;
 import willowdoor.net.FrontDoor;
+import willowdoor.net.IdClaims;
 import willowdoor.net.RequestFilter;
 import willowdoor.net.RequestFilterChain;
 import willowdoor.policy.LearnedState;
@@ -43,6 +44,8 @@
   private final FrontDoor door;
   private final Instance instance;
   private final ControlSocket controlSocket;
+  /** Null if no process can take over. */
+  private final HandoverClaims claims;
   private HandoverClient handoverClient;
   private ExtAuthzGate authorisationGate;
   private FairGate fairGate;
@@ -94,8 +97,9 @@
       }
     });
     String path = config.takeOver().controlSocket();
+    claims = path.isEmpty() ? null : new HandoverClaims(door);
     controlSocket = path.isEmpty() ? null : new ControlSocket(door, instance, Path.of(path), config.takeOver()
-        .readyLimitMs());
+        .readyLimitMs(), claims);
   }
 
   /**
@@ -118,7 +122,7 @@
    */
   public Daemon start(boolean mayTakeOver) throws IOException, InterruptedException {
     try {
-      openGates();
+      openFilters();
       listen(mayTakeOver);
       startAgreement();
     } catch (IOException | RuntimeException e) {
@@ -130,24 +134,31 @@
   }
 
   /**
-   * Opens the configured gates. The classes of external authorisation and of the fair queue are loaded only
-   * if the configuration enables them.
+   * Opens the configured filters, which requests pass in this order: external authorisation, the fair queue,
+   * the claims of ids. The classes of the first two are loaded only if the configuration enables them.
    */
-  private void openGates() throws IOException, InterruptedException {
+  private void openFilters() throws IOException, InterruptedException {
+    RequestFilter filters = null;
     if (config.authorisation() != null) {
       authorisationGate = ExtAuthzGate.open(config.authorisation(), config.instance().name(), door.group(),
           door::now,
           new SecureRandom().nextLong());
-      ExtAuthzGate opened = authorisationGate;
-      door.loop().submit(() -> door.setFilter(opened)).sync();
+      filters = authorisationGate;
     }
     if (config.fair() != null) {
       fairGate = new FairGate(door.loop(), door::now, config.settings(), config.fair().settings(),
           door::trafficShare, config.fair().clientBy(), config.fair().header());
-      RequestFilter chain = authorisationGate == null ? fairGate
-          : new RequestFilterChain(authorisationGate, fairGate);
-      door.loop().submit(() -> door.setFilter(chain)).sync();
+      filters = append(filters, fairGate);
     }
+    if (claims != null) {
+      filters = append(filters, new IdClaims(door.loop(), claims));
+    }
+    RequestFilter opened = filters;
+    door.loop().submit(() -> door.setFilter(opened)).sync();
+  }
+
+  private static RequestFilter append(RequestFilter before, RequestFilter last) {
+    return before == null ? last : new RequestFilterChain(before, last);
   }
 
   /** Starts the agreement if it is configured; its classes are loaded only then. */
@@ -203,7 +214,7 @@
             "cannot take over: take_over.control_socket is not set, or this machine has no epoll");
       }
       handoverClient = HandoverClient.connect(door.group(), Path.of(config.takeOver().controlSocket()),
-          formatAddress(address),
+          formatAddress(address), claims,
           () -> instance
           .post(new FatalError("the running instance refused after it had handed over its socket")),
           this::inheritLearnedState);
--- /dev/null
+++ b/daemon/src/main/java/willowdoor/daemon/life/HandoverClaims.java
@@ -0,0 +1,131 @@
+package willowdoor.daemon.life;
+
+import io.netty.channel.ChannelHandlerContext;
+import java.net.URLDecoder;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import willowdoor.net.FrontDoor;
+import willowdoor.net.IdClaims;
+
+/**
+ * The claims of request ids ({@link IdClaims}) between the two processes of a handover, as lines on its
+ * connection, in both directions. Ids are percent-encoded:
+ *
+ * <pre>
+ *   claim NUMBER ID...       requests with these ids are about to begin at the sender
+ *   claimed NUMBER ID...     the reply: those of the ids that must not begin there
+ * </pre>
+ *
+ * <p>The holder adds the word {@code claims} to its line {@code handing}; the successor then sends an empty
+ * claim before it is ready. An older process does neither, and gets no such line. Everything runs on the
+ * event loop.
+ */
+final class HandoverClaims implements IdClaims.Peer {
+
+  static final String SUPPORTED = "claims";
+  private static final String CLAIM = "claim";
+  private static final String CLAIMED = "claimed";
+
+  private final FrontDoor door;
+  /** The connection to the other process, or null. */
+  private ChannelHandlerContext other;
+  private boolean otherTakesClients;
+  private long lastNumber;
+  /** Waits for the reply to the last claim, or null. */
+  private IdClaims.RejectedIds callback;
+
+  HandoverClaims(FrontDoor door) {
+    this.door = door;
+  }
+
+  /**
+   * From now on, ids are claimed at the process at the other end of the connection.
+   *
+   * @param takesClients whether that process takes clients; if not, {@link #onOtherTakesClients} follows
+   */
+  void attach(ChannelHandlerContext connection, boolean takesClients) {
+    if (other != connection) {
+      detach(other);
+      other = connection;
+      otherTakesClients = takesClients;
+    }
+  }
+
+  void onOtherTakesClients(ChannelHandlerContext connection) {
+    otherTakesClients |= other == connection;
+  }
+
+  /** The connection has ended. */
+  void detach(ChannelHandlerContext connection) {
+    if (other == connection) {
+      other = null;
+      finish(lastNumber, Set.of());
+    }
+  }
+
+  /** Handles a line of the connection if it is about claims; returns whether it is. */
+  boolean handle(ChannelHandlerContext connection, String line) {
+    String[] words = line.split(" ");
+    if (words.length < 2 || !words[0].equals(CLAIM) && !words[0].equals(CLAIMED)) {
+      return false;
+    }
+    try {
+      List<String> ids = Stream.of(words).skip(2)
+          .map(word -> URLDecoder.decode(word, StandardCharsets.UTF_8)).toList();
+      if (words[0].equals(CLAIM)) {
+        attach(connection, false);
+        reply(words[1], ids);
+      } else if (other == connection) {
+        finish(Long.parseLong(words[1]), Set.copyOf(ids));
+      }
+      return true;
+    } catch (IllegalArgumentException e) {
+      return false;
+    }
+  }
+
+  private void reply(String number, List<String> ids) {
+    HandoverProtocol.writeLine(other, line(CLAIMED, number, door.noteClaimedElsewhere(ids)));
+  }
+
+  private static String line(String word, String number, List<String> ids) {
+    Function<String, String> encode = id -> " " + URLEncoder.encode(id, StandardCharsets.UTF_8);
+    return word + " " + number + ids.stream().map(encode).collect(Collectors.joining());
+  }
+
+  @Override
+  public boolean exists() {
+    return other != null;
+  }
+
+  @Override
+  public boolean takesClients() {
+    return other != null && otherTakesClients;
+  }
+
+  @Override
+  public void claim(List<String> ids, IdClaims.RejectedIds whenReplied) {
+    if (other == null) {
+      whenReplied.accept(Set.of());
+      return;
+    }
+    long number = ++lastNumber;
+    callback = whenReplied;
+    HandoverProtocol.writeLine(other, line(CLAIM, Long.toString(number), ids));
+    door.loop().schedule(() -> finish(number, Set.of()), IdClaims.REPLY_LIMIT_MS, TimeUnit.MILLISECONDS);
+  }
+
+  private void finish(long number, Set<String> rejected) {
+    if (callback != null && number == lastNumber) {
+      IdClaims.RejectedIds finished = callback;
+      callback = null;
+      finished.accept(rejected);
+    }
+  }
+}
--- a/daemon/src/main/java/willowdoor/daemon/life/HandoverClient.java
+++ b/daemon/src/main/java/willowdoor/daemon/life/HandoverClient.java
@@ -13,6 +13,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -33,14 +34,17 @@
 
   private final CompletableFuture<Integer> descriptor = new CompletableFuture<>();
   private final CompletableFuture<Void> confirmed = new CompletableFuture<>();
+  private final HandoverClaims claims;
   private final Runnable onLateRefusal;
   private final Consumer<LearnedState> onLearned;
   private final LearnedStateLines learnedLines = new LearnedStateLines();
   private Channel channel;
   private volatile boolean holderSendsLearnedState;
+  private boolean holderTakesClaims;
   private boolean acceptsLearnedState = true;
 
-  private HandoverClient(Runnable onLateRefusal, Consumer<LearnedState> onLearned) {
+  private HandoverClient(HandoverClaims claims, Runnable onLateRefusal, Consumer<LearnedState> onLearned) {
+    this.claims = claims;
     this.onLateRefusal = onLateRefusal;
     this.onLearned = onLearned;
   }
@@ -49,15 +53,16 @@
    * Connects to the control socket and requests the handover. Returns null if there is no file at the path or
    * no process listens there, so that there is nothing to take over.
    *
+   * @param claims claims ids at the holder once it has handed over
    * @param onLateRefusal called if the holder refuses after it has handed the socket over
    * @param onLearned called with the learned state of the holder, once it has been received completely
    */
-  static HandoverClient connect(EventLoopGroup group, Path path, String listenAddress, Runnable onLateRefusal,
-      Consumer<LearnedState> onLearned) throws IOException, InterruptedException {
+  static HandoverClient connect(EventLoopGroup group, Path path, String listenAddress, HandoverClaims claims,
+      Runnable onLateRefusal, Consumer<LearnedState> onLearned) throws IOException, InterruptedException {
     if (!Files.exists(path)) {
       return null;
     }
-    HandoverClient client = new HandoverClient(onLateRefusal, onLearned);
+    HandoverClient client = new HandoverClient(claims, onLateRefusal, onLearned);
     ChannelFuture connected = new Bootstrap().group(group).channel(EpollDomainSocketChannel.class)
         .handler(new ChannelInitializer<Channel>() {
           @Override
@@ -103,6 +108,10 @@
     public void channelRead(ChannelHandlerContext ctx, Object message) {
       if (message instanceof FileDescriptor fd) {
         HandoverProtocol.setDescriptorMode(ctx, false);
+        if (holderTakesClaims) {
+          claims.attach(ctx, true);
+          claims.claim(List.of(), rejected -> { });
+        }
         descriptor.complete(fd.intValue());
       } else if (message instanceof String line) {
         handleLine(ctx, line);
@@ -110,7 +119,11 @@
     }
 
     private void handleLine(ChannelHandlerContext ctx, String line) {
+      if (claims.handle(ctx, line)) {
+        return;
+      }
       if (line.startsWith(HandoverProtocol.HANDING + " ")) {
+        holderTakesClaims = List.of(line.split(" ")).contains(HandoverClaims.SUPPORTED);
         holderSendsLearnedState = line.endsWith(" " + LearnedStateLines.LINE_PREFIX);
         HandoverProtocol.setDescriptorMode(ctx, true);
         HandoverProtocol.writeLine(ctx, HandoverProtocol.SEND);
@@ -142,6 +155,7 @@
      */
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
+      claims.detach(ctx);
       descriptor.completeExceptionally(new IOException("the running instance ended before it handed over"));
     }
 
--- a/daemon/src/main/java/willowdoor/daemon/life/HandoverProtocol.java
+++ b/daemon/src/main/java/willowdoor/daemon/life/HandoverProtocol.java
@@ -15,7 +15,7 @@
  *
  * <pre>
  *   successor -> holder   takeover 1 PID ADDRESS
- *   holder -> successor   handing PID learned      or  refused REASON, then close
+ *   holder -> successor   handing PID claims learned   or  refused REASON, then close
  *   successor -> holder   send
  *   holder -> successor   (the descriptor)
  *   successor -> holder   ready learned            it accepts connections from now on
@@ -27,6 +27,8 @@
  * only if both sides have added it. An older process sends {@code handing PID} or {@code ready}, and
  * receives only lines that it understands.
  *
+ * <p>Claims of request ids go both ways on the same connection ({@link HandoverClaims}).
+ *
  * <p>The connection stays open while the holder drains, so that each side notices if the other one dies.
  */
 final class HandoverProtocol {
@@ -39,7 +41,7 @@
   static final String READY = "ready";
   static final String READY_FOR_LEARNED_STATE = READY + " " + LearnedStateLines.LINE_PREFIX;
   static final String CONFIRMED = "yours";
-  private static final int MAX_LINE_BYTES = 512;
+  private static final int MAX_LINE_BYTES = 1_024;
 
   private HandoverProtocol() {
   }
--- a/daemon/src/test/java/willowdoor/daemon/life/HandoverTest.java
+++ b/daemon/src/test/java/willowdoor/daemon/life/HandoverTest.java
@@ -37,6 +37,8 @@
 @Timeout(60)
 class HandoverTest {
 
+  private static final int CLAIMED_REQUESTS = 10;
+
   private DaemonFixture fixture;
 
   @BeforeEach
@@ -90,6 +92,45 @@
     assertRulesKept();
   }
 
+  /** Guards against an id that runs twice when it comes to both processes of a handover. */
+  @Test
+  void anIdThatComesToBothProcessesDoesNotRunTwice() throws Exception {
+    Daemon old = fixture.createDaemon(new InetSocketAddress("127.0.0.1", 0), "[end]\naccept_ms = 3000\n")
+        .start(false);
+    DaemonFixture.awaitUp(old.address());
+    DaemonFixture.await("control socket", () -> Files.exists(controlSocketPath()));
+    List<DaemonFixture.Caller> atPredecessor = new ArrayList<>();
+    for (int i = 0; i < CLAIMED_REQUESTS; i++) {
+      atPredecessor.add(fixture.new Caller(old.address(), "d0"));
+      atPredecessor.get(i).send("kept" + i, RequestKind.QUOTE, 3_000);
+      assertEquals(200, atPredecessor.get(i).receiveStatus());
+    }
+    DaemonFixture.Caller probe = fixture.new Caller(old.address(), "d0");
+    fixture.createDaemon(old.address(), "").start(true);
+    DaemonFixture.await("the predecessor drains", () -> isDraining(probe));
+    for (int i = 0; i < CLAIMED_REQUESTS; i++) {
+      DaemonFixture.Caller atSuccessor = fixture.new Caller(old.address(), "d0");
+      String request = atSuccessor.requestText("r" + i, RequestKind.TRANSFER, 3_000);
+      atPredecessor.get(i).sendRaw(request);
+      atSuccessor.sendRaw(request);
+      atPredecessor.get(i).receiveStatus("r" + i);
+      atSuccessor.receiveStatus("r" + i);
+      String id = "r" + i;
+      assertTrue(fixture.history(id).stream().filter(e -> e.kind() == Kind.EFFECT).count() <= 1, id);
+    }
+    assertServes(old.address(), "last");
+  }
+
+  /** Whether the process at the other end of a kept connection sends clients away. */
+  private static boolean isDraining(DaemonFixture.Caller kept) {
+    try {
+      kept.sendRaw("GET /up HTTP/1.1\r\nHost: a\r\n\r\n");
+      return kept.receiveStatus("up") != 200;
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
   /**
    * After the handover the predecessor forwards no more requests that count against a ceiling, and the
    * successor forwards those that its part of the ceiling allows. Otherwise both processes would spend the
--- a/door/src/main/java/willowdoor/net/FrontDoor.java
+++ b/door/src/main/java/willowdoor/net/FrontDoor.java
@@ -333,8 +333,11 @@
     driver.noteBegunElsewhere(ids);
   }
 
-  /** Notes ids of requests that are about to begin there, and returns those that must not. */
-  List<String> noteClaimedElsewhere(List<String> ids) {
+  /**
+   * Notes ids of requests that are about to begin at the other process of this front door, and returns those
+   * that must not; called on the loop.
+   */
+  public List<String> noteClaimedElsewhere(List<String> ids) {
     return driver.noteClaimedElsewhere(ids);
   }
 
--- a/door/src/main/java/willowdoor/net/IdClaims.java
+++ b/door/src/main/java/willowdoor/net/IdClaims.java
@@ -22,10 +22,10 @@
  * request waits for that reply only while the other process takes clients, and for a limited time: a process
  * that does not reply claims each id here before it runs the request itself.
  */
-final class IdClaims implements RequestFilter {
+public final class IdClaims implements RequestFilter {
 
-  /** Sends claims to the other process. */
-  interface Peer {
+  /** Sends claims to the other process; called on the event loop. */
+  public interface Peer {
 
     /** Whether there is another process. */
     boolean exists();
@@ -38,10 +38,13 @@
   }
 
   /** Receives the ids that the other process has rejected. */
-  interface RejectedIds {
+  public interface RejectedIds {
     void accept(Set<String> ids);
   }
 
+  /** How long the reply to a claim is waited for, in milliseconds. */
+  public static final long REPLY_LIMIT_MS = 100;
+
   /** Bytes of ids in one call, whose line is limited to 1 kB; a byte may be encoded by three. */
   private static final int MAX_CALL_ID_BYTES = 256;
   private static final FilteredRequest UNCLAIMED = end -> { };
@@ -52,7 +55,8 @@
   private final ArrayDeque<Claim> unsent = new ArrayDeque<>();
   private boolean calling;
 
-  IdClaims(EventLoop loop, Peer peer) {
+  /** A filter that claims ids at that peer; everything runs on that event loop. */
+  public IdClaims(EventLoop loop, Peer peer) {
     this.loop = loop;
     this.peer = peer;
   }
--- a/door/src/main/java/willowdoor/net/PeerProcess.java
+++ b/door/src/main/java/willowdoor/net/PeerProcess.java
@@ -29,8 +29,6 @@
   /** Limit of a forwarded order. An operator waits 1 s for a confirmation, which covers both processes. */
   private static final long ORDER_LIMIT_MS = 750;
   private static final long HELLO_LIMIT_MS = 1_500;
-  /** A request waits so long for the reply to its claim. */
-  private static final long CLAIM_LIMIT_MS = 100;
 
   private final EventLoop loop;
   private final ManagementClient caller;
@@ -95,7 +93,7 @@
   void claim(List<String> ids, IdClaims.RejectedIds callback) {
     QueryStringEncoder target = new QueryStringEncoder("/claim");
     ids.forEach(id -> target.addParam("id", id));
-    caller.call(address, processId, HttpMethod.POST, target.toString(), CLAIM_LIMIT_MS, end -> {
+    caller.call(address, processId, HttpMethod.POST, target.toString(), IdClaims.REPLY_LIMIT_MS, end -> {
       if (end.outcome() == CallOutcome.NOBODY) {
         markGone();
       }
