Each attempt starts behind its client's input, also a retry or after the counter's answer

Cause: the first request waited for what was unread when it was handled; what follows (a retry, the counter's answer, a connection that comes up) is decided in the turn that reads these sockets, perhaps before the client's, and the kernel's state tells no end that is behind unread bytes. Change: an attempt starts as a task of its own, behind the sockets of this turn, and waits like a request until nothing of its client is unread, 0.1 s at most; the same once its connection is up.

--- a/door/src/main/java/willowdoor/net/Attempt.java
+++ b/door/src/main/java/willowdoor/net/Attempt.java
@@ -141,6 +141,11 @@
         backendReplaced, conditions.beginByMs() - nowMs, deadlineMs - nowMs));
   }
 
+  /** Whether the client's connection may hold input that is unread, behind which the client may have left. */
+  boolean awaitsClientInput() {
+    return false;
+  }
+
   /** Called immediately before the first byte is written. */
   void onBegin() {
     // The driver notes the request's id.
--- a/door/src/main/java/willowdoor/net/BackendPool.java
+++ b/door/src/main/java/willowdoor/net/BackendPool.java
@@ -32,6 +32,8 @@
    */
   private static final double RETIRE_SHARE = 0.6;
   private static final long SWEEP_INTERVAL_MS = 500;
+  /** Interval of the checks whether all input of a client has been read. */
+  private static final long UNREAD_CHECK_MS = 5;
 
   /** Address and connections of one backend. */
   static final class Backend {
@@ -134,16 +136,33 @@
   }
 
   /**
-   * Starts an attempt on an idle connection, or on a new one. The attempt ends as NOT_SENT if the backend is
-   * not in the roster or no further connection may be opened.
+   * Starts an attempt on an idle connection, or on a new one; called behind all that the sockets had to tell
+   * when the attempt was decided. The attempt ends as NOT_SENT if the backend is not in the roster or no
+   * further connection may be opened.
    */
   void start(long id, Attempt attempt) {
+    checkLimit(attempt);
+    onceClientIsRead(attempt, () -> startNow(id, attempt));
+  }
+
+  /** Runs the step once the attempt's client has nothing unread left, as the client's end comes last. */
+  private void onceClientIsRead(Attempt attempt, Runnable step) {
+    if (!attempt.ended() && attempt.awaitsClientInput()) {
+      loop.schedule(() -> onceClientIsRead(attempt, step), UNREAD_CHECK_MS, TimeUnit.MILLISECONDS);
+    } else {
+      step.run();
+    }
+  }
+
+  private void startNow(long id, Attempt attempt) {
     Backend backend = backends.get(id);
+    if (attempt.ended()) {
+      return;
+    }
     if (backend == null) {
       attempt.end(Status.NOT_SENT, null);
       return;
     }
-    checkLimit(attempt);
     BackendConnection connection = takeIdle(backend);
     if (connection != null) {
       connection.start(attempt);
@@ -215,7 +234,8 @@
       backend.connecting.remove(attempt);
       RequestLog.note(attempt.requestId(), "connected", "up", f.isSuccess(), "attempt_over", attempt.ended());
       if (f.isSuccess()) {
-        connection.start(attempt);
+        // Behind what the client's socket has to tell at this moment, as in the start.
+        loop.execute(() -> onceClientIsRead(attempt, () -> connection.start(attempt)));
       } else {
         attempt.end(connectFailureStatus(f.cause()), null);
       }
--- a/door/src/main/java/willowdoor/net/ClientConnection.java
+++ b/door/src/main/java/willowdoor/net/ClientConnection.java
@@ -400,6 +400,11 @@
         return Transport.isPeerGone(channel);
       }
 
+      @Override
+      public boolean mayHoldUnreadInput() {
+        return server.now() - unreadSinceMs < MAX_WAIT_FOR_UNREAD_MS;
+      }
+
       @Override
       public RequestFilter.Origin origin() {
         return new RequestFilter.Origin(headers, channel.remoteAddress());
--- a/door/src/main/java/willowdoor/net/ModuleDriver.java
+++ b/door/src/main/java/willowdoor/net/ModuleDriver.java
@@ -86,6 +86,14 @@
       return false;
     }
 
+    /**
+     * Whether the connection may hold input that was not read yet; the end of a connection comes after all
+     * input. True for a limited time only, as some clients write without end.
+     */
+    default boolean mayHoldUnreadInput() {
+      return false;
+    }
+
     /** What a request filter may inspect besides the request. */
     default RequestFilter.Origin origin() {
       return new RequestFilter.Origin(EmptyHttpHeaders.INSTANCE, null);
@@ -589,6 +597,11 @@
             conditions.beginByMs() - nowMs, attemptDeadlineMs - nowMs));
       }
 
+      @Override
+      boolean awaitsClientInput() {
+        return !state.finished && state.client.mayHoldUnreadInput();
+      }
+
       @Override
       void onBegin() {
         state.noteBegun();
@@ -622,7 +635,8 @@
     state.attemptsInFlight++;
     RequestLog.note(a.request(), "attempt started", "attempt", number,
         "backend", Long.toHexString(a.backend()), "timeout_ms", attemptDeadlineMs - sentMs);
-    backends.start(a.backend(), attempt);
+    // Behind all that the sockets have to tell at this moment, the client's end among it.
+    loop.execute(() -> backends.start(a.backend(), attempt));
   }
 
   private void attemptEnded(RequestState state, int number, long backend, Status status, double latencyMs,
--- a/door/src/test/java/willowdoor/net/ClientDisconnectTest.java
+++ b/door/src/test/java/willowdoor/net/ClientDisconnectTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
@@ -274,12 +275,63 @@
     startWithPooledConnections();
     gateway.signal("STOP");
     try (SocketChannel client = SocketChannel.open(gateway.address)) {
-      client.configureBlocking(false);
-      StringBuilder requests = new StringBuilder();
-      for (int i = 0; i < UNREAD_REQUESTS; i++) {
-        requests.append(Peers.get("unread" + i, 3_500));
-      }
-      client.write(ByteBuffer.wrap(requests.toString().getBytes(StandardCharsets.ISO_8859_1)));
+      writeMuch(client);
+    }
+    pause(AFTER_LEAVING_MS);
+    gateway.signal("CONT");
+    pause(AFTER_LEAVING_MS);
+    assertEquals(Set.of(), ids(peers.backendRequests), gateway.log());
+  }
+
+  /** Writes as many requests as the connection takes while nobody reads them. */
+  private static void writeMuch(SocketChannel client) throws IOException {
+    client.configureBlocking(false);
+    StringBuilder requests = new StringBuilder();
+    for (int i = 0; i < UNREAD_REQUESTS; i++) {
+      requests.append(Peers.get("unread" + i, 3_500));
+    }
+    client.write(ByteBuffer.wrap(requests.toString().getBytes(StandardCharsets.ISO_8859_1)));
+  }
+
+  /** Guards against a retry for a client that left, where its end is behind much that is unread. */
+  @Test
+  void leavesBehindMuchThatIsUnreadBeforeARetry() throws Exception {
+    startWithPooledConnections();
+    CountDownLatch broken = new CountDownLatch(1);
+    peers.answer = (request, out) -> {
+      await(broken);
+      return false;
+    };
+    try (SocketChannel client = SocketChannel.open(gateway.address)) {
+      client.write(ByteBuffer.wrap(Peers.get("retried", 3_500).getBytes(StandardCharsets.ISO_8859_1)));
+      Peers.next(peers.backendRequests);
+      gateway.signal("STOP");
+      broken.countDown();
+      writeMuch(client);
+    }
+    pause(AFTER_LEAVING_MS);
+    gateway.signal("CONT");
+    pause(AFTER_LEAVING_MS);
+    assertEquals(Set.of(), ids(peers.backendRequests), gateway.log());
+  }
+
+  /** Guards against the same for a first attempt, whose connection or counter call is up just then. */
+  @Test
+  void leavesBehindMuchThatIsUnreadDuringACounterCall() throws Exception {
+    startWithPooledConnections();
+    CountDownLatch asked = new CountDownLatch(1);
+    CountDownLatch counted = new CountDownLatch(1);
+    peers.counterScript = line -> {
+      asked.countDown();
+      return await(counted) ? peers.addToCount(line) : null;
+    };
+    try (SocketChannel client = SocketChannel.open(gateway.address)) {
+      client.write(ByteBuffer.wrap(Peers.get("counted", 3_500).getBytes(StandardCharsets.ISO_8859_1)));
+      assertTrue(await(asked));
+      pause(ALL_READ_MS);
+      gateway.signal("STOP");
+      counted.countDown();
+      writeMuch(client);
     }
     pause(AFTER_LEAVING_MS);
     gateway.signal("CONT");
