A door's stored file is no evidence once the door's process has reported its end

Change: the file (and those read at the start) are deleted, and the deletion is on disk, before the end is reported, by the activity ENDED or the leave. Out of contact the end is not reported, as it would not arrive, and the file stays evidence. A file that can't be read makes all of them no evidence, where it was passed over before.

--- a/steward/src/main/java/willowdoor/steward/link/DoorLink.java
+++ b/steward/src/main/java/willowdoor/steward/link/DoorLink.java
@@ -94,6 +94,9 @@
   /** Whether the stewards have registered this process. */
   private boolean registered;
   private boolean closed;
+  /** Whether this process is at its end, and whether it may report that. */
+  private boolean ending;
+  private boolean endReportable;
   private double wakeAt;
   private long backendsVersion;
   /** The list of backends that the stewards have not received yet; null if there is none. */
@@ -138,9 +141,34 @@
     });
   }
 
-  /** Reports the state of this process. */
+  /** Reports the state of this process; the last one is its end. */
   public void reportState(Activity doing) {
-    loop.execute(() -> handle(new DoorEvent.ActivityChanged(doing)));
+    loop.execute(() -> {
+      if (doing != Activity.ENDED || prepareEnd()) {
+        handle(new DoorEvent.ActivityChanged(doing));
+      }
+    });
+  }
+
+  /**
+   * Deletes the stored files, as the stewards wait for this process no longer once its end is reported.
+   * Returns whether the end may be reported: without contact it would not arrive, and the files would be gone
+   * for nothing.
+   */
+  private boolean prepareEnd() {
+    if (!ending) {
+      ending = true;
+      try {
+        endReportable = side.hasLease(now());
+        if (endReportable) {
+          takenOutFiles.deleteOwnAndEarlier();
+        }
+      } catch (IOException e) {
+        endReportable = false;
+        LOG.warning("the end of this process is not reported, as its file can't be deleted: " + e);
+      }
+    }
+    return endReportable;
   }
 
   /** Reports that no attempt to the backend is in flight any more. */
@@ -263,6 +291,10 @@
       CompletableFuture<Answer> said = new CompletableFuture<>();
       loop.execute(() -> {
         closed = true;
+        if (!prepareEnd()) {
+          said.complete(null);
+          return;
+        }
         link.call(new Call.Put(new Command.Leave(0, self.door(), self.incarnation())), false, CALL_TIMEOUT_MS,
             said::complete);
       });
@@ -326,7 +358,7 @@
   }
 
   private void save() {
-    if (unsavedTakenOut == null || closed) {
+    if (unsavedTakenOut == null || ending) {
       return;
     }
     try {
--- a/steward/src/main/java/willowdoor/steward/link/TakenOutFiles.java
+++ b/steward/src/main/java/willowdoor/steward/link/TakenOutFiles.java
@@ -10,8 +10,10 @@
 import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.logging.Logger;
 import willowdoor.steward.Codec;
 
@@ -19,6 +21,9 @@
  * Stores which backends are out of service, as the stewards last told this door. Each process of the door has
  * its own file, so that two processes running at the same time don't overwrite each other. A new process
  * merges all files; until the stewards have answered, it may treat too many backends as out, never too few.
+ *
+ * <p>A file is evidence only while the stewards wait for its process before they call a further backend out.
+ * So it is deleted before the process reports its end, and what cannot be read whole is no evidence.
  */
 final class TakenOutFiles {
 
@@ -27,6 +32,8 @@
 
   private final Path prefix;
   private final Path ownFile;
+  /** Files of earlier processes that {@link #read} has found. */
+  private final Set<Path> earlierFiles = new HashSet<>();
 
   /** Uses this prefix of the file names, and a suffix for this process. */
   TakenOutFiles(Path prefix, String incarnation) {
@@ -44,29 +51,29 @@
     return all;
   }
 
-  /** Merges the contents of all files; null if there are none. An unreadable file is logged and ignored. */
+  /**
+   * Merges the contents of all files; null if there are none, or if one cannot be read: it may be the one that
+   * names a backend.
+   */
   Map<String, Long> read() {
-    Map<String, Long> all = null;
     try {
-      for (Path file : files()) {
-        try {
-          if (Files.size(file) > MAX_BYTES) {
-            throw new IOException("it is longer than " + MAX_BYTES + " bytes");
-          }
-          Map<String, Long> some = Codec.mapperFor().readValue(Files.readAllBytes(file),
-              new TypeReference<>() { });
-          all = all == null ? new HashMap<>() : all;
-          for (Map.Entry<String, Long> e : some.entrySet()) {
-            all.merge(e.getKey(), e.getValue(), Math::max);
-          }
-        } catch (IOException e) {
-          LOG.warning(file + " can't be read and is ignored: " + e.getMessage());
-        }
+      earlierFiles.addAll(files());
+      Map<String, Long> all = new HashMap<>();
+      for (Path file : earlierFiles) {
+        read(file).forEach((backend, permit) -> all.merge(backend, permit, Math::max));
       }
+      return earlierFiles.isEmpty() ? null : all;
     } catch (IOException e) {
-      LOG.warning("the files of earlier processes can't be listed: " + e.getMessage());
+      LOG.warning("which backends are out can't be read from the files of earlier processes: " + e);
+      return null;
     }
-    return all;
+  }
+
+  private static Map<String, Long> read(Path file) throws IOException {
+    if (Files.size(file) > MAX_BYTES) {
+      throw new IOException(file + " is longer than " + MAX_BYTES + " bytes");
+    }
+    return Codec.mapperFor().readValue(Files.readAllBytes(file), new TypeReference<>() { });
   }
 
   /** Replaces this process's file; the content is on disk when the method returns. */
@@ -80,6 +87,17 @@
     Files.move(fresh, ownFile, StandardCopyOption.ATOMIC_MOVE);
   }
 
+  /** Deletes this process's file and those that it has read; they are gone when the method returns. */
+  void deleteOwnAndEarlier() throws IOException {
+    earlierFiles.add(ownFile);
+    for (Path file : earlierFiles) {
+      Files.deleteIfExists(file);
+    }
+    try (FileChannel directory = FileChannel.open(prefix.getParent(), StandardOpenOption.READ)) {
+      directory.force(true);
+    }
+  }
+
   /** Deletes the files of other processes, which have ended, once this process has its own file. */
   void deleteOthers() {
     try {
--- a/steward/src/test/java/willowdoor/steward/link/LinkTest.java
+++ b/steward/src/test/java/willowdoor/steward/link/LinkTest.java
@@ -1,6 +1,7 @@
 package willowdoor.steward.link;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -20,6 +21,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -40,6 +42,7 @@
 class LinkTest {
 
   private static final long LIMIT_MS = 10_000;
+  private static final long WITHOUT_STEWARDS_MS = 500;
   @TempDir
   private Path folder;
   private StewardProcess steward;
@@ -179,28 +182,7 @@
   void doorDrainsAndReturns() throws Exception {
     CompletableFuture<Void> drained = new CompletableFuture<>();
     CompletableFuture<Void> back = new CompletableFuture<>();
-    DoorLink door = new DoorLink(new DoorLink.Identity("f", "d1", "x", "a", 1, "1.0", 0),
-        List.of(steward.address()), 0.01,
-        folder.resolve("d1"), 1, new DoorLink.DoorControl() {
-          @Override
-          public void takeOut(String backend) { }
-
-          @Override
-          public void putBack(String backend) { }
-
-          @Override
-          public void drain() {
-            drained.complete(null);
-          }
-
-          @Override
-          public void undrain() {
-            back.complete(null);
-          }
-
-          @Override
-          public void replace(long attempt, String version) { }
-        });
+    DoorLink door = startDoor("x", 1, steward.address(), () -> drained.complete(null), () -> back.complete(null));
     Subject d1 = new Subject(Kind.DOOR, "d1");
     try (OperatorClient ana = operator("f")) {
       door.reportState(Activity.READY);
@@ -221,4 +203,67 @@
       assertEquals(Activity.ENDED, after.lives().get(0).doing());
     }
   }
+
+  /** Guards against a door that goes by the file of an ended process, though more went out meanwhile. */
+  @Test
+  void theFileOfAnEndedProcessIsNoEvidence() throws Exception {
+    DoorLink first = startDoor("x", 1, steward.address(), () -> { }, () -> { });
+    first.reportState(Activity.READY);
+    first.takenOutKnown().get(LIMIT_MS, TimeUnit.MILLISECONDS);
+    Path file = folder.resolve("d1.x");
+    byte[] stored = Files.readAllBytes(file);
+    first.reportState(Activity.ENDED);
+    first.close();
+    assertFalse(Files.exists(file));
+    assertFalse(isKnownAtStart());
+    // A process that was killed leaves its file, and the stewards wait for its word.
+    Files.write(file, stored);
+    assertTrue(isKnownAtStart());
+    // One that cannot be read may name a backend.
+    Files.writeString(folder.resolve("d1.w"), "{\"b1\":");
+    assertFalse(isKnownAtStart());
+  }
+
+  /** Whether a door that is started without any steward knows which backends are out. */
+  private boolean isKnownAtStart() throws Exception {
+    InetSocketAddress nobody;
+    try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      nobody = (InetSocketAddress) free.getLocalSocketAddress();
+    }
+    DoorLink started = startDoor("y", 2, nobody, () -> { }, () -> { });
+    try {
+      started.takenOutKnown().get(WITHOUT_STEWARDS_MS, TimeUnit.MILLISECONDS);
+      return true;
+    } catch (TimeoutException e) {
+      return false;
+    } finally {
+      started.close();
+    }
+  }
+
+  private DoorLink startDoor(String incarnation, long generation, InetSocketAddress stewardAddress,
+      Runnable onDrain, Runnable onUndrain) {
+    return new DoorLink(new DoorLink.Identity("f", "d1", incarnation, "a", 1, "1.0", 0),
+        List.of(stewardAddress), 0.01,
+        folder.resolve("d1"), generation, new DoorLink.DoorControl() {
+          @Override
+          public void takeOut(String backend) { }
+
+          @Override
+          public void putBack(String backend) { }
+
+          @Override
+          public void drain() {
+            onDrain.run();
+          }
+
+          @Override
+          public void undrain() {
+            onUndrain.run();
+          }
+
+          @Override
+          public void replace(long attempt, String version) { }
+        });
+  }
 }
