Test: the soak replaces the gateway in half of its seeds, and sends left requests again

A second process starts after a drawn time, serves beside the first, which gets SIGTERM and has to end by itself; all checks hold over both.

--- a/door/src/test/java/willowdoor/net/FaultSoakTest.java
+++ b/door/src/test/java/willowdoor/net/FaultSoakTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -23,9 +24,10 @@
 import willowdoor.net.Peers.Client;
 
 /**
- * Seeded soak of a gateway in its own process: backends with drawn faults, clients that stay, leave, or want
- * long answers, short windows, drains, hold-ups, and a stop with clients on open connections until the
- * earliest kill. {@code -Dsoak.seeds=50 -Dsoak.first=100} plays other and more seeds.
+ * Seeded soak of a gateway in its own process: backends with drawn faults, clients that stay, leave, come
+ * again with the id of a request that they left, or want long answers, short windows, drains, hold-ups, in
+ * half of the seeds the replacement by a second process, and a stop with clients on open connections until
+ * the earliest kill. {@code -Dsoak.seeds=50 -Dsoak.first=100} plays other and more seeds.
  */
 class FaultSoakTest {
 
@@ -43,6 +45,13 @@
   private static final int MIN_SERVED = 50;
   /** A backend may see the end of a connection so much later than the next request on another one. */
   private static final long AT_ONCE_SLACK_MS = 5;
+  /** The first process of an upgrade ends so long after the longest deadline at the latest. */
+  private static final long MAX_END_MS = 6_000;
+  private static final long READY_POLL_MS = 50;
+  private static final long START_LIMIT_MS = 20_000;
+  /** Separates the draws of upgrades from those of all else. */
+  private static final long UPGRADE_DRAWS = 0x5eed;
+
   /** New connections keep coming for so long after SIGTERM. */
   private static final long NEW_CONNECTIONS_MS = 400;
 
@@ -59,7 +68,8 @@
   private volatile long termNanos = Long.MAX_VALUE;
   private volatile long killedNanos = Long.MAX_VALUE;
   private volatile boolean killed;
-  private ServingProcess gateway;
+  /** The process that serves, or the newer one of two. */
+  private volatile ServingProcess gateway;
   private int deadlineMs;
 
   static IntStream seeds() {
@@ -77,11 +87,16 @@
     for (int i = 0; i < BACKENDS; i++) {
       backends.add(new SoakBackend(seed * 100L + i));
     }
-    gateway = new ServingProcess(folder, config(backends, windowMs, random));
+    String config = config(backends, windowMs, random);
+    ServingProcess first = new ServingProcess(folder, managed(config, ServingProcess.freeAddress()));
+    gateway = first;
+    Random upgradeDraws = new Random(new SplittableRandom(seed ^ UPGRADE_DRAWS).nextLong());
     try {
       Peers.next(peers.watchRequests);
-      run(random, backends);
+      Thread upgrade = upgradeDraws.nextBoolean() ? startUpgrade(config, upgradeDraws) : null;
+      run(random, backends, upgrade);
     } finally {
+      first.close();
       gateway.close();
       peers.close();
       for (SoakBackend backend : backends) {
@@ -118,6 +133,57 @@
         .replace("\"Refill\":400,\"PeakUnits\":4000", "\"Refill\":4000,\"PeakUnits\":40000");
   }
 
+  private static String managed(String config, InetSocketAddress management) {
+    return config.replace("\"seed\"",
+        "\"management\":\"127.0.0.1:" + management.getPort() + "\",\"seed\"");
+  }
+
+  /** Replaces the process by a second one after a drawn time; the first one ends by itself. */
+  private Thread startUpgrade(String config, Random random) {
+    ServingProcess first = gateway;
+    Thread upgrade = new Thread(() -> {
+      try {
+        pause(500 + random.nextInt(2_500));
+        InetSocketAddress management = ServingProcess.freeAddress();
+        gateway = first.startSecond(managed(config, management));
+        awaitReady(management);
+        pause(random.nextInt(400));
+        first.signal("TERM");
+        long limitNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(deadlineMs + MAX_END_MS);
+        while (first.isAlive()) {
+          if (System.nanoTime() > limitNanos) {
+            broken.add("the first process does not end");
+            return;
+          }
+          pause(READY_POLL_MS);
+        }
+      } catch (Exception e) {
+        broken.add("no upgrade: " + e);
+      }
+    });
+    upgrade.setDaemon(true);
+    upgrade.start();
+    return upgrade;
+  }
+
+  private static void awaitReady(InetSocketAddress management) throws IOException {
+    long limitNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(START_LIMIT_MS);
+    while (!isReady(management)) {
+      if (System.nanoTime() > limitNanos) {
+        throw new IOException("not ready in time");
+      }
+      pause(READY_POLL_MS);
+    }
+  }
+
+  private static boolean isReady(InetSocketAddress management) {
+    try (Client operator = new Client(management)) {
+      return operator.ask("GET /ready HTTP/1.1\r\nHost: a\r\n\r\n").status() == 200;
+    } catch (IOException e) {
+      return false;
+    }
+  }
+
   private static String[] entries(List<SoakBackend> backends, int draining) {
     return IntStream.range(0, backends.size())
         .mapToObj(i -> Peers.rosterEntry("s-" + i, backends.get(i).port(),
@@ -125,12 +191,14 @@
         .toArray(String[]::new);
   }
 
-  private void run(Random random, List<SoakBackend> backends) throws Exception {
+  /** Runs the clients and the faults; waits for the upgrade, unless it is null, before the stop. */
+  private void run(Random random, List<SoakBackend> backends, Thread upgrade) throws Exception {
     List<Thread> clients = new ArrayList<>();
     for (int i = 0; i < STAYING_CLIENTS; i++) {
       clients.add(client("stays" + i, random.nextLong(), this::stay));
     }
     clients.add(client("leaves", random.nextLong(), this::leaveEarly));
+    clients.add(client("again", random.nextLong(), this::leaveAndComeAgain));
     clients.add(client("long", random.nextLong(), this::wantLong));
     boolean crowd = random.nextBoolean();
     long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(RUN_MS);
@@ -139,9 +207,10 @@
       peers.sendToNewestWatch(
           Peers.rosterJson(version, true, entries(backends, random.nextInt(BACKENDS + 2))) + "\n");
       if (random.nextInt(3) == 0) {
-        gateway.signal("STOP");
+        ServingProcess heldUp = gateway;
+        heldUp.signal("STOP");
         pause(random.nextInt((int) MAX_HOLD_UP_MS));
-        gateway.signal("CONT");
+        heldUp.signal("CONT");
       }
     }
     if (crowd) {
@@ -149,6 +218,9 @@
         clients.add(client("crowd" + i, random.nextLong(), this::stay));
       }
     }
+    if (upgrade != null) {
+      upgrade.join();
+    }
     pause(random.nextInt(300));
     stopping = true;
     termNanos = System.nanoTime();
@@ -205,8 +277,12 @@
     }
     String keyed = Peers.post(id, "b")
         .replace("Request-Timeout-Ms: 3000", "Request-Timeout-Ms: " + timeoutMs);
-    return className.equals("buy") ? keyed : keyed.replace("/buy/", "/move/")
-        .replace("Request-Class: buy", "Request-Class: move").replaceAll("Idempotency-Key: [^\r]*\r\n", "");
+    return className.equals("buy") ? keyed : unsafe(keyed);
+  }
+
+  private static String unsafe(String keyed) {
+    return keyed.replace("/buy/", "/move/").replace("Request-Class: buy", "Request-Class: move")
+        .replaceAll("Idempotency-Key: [^\r]*\r\n", "");
   }
 
   private int timeoutMs(Random random) {
@@ -258,6 +334,19 @@
     leftNanos.put(id, System.nanoTime());
   }
 
+  /** Sends a request that must not run twice, leaves, and sends it again on another connection. */
+  private void leaveAndComeAgain(String name, int number, Random random) throws IOException {
+    String id = name + number;
+    classes.put(id, "move");
+    String request = unsafe(Peers.post(id, "b"));
+    for (int time = 0; time < 2; time++) {
+      try (Client client = gateway.client()) {
+        client.send(request);
+        pause(random.nextInt(40));
+      }
+    }
+  }
+
   private void wantLong(String name, int number, Random random) throws IOException {
     String id = name + number;
     int timeoutMs = Math.max(1_000, timeoutMs(random));
--- a/door/src/test/java/willowdoor/net/SoakBackend.java
+++ b/door/src/test/java/willowdoor/net/SoakBackend.java
@@ -20,8 +20,11 @@
   /** What a backend does with one request. */
   enum Mood { QUICK, SLOW, REJECT, RESET, HANG, STALL, LONG_STEADY, LONG_LUMPS, LONG_LATE_BODY }
 
-  /** How an attempt ended: answered, given up by the gateway, or broken off by the backend itself. */
-  enum End { ANSWERED, GIVEN_UP, BROKEN_OFF }
+  /**
+   * How an attempt ended: answered, in one case with the end of the connection; given up by the gateway; or
+   * broken off by the backend itself.
+   */
+  enum End { ANSWERED, ANSWERED_AND_CLOSED, GIVEN_UP, BROKEN_OFF }
 
   /**
    * One request that came whole, at nanoseconds of the machine's clock.
@@ -140,15 +143,18 @@
         return in.read() < 0 ? End.GIVEN_UP : End.BROKEN_OFF;
       }
       default -> {
-        writeLong(mood, random.nextBoolean(), out);
-        return End.ANSWERED;
+        boolean chunked = random.nextBoolean();
+        boolean untilEnd = !chunked && random.nextBoolean();
+        writeLong(mood, chunked, untilEnd, out);
+        return untilEnd ? End.ANSWERED_AND_CLOSED : End.ANSWERED;
       }
     }
   }
 
-  private static void writeLong(Mood mood, boolean chunked, OutputStream out) throws IOException {
+  private static void writeLong(Mood mood, boolean chunked, boolean untilEnd, OutputStream out)
+      throws IOException {
     Peers.write(out, "HTTP/1.1 200 OK\r\n" + (chunked ? "Transfer-Encoding: chunked"
-        : "Content-Length: " + LONG_BYTES) + "\r\n\r\n");
+        : untilEnd ? "Connection: close" : "Content-Length: " + LONG_BYTES) + "\r\n\r\n");
     pause(mood == Mood.LONG_LATE_BODY ? LATE_BODY_MS : 0);
     int pieces = mood == Mood.LONG_LUMPS ? LUMPS : PIECES;
     String piece = "x".repeat(LONG_BYTES / pieces);
