--- a/steward/src/main/java/willowdoor/steward/link/TakenOutFiles.java
+++ b/steward/src/main/java/willowdoor/steward/link/TakenOutFiles.java
@@ -52,8 +52,8 @@
   }
 
   /**
-   * Merges the contents of all files; null if there are none, or if one cannot be read: it may be the one that
-   * names a backend.
+   * Merges the contents of all files; null if there are none, or if one cannot be read, which may be the one
+   * that names a backend.
    */
   Map<String, Long> read() {
     try {
--- a/steward/src/test/java/willowdoor/steward/link/LinkTest.java
+++ b/steward/src/test/java/willowdoor/steward/link/LinkTest.java
@@ -182,7 +182,8 @@
   void doorDrainsAndReturns() throws Exception {
     CompletableFuture<Void> drained = new CompletableFuture<>();
     CompletableFuture<Void> back = new CompletableFuture<>();
-    DoorLink door = startDoor("x", 1, steward.address(), () -> drained.complete(null), () -> back.complete(null));
+    DoorLink door = startDoor("x", 1, steward.address(), () -> drained.complete(null),
+        () -> back.complete(null));
     Subject d1 = new Subject(Kind.DOOR, "d1");
     try (OperatorClient ana = operator("f")) {
       door.reportState(Activity.READY);
