Unread input of a client is tracked in one place, the first handler stands alone

Need: the wait for unread input had two users with rules of their own since: a request's stopped with the first interval that read nothing, an attempt's lasted 0.1 s, so a request of four full reads, whose last read is the last there is, would have waited that long (by reading). Change: UnreadInput has the one rule; ReceivedBytesHandler left ClientServer, the wait for a ready process in tests stands in ServingProcess, and the two tests of leaving behind unread input share their steps.

--- a/door/src/main/java/willowdoor/net/BackendPool.java
+++ b/door/src/main/java/willowdoor/net/BackendPool.java
@@ -32,8 +32,6 @@
    */
   private static final double RETIRE_SHARE = 0.6;
   private static final long SWEEP_INTERVAL_MS = 500;
-  /** Interval of the checks whether all input of a client has been read. */
-  private static final long UNREAD_CHECK_MS = 5;
 
   /** Address and connections of one backend. */
   static final class Backend {
@@ -148,7 +146,8 @@
   /** Runs the step once the attempt's client has nothing unread left, as the client's end comes last. */
   private void onceClientIsRead(Attempt attempt, Runnable step) {
     if (!attempt.ended() && attempt.awaitsClientInput()) {
-      loop.schedule(() -> onceClientIsRead(attempt, step), UNREAD_CHECK_MS, TimeUnit.MILLISECONDS);
+      loop.schedule(() -> onceClientIsRead(attempt, step), UnreadInput.CHECK_INTERVAL_MS,
+          TimeUnit.MILLISECONDS);
     } else {
       step.run();
     }
--- a/door/src/main/java/willowdoor/net/ClientConnection.java
+++ b/door/src/main/java/willowdoor/net/ClientConnection.java
@@ -73,14 +73,6 @@
    * kept are answered, and then the connection is closed.
    */
   private static final int MAX_PENDING = 16;
-  /**
-   * How long, in milliseconds, requests wait while their connection holds more that is unread, as the end of
-   * the connection comes last.
-   */
-  private static final double MAX_WAIT_FOR_UNREAD_MS = 100;
-  /** Interval of the checks meanwhile, in milliseconds. */
-  private static final long UNREAD_CHECK_MS = 5;
-
   /** The handlers that hold a request until it has arrived completely. */
   private static final List<Class<? extends ChannelHandler>> REQUEST_PARTS =
       List.of(RequestDecoder.class, BodyPieceCopier.class, HttpObjectAggregator.class);
@@ -112,10 +104,7 @@
   /** Pipelined requests; {@link #nextScheduled} tells whether the first of them is about to be handled. */
   private final ArrayDeque<PendingRequest> pending = new ArrayDeque<>(1);
   private boolean nextScheduled;
-  /** Since when each turn of the loop may have left something unread on this connection, or NaN. */
-  private double unreadSinceMs = Double.NaN;
-  /** Whether something was read, or reading was resumed, since the last check of what is unread. */
-  private boolean readSinceCheck;
+  private final UnreadInput unreadInput = new UnreadInput();
 
   /**
    * A request, when its last byte arrived at this machine, from which on its timeout counts, and what it
@@ -169,17 +158,12 @@
    * @param moreUnread whether this connection may hold more, as the reads of one turn are limited
    */
   void onTurnEnd(boolean moreUnread) {
-    readSinceCheck = true;
-    if (!moreUnread) {
-      unreadSinceMs = Double.NaN;
-    } else if (Double.isNaN(unreadSinceMs)) {
-      unreadSinceMs = server.now();
-    }
+    unreadInput.onTurnEnd(server.now(), moreUnread);
   }
 
   /** Called when the connection is read again after a pause. */
   void onReadingResumed() {
-    readSinceCheck = true;
+    unreadInput.onReadingResumed();
   }
 
   /** Frees what has arrived of a request that is not read any further. */
@@ -295,9 +279,8 @@
   }
 
   private void handleNext() {
-    if (server.now() - unreadSinceMs < MAX_WAIT_FOR_UNREAD_MS && readSinceCheck) {
-      readSinceCheck = false;
-      channel.eventLoop().schedule(this::handleNext, UNREAD_CHECK_MS, TimeUnit.MILLISECONDS);
+    if (unreadInput.mayExist(server.now())) {
+      channel.eventLoop().schedule(this::handleNext, UnreadInput.CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
       return;
     }
     nextScheduled = false;
@@ -402,7 +385,7 @@
 
       @Override
       public boolean mayHoldUnreadInput() {
-        return server.now() - unreadSinceMs < MAX_WAIT_FOR_UNREAD_MS;
+        return unreadInput.mayExist(server.now());
       }
 
       @Override
--- a/door/src/main/java/willowdoor/net/ClientServer.java
+++ b/door/src/main/java/willowdoor/net/ClientServer.java
@@ -1,11 +1,9 @@
 package willowdoor.net;
 
 import io.netty.bootstrap.ServerBootstrap;
-import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -17,7 +15,6 @@
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.util.ReferenceCountUtil;
 import java.net.InetSocketAddress;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -45,15 +42,8 @@
   private static final int MAX_BODY_BYTES = 64 * 1024;
   /** Pieces of a body that are kept apart; more are merged, as each takes an object and a buffer. */
   private static final int MAX_BODY_PIECES = 16;
-  /** Largest read of a client's connection, in bytes, and reads of one connection before the next one. */
+  /** Largest read of a client's connection, in bytes. */
   private static final int MAX_READ_BYTES = 16 * 1024;
-  private static final int READS_PER_TURN = 4;
-  /**
-   * Time that the input of one connection may take before the loop turns to the next one, beyond the read
-   * during which it is over; input in tiny pieces takes many times that of the same bytes in one.
-   */
-  private static final long MAX_TURN_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
-  private static final long PAUSE_MS = 1;
   /** Low and high water mark, in bytes, of a streamed answer that waits to be taken by its client. */
   private static final WriteBufferWaterMark STREAM_WATER_MARK =
       new WriteBufferWaterMark(16 * 1024, 48 * 1024);
@@ -141,7 +131,8 @@
         .childOption(ChannelOption.AUTO_READ, true)
         .childOption(ChannelOption.TCP_NODELAY, true)
         .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, STREAM_WATER_MARK)
-        .childOption(ChannelOption.RECVBUF_ALLOCATOR, Transport.reads(MAX_READ_BYTES, READS_PER_TURN))
+        .childOption(ChannelOption.RECVBUF_ALLOCATOR,
+            Transport.reads(MAX_READ_BYTES, ReceivedBytesHandler.READS_PER_TURN))
         .childHandler(new ChannelInitializer<Channel>() {
           @Override
           protected void initChannel(Channel channel) {
@@ -159,58 +150,6 @@
         new HttpResponseEncoder(), new BodyPieceCopier(), new BodyAggregator(connection), connection);
   }
 
-  /**
-   * First handler of a connection: tracks when a request begins and what it takes so far, and drops bytes
-   * that are not wanted any more.
-   */
-  private static final class ReceivedBytesHandler extends ChannelInboundHandlerAdapter {
-    private final ClientConnection connection;
-    private final RequestDecoder decoder;
-    private int readsInThisTurn;
-    private long nanosInThisTurn;
-
-    ReceivedBytesHandler(ClientConnection connection, RequestDecoder decoder) {
-      this.connection = connection;
-      this.decoder = decoder;
-    }
-
-    @Override
-    public void channelRead(ChannelHandlerContext ctx, Object bytes) {
-      readsInThisTurn++;
-      if (!connection.wantsInput()) {
-        ReferenceCountUtil.release(bytes);
-        return;
-      }
-      long startNanos = System.nanoTime();
-      connection.onBytes(((ByteBuf) bytes).readableBytes());
-      ctx.fireChannelRead(bytes);
-      connection.onDecoded(decoder);
-      nanosInThisTurn += System.nanoTime() - startNanos;
-      if (nanosInThisTurn > MAX_TURN_NANOS) {
-        pause(ctx.channel());
-      }
-    }
-
-    /** Reads no more in this turn. */
-    private void pause(Channel channel) {
-      if (channel.config().isAutoRead()) {
-        channel.config().setAutoRead(false);
-        channel.eventLoop().schedule(() -> {
-          connection.onReadingResumed();
-          channel.config().setAutoRead(true);
-        }, PAUSE_MS, TimeUnit.MILLISECONDS);
-      }
-    }
-
-    @Override
-    public void channelReadComplete(ChannelHandlerContext ctx) {
-      ctx.fireChannelReadComplete();
-      connection.onTurnEnd(readsInThisTurn >= READS_PER_TURN || nanosInThisTurn > MAX_TURN_NANOS);
-      readsInThisTurn = 0;
-      nanosInThisTurn = 0;
-    }
-  }
-
   /**
    * Collects the body of a message. A body above the limit is answered with 413, and the connection is
    * closed.
--- a/door/src/test/java/willowdoor/net/ClientDisconnectTest.java
+++ b/door/src/test/java/willowdoor/net/ClientDisconnectTest.java
@@ -302,11 +302,19 @@
       await(broken);
       return false;
     };
+    leaveBehindMuch("retried", () -> Peers.next(peers.backendRequests), broken);
+  }
+
+  /**
+   * Sends a request, holds the gateway up once the request is in progress, lets what the request waits for
+   * happen, and leaves behind much that is unread; then no attempt of the request may begin.
+   */
+  private void leaveBehindMuch(String id, Step untilInProgress, CountDownLatch awaited) throws Exception {
     try (SocketChannel client = SocketChannel.open(gateway.address)) {
-      client.write(ByteBuffer.wrap(Peers.get("retried", 3_500).getBytes(StandardCharsets.ISO_8859_1)));
-      Peers.next(peers.backendRequests);
+      client.write(ByteBuffer.wrap(Peers.get(id, 3_500).getBytes(StandardCharsets.ISO_8859_1)));
+      untilInProgress.run();
       gateway.signal("STOP");
-      broken.countDown();
+      awaited.countDown();
       writeMuch(client);
     }
     pause(AFTER_LEAVING_MS);
@@ -325,18 +333,10 @@
       asked.countDown();
       return await(counted) ? peers.addToCount(line) : null;
     };
-    try (SocketChannel client = SocketChannel.open(gateway.address)) {
-      client.write(ByteBuffer.wrap(Peers.get("counted", 3_500).getBytes(StandardCharsets.ISO_8859_1)));
+    leaveBehindMuch("counted", () -> {
       assertTrue(await(asked));
       pause(ALL_READ_MS);
-      gateway.signal("STOP");
-      counted.countDown();
-      writeMuch(client);
-    }
-    pause(AFTER_LEAVING_MS);
-    gateway.signal("CONT");
-    pause(AFTER_LEAVING_MS);
-    assertEquals(Set.of(), ids(peers.backendRequests), gateway.log());
+    }, counted);
   }
 
   /** Guards against requests of disconnected clients that are held for as long as a connect takes. */
--- a/door/src/test/java/willowdoor/net/FaultSoakTest.java
+++ b/door/src/test/java/willowdoor/net/FaultSoakTest.java
@@ -47,8 +47,7 @@
   private static final long AT_ONCE_SLACK_MS = 5;
   /** The first process of an upgrade ends so long after the longest deadline at the latest. */
   private static final long MAX_END_MS = 6_000;
-  private static final long READY_POLL_MS = 50;
-  private static final long START_LIMIT_MS = 20_000;
+  private static final long END_POLL_MS = 50;
   /** Separates the draws of upgrades from those of all else. */
   private static final long UPGRADE_DRAWS = 0x5eed;
 
@@ -146,7 +145,7 @@
         pause(500 + random.nextInt(2_500));
         InetSocketAddress management = ServingProcess.freeAddress();
         gateway = first.startSecond(managed(config, management));
-        awaitReady(management);
+        gateway.awaitReady(management);
         pause(random.nextInt(400));
         first.signal("TERM");
         long limitNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(deadlineMs + MAX_END_MS);
@@ -155,7 +154,7 @@
             broken.add("the first process does not end");
             return;
           }
-          pause(READY_POLL_MS);
+          pause(END_POLL_MS);
         }
       } catch (Exception e) {
         broken.add("no upgrade: " + e);
@@ -166,24 +165,6 @@
     return upgrade;
   }
 
-  private static void awaitReady(InetSocketAddress management) throws IOException {
-    long limitNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(START_LIMIT_MS);
-    while (!isReady(management)) {
-      if (System.nanoTime() > limitNanos) {
-        throw new IOException("not ready in time");
-      }
-      pause(READY_POLL_MS);
-    }
-  }
-
-  private static boolean isReady(InetSocketAddress management) {
-    try (Client operator = new Client(management)) {
-      return operator.ask("GET /ready HTTP/1.1\r\nHost: a\r\n\r\n").status() == 200;
-    } catch (IOException e) {
-      return false;
-    }
-  }
-
   private static String[] entries(List<SoakBackend> backends, int draining) {
     return IntStream.range(0, backends.size())
         .mapToObj(i -> Peers.rosterEntry("s-" + i, backends.get(i).port(),
--- a/door/src/test/java/willowdoor/net/RequestIdentityTest.java
+++ b/door/src/test/java/willowdoor/net/RequestIdentityTest.java
@@ -25,7 +25,6 @@
 
   private static final long IN_PROGRESS_MS = 200;
   private static final long SERVICE_MS = 400;
-  private static final long START_LIMIT_MS = 20_000;
   private static final int REQUESTS = 20;
   /** So many connections reach both processes with near certainty. */
   private static final int COPIES = 8;
@@ -103,7 +102,7 @@
     leave("early");
     InetSocketAddress management = ServingProcess.freeAddress();
     second = gateway.startSecond(config(management));
-    awaitReady(management);
+    second.awaitReady(management);
     List<Client> clients = new ArrayList<>();
     for (int i = 0; i < REQUESTS; i++) {
       clients.add(gateway.client());
@@ -133,7 +132,7 @@
     gateway = new ServingProcess(folder, config(ServingProcess.freeAddress()));
     InetSocketAddress management = ServingProcess.freeAddress();
     second = gateway.startSecond(config(management));
-    awaitReady(management);
+    second.awaitReady(management);
     for (int i = 0; i < REQUESTS; i++) {
       List<Client> clients = new ArrayList<>();
       for (int copy = 0; copy < COPIES; copy++) {
@@ -153,20 +152,4 @@
     Map<String, Integer> runs = runs();
     assertTrue(runs.values().stream().allMatch(n -> n == 1), runs + "\n" + gateway.log());
   }
-
-  private void awaitReady(InetSocketAddress management) throws Exception {
-    long limitNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(START_LIMIT_MS);
-    while (!isReady(management)) {
-      assertTrue(System.nanoTime() < limitNanos, gateway.log());
-      pause(IN_PROGRESS_MS / 4);
-    }
-  }
-
-  private static boolean isReady(InetSocketAddress management) {
-    try (Client operator = new Client(management)) {
-      return operator.ask("GET /ready HTTP/1.1\r\nHost: a\r\n\r\n").status() == 200;
-    } catch (IOException e) {
-      return false;
-    }
-  }
 }
--- a/door/src/test/java/willowdoor/net/ServingProcess.java
+++ b/door/src/test/java/willowdoor/net/ServingProcess.java
@@ -81,6 +81,25 @@
     }
   }
 
+  /** Waits until this process is ready by its management address. */
+  void awaitReady(InetSocketAddress management) throws Exception {
+    long limit = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(START_LIMIT_MS);
+    while (!isReady(management)) {
+      if (System.nanoTime() > limit || !process.isAlive()) {
+        throw new AssertionError("the process is not ready: " + log());
+      }
+      TimeUnit.MILLISECONDS.sleep(POLL_MS);
+    }
+  }
+
+  private static boolean isReady(InetSocketAddress management) {
+    try (Peers.Client operator = new Peers.Client(management)) {
+      return operator.ask("GET /ready HTTP/1.1\r\nHost: a\r\n\r\n").status() == 200;
+    } catch (IOException e) {
+      return false;
+    }
+  }
+
   private boolean up() {
     try (Peers.Client client = client()) {
       return client.ask("GET /up HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n").status() == 200;
