A watch that brought a list is opened anew at once, also where it ends at that

Cause: the wait before the next watch doubled with each that lasted under 5 s, up to 2.25 s, also after a valid list. Change: it grows only with watches that failed: no list, or input that can't be read. After a list it is 50 to 150 ms (jitter as before), so a door opens at most some ten watches a second at its agent, and a drain is heard that much later at most, and a connect. Measured: DiscoveryTest#aWatchThatEndsAfterAListIsOpenedAnewSoon, red before (453 ms after the third list, 300 allowed), passes once with its class (8) and ReloadTest; #watchesThatFailAreOpenedAnewLessAndLessOften passes before and after.

--- a/door/src/main/java/willowdoor/net/DiscoveryClient.java
+++ b/door/src/main/java/willowdoor/net/DiscoveryClient.java
@@ -10,6 +10,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.LineBasedFrameDecoder;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
@@ -44,10 +45,7 @@
   private static final long UNREAD_INPUT_GRACE_MS = 100;
   private static final double MIN_BACKOFF_MS = 100;
   private static final double MAX_BACKOFF_MS = 1_500;
-  /**
-   * A watch that lasted longer resets the backoff; invalid input on each new watch must not cause a busy
-   * loop.
-   */
+  /** A watch that lasted longer resets the backoff, whatever it brought. */
   private static final double STABLE_WATCH_MS = 5_000;
 
   private final EventLoop loop;
@@ -89,11 +87,16 @@
     watch.connect();
   }
 
+  /**
+   * Opens the next watch after a wait that grows only with watches that failed: a watch may end as soon as it
+   * has told a change. Invalid input must not cause a busy loop.
+   */
   private void scheduleReconnect(Watch ended) {
     if (ended != watch || loop.isShuttingDown()) {
       return;
     }
-    backoffMs = clock.now() - ended.startedMs > STABLE_WATCH_MS ? MIN_BACKOFF_MS : backoffMs;
+    boolean worked = ended.hasBroughtList && !ended.hasBroughtInvalidInput;
+    backoffMs = worked || clock.now() - ended.startedMs > STABLE_WATCH_MS ? MIN_BACKOFF_MS : backoffMs;
     double waitMs = backoffMs * (0.5 + ThreadLocalRandom.current().nextDouble());
     backoffMs = Math.min(MAX_BACKOFF_MS, 2 * backoffMs);
     loop.schedule(() -> {
@@ -124,6 +127,8 @@
     private final InetSocketAddress address;
     private final double startedMs = clock.now();
     private Channel channel;
+    private boolean hasBroughtList;
+    private boolean hasBroughtInvalidInput;
 
     Watch(InetSocketAddress address) {
       this.address = address;
@@ -170,7 +175,7 @@
       if (source != watch && source != previousWatch) {
         return;
       }
-      EndpointUpdate update = line.isReadable() ? EndpointUpdate.parse(ByteBufUtil.getBytes(line)) : null;
+      EndpointUpdate update = line.isReadable() ? parse(line) : null;
       if (source == watch && previousWatch != null) {
         previousWatch.close();
         previousWatch = null;
@@ -178,10 +183,20 @@
       if (update != null) {
         // Discovery refuses a watch from an invalid version, so the last valid one is kept.
         version = update.version() > 0 ? update.version() : version;
+        source.hasBroughtList = true;
         listener.accept(update);
       }
     }
 
+    private EndpointUpdate parse(ByteBuf line) throws IOException {
+      try {
+        return EndpointUpdate.parse(ByteBufUtil.getBytes(line));
+      } catch (IOException | RuntimeException e) {
+        source.hasBroughtInvalidInput = true;
+        throw e;
+      }
+    }
+
     /**
      * Closes a silent watch after a grace period. If this process was stopped, or short of CPU, for longer
      * than the silence limit, the timer fires before the input that arrived meanwhile is read; without the
@@ -206,6 +221,7 @@
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
       LOG.log(Level.FINE, "the watch at discovery failed", cause);
+      source.hasBroughtInvalidInput |= cause instanceof DecoderException;
       ctx.close();
     }
   }
--- a/door/src/test/java/willowdoor/net/DiscoveryTest.java
+++ b/door/src/test/java/willowdoor/net/DiscoveryTest.java
@@ -20,6 +20,12 @@
 @Timeout(40)
 class DiscoveryTest {
 
+  private static final int WATCHES = 6;
+  /** Twice the longest wait before the next watch, which is 150 ms. */
+  private static final double MAX_REOPEN_MS = 300;
+  /** What the shortest waits of {@link #WATCHES} failed watches come to: 50, 100, 200, 400, 750, 750 ms. */
+  private static final double MIN_SUM_OF_FAILED_MS = 2_200;
+
   private final Peers peers = new Peers();
 
   @AfterEach
@@ -97,6 +103,39 @@
     }
   }
 
+  /** Guards against drains that are heard late where discovery ends each watch with a list. */
+  @Test
+  void aWatchThatEndsAfterAListIsOpenedAnewSoon() throws Exception {
+    peers.start();
+    Peers.next(peers.watchRequests);
+    for (int version = 8; version < 8 + WATCHES; version++) {
+      peers.sendToNewestWatch(Peers.rosterJson(version, true,
+          Peers.rosterEntry("s-1", peers.backend.getLocalPort(), "active")) + "\n");
+      double reopenedAfterMs = endNewestWatch();
+      assertTrue(reopenedAfterMs < MAX_REOPEN_MS, reopenedAfterMs + " ms after version " + version);
+    }
+  }
+
+  /** Guards against a busy loop where discovery ends each watch without a list. */
+  @Test
+  void watchesThatFailAreOpenedAnewLessAndLessOften() throws Exception {
+    peers.start();
+    Peers.next(peers.watchRequests);
+    double sumMs = 0;
+    for (int i = 0; i < WATCHES; i++) {
+      sumMs += endNewestWatch();
+    }
+    assertTrue(sumMs > MIN_SUM_OF_FAILED_MS, "opened again in " + sumMs + " ms in all");
+  }
+
+  /** Ends the newest watch, and waits for the next one; returns after how many milliseconds it came. */
+  private double endNewestWatch() throws Exception {
+    long endedNanos = System.nanoTime();
+    peers.watchOutputs.get(peers.watchOutputs.size() - 1).close();
+    Peers.next(peers.watchRequests);
+    return (System.nanoTime() - endedNanos) / 1e6;
+  }
+
   @Test
   void invalidLineEndsTheWatchAndTheNextResumesFromTheLastVersion() throws Exception {
     peers.start();
