A listener of the backend list gets the list as it stands when it registers

Cause: discovery's first list came before Agreement had registered its listener, and a list was told only when it came; Agreement went by the configured backends instead, also where discovery had said otherwise. By real processes the order was not caused on purpose.

--- a/daemon/src/main/java/willowdoor/daemon/life/Agreement.java
+++ b/daemon/src/main/java/willowdoor/daemon/life/Agreement.java
@@ -102,7 +102,6 @@
     loop.submit(() -> {
       door.addRosterListener(this::rosterReceived);
       door.setEndListener(requestTally);
-      rosterReceived(config.backends().configured());
       poll();
     }).sync();
   }
--- a/door/src/main/java/willowdoor/net/FrontDoor.java
+++ b/door/src/main/java/willowdoor/net/FrontDoor.java
@@ -367,8 +367,8 @@
   }
 
   /**
-   * Registers a listener for the backend lists that discovery sends; both this call and the listener's run on
-   * the loop.
+   * Registers a listener for the backend lists that discovery sends. It is called at once with the whole list
+   * as it stands, however late it is registered; both this call and the listener's run on the loop.
    */
   public void addRosterListener(Consumer<EndpointUpdate> listener) {
     roster.setSourceListener(listener);
--- a/door/src/main/java/willowdoor/net/MergedRoster.java
+++ b/door/src/main/java/willowdoor/net/MergedRoster.java
@@ -16,6 +16,7 @@
 import willowdoor.membership.MembershipEvent.TakeOut;
 import willowdoor.membership.DisabledBackend;
 import willowdoor.membership.RosterUpdate;
+import willowdoor.policy.GatewayApi.BackendEntry;
 import willowdoor.policy.GatewayApi.Phase;
 
 /**
@@ -28,6 +29,8 @@
   private final DoubleSupplier clockMs;
   private final Consumer<EndpointUpdate> listener;
   private final Map<Long, InetSocketAddress> addresses = new HashMap<>();
+  /** What discovery lists, or before its first list what the configuration names; not merged. */
+  private final Map<Long, BackendEntry> listed = new HashMap<>();
   private long version;
   /** Receives discovery's updates before they are merged; null if there is none. */
   private Consumer<EndpointUpdate> sourceListener;
@@ -37,9 +40,14 @@
     this.listener = listener;
   }
 
-  /** Sets a further listener, which receives discovery's updates before they are merged. */
+  /**
+   * Sets a further listener, which receives the whole list as it stands now, and then discovery's updates
+   * before they are merged.
+   */
   void setSourceListener(Consumer<EndpointUpdate> newListener) {
     sourceListener = newListener;
+    List<BackendEntry> entries = List.copyOf(listed.values());
+    newListener.accept(new EndpointUpdate(version, true, entries, Map.copyOf(addresses)));
   }
 
   /** Handles an update from discovery. */
@@ -54,9 +62,14 @@
   EndpointUpdate merge(EndpointUpdate update) {
     if (update.full()) {
       addresses.clear();
+      listed.clear();
     }
     addresses.putAll(update.addresses());
-    update.entries().stream().filter(e -> e.phase() == Phase.REMOVED).forEach(e -> addresses.remove(e.id()));
+    update.entries().forEach(e -> listed.put(e.id(), e));
+    update.entries().stream().filter(e -> e.phase() == Phase.REMOVED).forEach(e -> {
+      addresses.remove(e.id());
+      listed.remove(e.id());
+    });
     version = update.version();
     return toUpdate(membership.on(clockMs.getAsDouble(), new Listed(update.full(), update.entries())));
   }
--- a/door/src/test/java/willowdoor/net/DiscoveryTest.java
+++ b/door/src/test/java/willowdoor/net/DiscoveryTest.java
@@ -15,6 +15,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import willowdoor.net.Peers.Client;
+import willowdoor.policy.GatewayApi.BackendEntry;
 
 /** Updates of the list of backends, and their effects. */
 @Timeout(40)
@@ -116,6 +117,23 @@
     }
   }
 
+  /** Guards against a listener that knows no backend until the next change, as the first list came before. */
+  @Test
+  void aLateListenerGetsTheListAsItStands() throws Exception {
+    int second = backendNamed("2").getLocalPort();
+    FrontDoor door = peers.start();
+    Peers.next(peers.watchRequests);
+    peers.sendToNewestWatch(Peers.rosterJson(8, true, Peers.rosterEntry("s-2", second, "active")) + "\n");
+    requestUntilServedBy("2");
+    List<EndpointUpdate> heard = new ArrayList<>();
+    door.loop().submit(() -> door.addRosterListener(heard::add)).sync();
+    assertEquals(1, heard.size());
+    assertTrue(heard.get(0).full());
+    assertEquals(8, heard.get(0).version());
+    assertEquals(List.of(EndpointUpdate.idOf("s-2")),
+        heard.get(0).entries().stream().map(BackendEntry::id).toList());
+  }
+
   /** Guards against a busy loop where discovery ends each watch without a list. */
   @Test
   void watchesThatFailAreOpenedAnewLessAndLessOften() throws Exception {
