The warm-up runs the tasks of its loop, which start its attempts

Change: the warm-up runs the tasks of its loop after the counter's answers. Timers that are due run with them; a warm-up ends before any deadline.

--- a/door/src/main/java/willowdoor/net/WarmUp.java
+++ b/door/src/main/java/willowdoor/net/WarmUp.java
@@ -49,8 +49,9 @@
 
   private final Config config;
   private final Clock clock = new Clock();
-  /** The timers of this loop never run, and nothing keeps it alive afterwards. */
-  private final EventLoop loop = new EmbeddedChannel().eventLoop();
+  /** Runs the tasks of the loop, on which nothing runs by itself; nothing keeps it alive afterwards. */
+  private final EmbeddedChannel loopRunner = new EmbeddedChannel();
+  private final EventLoop loop = loopRunner.eventLoop();
   private final List<EmbeddedChannel> backends = new ArrayList<>();
   private final List<EmbeddedChannel> counters = new ArrayList<>();
   private int served;
@@ -96,6 +97,7 @@
       for (int k = 0; k < REQUESTS_PER_CONNECTION; k++) {
         client.writeInbound(text(request(i + k)));
         answerPending(counters, "ok 1\r\n");
+        loopRunner.runPendingTasks();
         answerPending(backends, "HTTP/1.1 200 OK\r\nX-Units-Charged: 1\r\nContent-Length: 4\r\n\r\nfine");
         ByteBuf answered = client.readOutbound();
         served += answered != null && answered.toString(StandardCharsets.US_ASCII).startsWith("HTTP/1.1 200")
