Claims that wait behind a call without a reply proceed with it

Change: what waits proceeds with the call that got no reply; that process claims each id here before it runs it, so nothing is run twice. The callback tells a reply from none.

--- a/daemon/src/main/java/willowdoor/daemon/life/HandoverClaims.java
+++ b/daemon/src/main/java/willowdoor/daemon/life/HandoverClaims.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
@@ -38,7 +39,7 @@
   private boolean otherTakesClients;
   private long lastNumber;
   /** Waits for the reply to the last claim, or null. */
-  private IdClaims.RejectedIds callback;
+  private IdClaims.Reply callback;
 
   HandoverClaims(FrontDoor door) {
     this.door = door;
@@ -65,7 +66,7 @@
   void detach(ChannelHandlerContext connection) {
     if (other == connection) {
       other = null;
-      finish(lastNumber, Set.of());
+      finish(lastNumber, IdClaims.Reply::onNoReply);
     }
   }
 
@@ -82,7 +83,7 @@
         attach(connection, false);
         reply(words[1], ids);
       } else if (other == connection) {
-        finish(Long.parseLong(words[1]), Set.copyOf(ids));
+        finish(Long.parseLong(words[1]), waiting -> waiting.onReply(Set.copyOf(ids)));
       }
       return true;
     } catch (IllegalArgumentException e) {
@@ -99,6 +100,11 @@
     return word + " " + number + ids.stream().map(encode).collect(Collectors.joining());
   }
 
+  /** Tells the other process, by an empty claim, that this one takes part. */
+  void announce() {
+    HandoverProtocol.writeLine(other, line(CLAIM, "0", List.of()));
+  }
+
   @Override
   public boolean exists() {
     return other != null;
@@ -110,22 +116,23 @@
   }
 
   @Override
-  public void claim(List<String> ids, IdClaims.RejectedIds whenReplied) {
+  public void claim(List<String> ids, IdClaims.Reply whenReplied) {
     if (other == null) {
-      whenReplied.accept(Set.of());
+      whenReplied.onNoReply();
       return;
     }
     long number = ++lastNumber;
     callback = whenReplied;
     HandoverProtocol.writeLine(other, line(CLAIM, Long.toString(number), ids));
-    door.loop().schedule(() -> finish(number, Set.of()), IdClaims.REPLY_LIMIT_MS, TimeUnit.MILLISECONDS);
+    door.loop().schedule(() -> finish(number, IdClaims.Reply::onNoReply), IdClaims.REPLY_LIMIT_MS,
+        TimeUnit.MILLISECONDS);
   }
 
-  private void finish(long number, Set<String> rejected) {
+  private void finish(long number, Consumer<IdClaims.Reply> outcome) {
     if (callback != null && number == lastNumber) {
-      IdClaims.RejectedIds finished = callback;
+      IdClaims.Reply waiting = callback;
       callback = null;
-      finished.accept(rejected);
+      outcome.accept(waiting);
     }
   }
 }
--- a/daemon/src/main/java/willowdoor/daemon/life/HandoverClient.java
+++ b/daemon/src/main/java/willowdoor/daemon/life/HandoverClient.java
@@ -110,7 +110,7 @@
         HandoverProtocol.setDescriptorMode(ctx, false);
         if (holderTakesClaims) {
           claims.attach(ctx, true);
-          claims.claim(List.of(), rejected -> { });
+          claims.announce();
         }
         descriptor.complete(fd.intValue());
       } else if (message instanceof String line) {
--- a/door/src/main/java/willowdoor/net/FrontDoorOperations.java
+++ b/door/src/main/java/willowdoor/net/FrontDoorOperations.java
@@ -5,7 +5,6 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.List;
-import java.util.Set;
 import java.util.UUID;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.CompletableFuture;
@@ -288,9 +287,9 @@
     }
 
     @Override
-    public void claim(List<String> ids, IdClaims.RejectedIds callback) {
+    public void claim(List<String> ids, IdClaims.Reply callback) {
       if (otherProcess == null) {
-        callback.accept(Set.of());
+        callback.onNoReply();
       } else {
         otherProcess.claim(ids, callback);
       }
--- a/door/src/main/java/willowdoor/net/IdClaims.java
+++ b/door/src/main/java/willowdoor/net/IdClaims.java
@@ -33,13 +33,18 @@
     /** Whether the other process may take clients. */
     boolean takesClients();
 
-    /** Claims ids; the callback gets those that were rejected, and none if there is no reply in time. */
-    void claim(List<String> ids, RejectedIds callback);
+    /** Claims ids; one method of the callback is called, after {@link #REPLY_LIMIT_MS} at the latest. */
+    void claim(List<String> ids, Reply callback);
   }
 
-  /** Receives the ids that the other process has rejected. */
-  public interface RejectedIds {
-    void accept(Set<String> ids);
+  /** Receives the outcome of a call that claims ids. */
+  public interface Reply {
+
+    /** The other process has noted the ids, except for those that it rejects. */
+    void onReply(Set<String> rejected);
+
+    /** There was no reply in time, or there is no other process any more. */
+    void onNoReply();
   }
 
   /** How long the reply to a claim is waited for, in milliseconds. */
@@ -95,9 +100,21 @@
     List<Claim> batch = nextBatch();
     calling = !batch.isEmpty();
     if (calling) {
-      peer.claim(batch.stream().map(claim -> claim.id).toList(), rejected -> {
-        batch.forEach(claim -> claim.settle(rejected.contains(claim.id)));
-        callNext();
+      peer.claim(batch.stream().map(claim -> claim.id).toList(), new Reply() {
+        @Override
+        public void onReply(Set<String> rejected) {
+          batch.forEach(claim -> claim.settle(rejected.contains(claim.id)));
+          callNext();
+        }
+
+        @Override
+        public void onNoReply() {
+          // What waited behind the call would wait again for as long, one call after the other.
+          batch.addAll(unsent);
+          unsent.clear();
+          batch.forEach(claim -> claim.settle(false));
+          callNext();
+        }
       });
     }
   }
--- a/door/src/main/java/willowdoor/net/PeerProcess.java
+++ b/door/src/main/java/willowdoor/net/PeerProcess.java
@@ -5,7 +5,6 @@
 import io.netty.handler.codec.http.QueryStringEncoder;
 import java.net.InetSocketAddress;
 import java.util.List;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.logging.Logger;
@@ -86,19 +85,19 @@
         });
   }
 
-  /**
-   * Claims the ids of requests that are about to begin here and must not run twice. The callback gets those
-   * that the other process rejects.
-   */
-  void claim(List<String> ids, IdClaims.RejectedIds callback) {
+  /** Claims the ids of requests that are about to begin here and must not run twice. */
+  void claim(List<String> ids, IdClaims.Reply callback) {
     QueryStringEncoder target = new QueryStringEncoder("/claim");
     ids.forEach(id -> target.addParam("id", id));
     caller.call(address, processId, HttpMethod.POST, target.toString(), IdClaims.REPLY_LIMIT_MS, end -> {
       if (end.outcome() == CallOutcome.NOBODY) {
         markGone();
       }
-      boolean answered = end.outcome() == CallOutcome.ANSWER && end.reply().isOk();
-      callback.accept(answered ? end.reply().text().lines().collect(Collectors.toSet()) : Set.of());
+      if (end.outcome() == CallOutcome.ANSWER && end.reply().isOk()) {
+        callback.onReply(end.reply().text().lines().collect(Collectors.toSet()));
+      } else {
+        callback.onNoReply();
+      }
     });
   }
 
