Test: gateways in own processes listen below the ports that the system gives away

Trace: the gateway's own log shows its warm-up from 3.29 to 3.84 s and its first request then, while the clients had found /up at 200 and connected before; the refusals lie before 3.84 s, and none of the first clients' ids is in its log. So another gateway answered at the port, which had been free when it was chosen, and ended; those with a management address share ports, so neither start failed. That it was a door of UpgradeTest is inferred. A fault of the harness, not of the gateway: no check is changed. Change: the port is chosen at random between 20,000 and 31,999, which the system gives to nobody who asks for any port.

--- a/door/src/test/java/willowdoor/net/ServingProcess.java
+++ b/door/src/test/java/willowdoor/net/ServingProcess.java
@@ -2,6 +2,7 @@
 
 import java.io.Closeable;
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -11,6 +12,7 @@
 import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
@@ -20,6 +22,9 @@
 
   private static final long START_LIMIT_MS = 20_000;
   private static final long POLL_MS = 20;
+  private static final int FIRST_PORT = 20_000;
+  private static final int PORTS = 12_000;
+  private static final int MAX_PORT_TRIES = 100;
   private static final List<String> DEFAULT_OPTIONS = List.of("-XX:TieredStopAtLevel=1",
       "-Djava.util.logging.config.file=../deploy/request-log.properties");
 
@@ -60,10 +65,21 @@
     return new ServingProcess(folder, config, DEFAULT_OPTIONS, address);
   }
 
+  /**
+   * A free address at a port below those that the system gives away. Guards against another gateway that gets
+   * the port before this one listens: processes of one front door may share an address, and the clients
+   * of the one would reach the other.
+   */
   static InetSocketAddress freeAddress() throws IOException {
-    try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return (InetSocketAddress) free.getLocalSocketAddress();
+    for (int tries = 0; tries < MAX_PORT_TRIES; tries++) {
+      int port = FIRST_PORT + ThreadLocalRandom.current().nextInt(PORTS);
+      try (ServerSocket free = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+        return (InetSocketAddress) free.getLocalSocketAddress();
+      } catch (BindException e) {
+        // In use; another one is tried.
+      }
     }
+    throw new IOException("no free port");
   }
 
   private Path write(String name, String config) throws IOException {
