A daemon that stops writes no file of its control socket

Cause: when the loop of a predecessor stops, the connection to its successor closes, which counts as "the successor was lost", so it serves again and opens its control socket anew, on a thread nobody waited for; the same as for the process file. Ruled out: the successor's own file, which it writes before it is ready. Change: one FileWriter for both, closed and awaited before the loop stops; later writes are discarded.

--- a/daemon/src/main/java/willowdoor/daemon/life/ControlSocket.java
+++ b/daemon/src/main/java/willowdoor/daemon/life/ControlSocket.java
@@ -21,6 +21,7 @@
 import willowdoor.life.InstanceLifecycle.Phase;
 import willowdoor.life.LifecycleEvent.SuccessorLost;
 import willowdoor.life.LifecycleEvent.SuccessorReady;
+import willowdoor.net.FileWriter;
 import willowdoor.net.FrontDoor;
 
 /**
@@ -42,6 +43,7 @@
   private final Path path;
   private final long readyLimitMs;
   private final HandoverClaims claims;
+  private final FileWriter fileWriter = new FileWriter("control-socket");
   private Channel serverChannel;
   private int connections;
   /** The connection of the successor that currently takes over, or null. */
@@ -55,8 +57,30 @@
     this.claims = claims;
   }
 
-  /** Listens on the path. Blocks, so it must not be called on an event loop. */
-  void open() throws IOException {
+  /** Listens on the path soon, and then runs the action, whether or not it could; called on the loop. */
+  void open(Runnable then) {
+    fileWriter.execute(() -> {
+      tryOpen();
+      then.run();
+    });
+  }
+
+  /** Writes no file from now on; not to be called on the event loop. */
+  void close() {
+    fileWriter.close();
+  }
+
+  private boolean tryOpen() {
+    try {
+      open();
+      return true;
+    } catch (IOException e) {
+      LOG.warning("cannot open the control socket, so no successor can take over: " + e.getMessage());
+      return false;
+    }
+  }
+
+  private void open() throws IOException {
     Path temporary = path.resolveSibling(path.getFileName() + "." + ProcessHandle.current().pid());
     Files.deleteIfExists(temporary);
     try {
@@ -86,16 +110,11 @@
   /** Replaces the file at the path again, after a successor that had replaced it is gone. */
   void reopen() {
     Channel previous = serverChannel;
-    Thread opening = new Thread(() -> {
-      try {
-        open();
+    fileWriter.execute(() -> {
+      if (tryOpen()) {
         previous.close();
-      } catch (IOException e) {
-        LOG.warning("cannot open the control socket, so no successor can take over: " + e.getMessage());
       }
-    }, "control-socket");
-    opening.setDaemon(true);
-    opening.start();
+    });
   }
 
   /** The connection of a process that asks to take over; runs on the event loop. */
--- a/daemon/src/main/java/willowdoor/daemon/life/Daemon.java
+++ b/daemon/src/main/java/willowdoor/daemon/life/Daemon.java
@@ -77,9 +77,10 @@
 
       @Override
       public void onServing() {
-        Thread opening = new Thread(Daemon.this::openControl, "control-socket");
-        opening.setDaemon(true);
-        opening.start();
+        // The socket's file belongs to this instance only once it serves: a successor asks that one.
+        if (controlSocket != null) {
+          controlSocket.open(Daemon.this::announceReady);
+        }
       }
 
       @Override
@@ -253,18 +254,8 @@
     return door.loop().submit(door::learnedState).syncUninterruptibly().getNow();
   }
 
-  /**
-   * Opens the control socket. The file of the socket belongs to this instance only once it serves, because a
-   * successor asks the instance that serves.
-   */
-  private void openControl() {
-    if (controlSocket != null) {
-      try {
-        controlSocket.open();
-      } catch (IOException e) {
-        LOG.warning("cannot open the control socket, so no successor can take over: " + e.getMessage());
-      }
-    }
+  /** Tells the process before this one, if there is one, that this one serves. */
+  private void announceReady() {
     if (handoverClient != null) {
       handoverClient.announceReady();
     }
@@ -297,6 +288,9 @@
     if (embeddedSteward != null) {
       embeddedSteward.close();
     }
+    if (controlSocket != null) {
+      controlSocket.close();
+    }
     door.stop();
   }
 
--- a/daemon/src/test/java/willowdoor/daemon/life/HandoverTest.java
+++ b/daemon/src/test/java/willowdoor/daemon/life/HandoverTest.java
@@ -38,6 +38,7 @@
 class HandoverTest {
 
   private static final int CLAIMED_REQUESTS = 10;
+  private static final long FILE_WRITTEN_MS = 500;
 
   private DaemonFixture fixture;
 
@@ -92,6 +93,22 @@
     assertRulesKept();
   }
 
+  /** Guards against a control socket's file that a process writes anew while it stops. */
+  @Test
+  void aStoppedPredecessorWritesNoControlSocketFile() throws Exception {
+    Daemon old = fixture.createDaemon(new InetSocketAddress("127.0.0.1", 0), "[end]\naccept_ms = 3000\n")
+        .start(false);
+    DaemonFixture.awaitUp(old.address());
+    DaemonFixture.await("control socket", () -> Files.exists(controlSocketPath()));
+    DaemonFixture.Caller probe = fixture.new Caller(old.address(), "d0");
+    fixture.createDaemon(old.address(), "").start(true);
+    DaemonFixture.await("the predecessor drains", () -> isDraining(probe));
+    Files.delete(controlSocketPath());
+    old.close();
+    Thread.sleep(FILE_WRITTEN_MS);
+    assertFalse(Files.exists(controlSocketPath()));
+  }
+
   /** Guards against an id that runs twice when it comes to both processes of a handover. */
   @Test
   void anIdThatComesToBothProcessesDoesNotRunTwice() throws Exception {
--- a/door/src/main/java/willowdoor/net/FrontDoorOperations.java
+++ b/door/src/main/java/willowdoor/net/FrontDoorOperations.java
@@ -6,12 +6,8 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.UUID;
-import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
-import java.util.concurrent.ThreadFactory;
-import java.util.concurrent.ThreadPoolExecutor;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.logging.Logger;
 import willowdoor.management.ManagementClient;
@@ -45,7 +41,6 @@
   /** Share of the memory pool that each process has while two run: the limit holds for both together. */
   private static final double MEMORY_SHARE_OF_TWO = 0.5;
 
-  private static final long FILE_WRITE_LIMIT_MS = 1_000;
   /** Status of the reply to a process of another front door. */
   private static final int ANOTHER_FRONT_DOOR = 421;
 
@@ -59,7 +54,7 @@
   private final ManagementClient managementClient;
   private final ManagementServer server = new ManagementServer(this);
   /** Writes the process file while the loop runs; after the shutdown of this process it writes nothing. */
-  private final ThreadPoolExecutor fileWrites = createFileWriter();
+  private final FileWriter processFileWriter = new FileWriter("process-file");
   /** The other process of this front door, or null. */
   private PeerProcess otherProcess;
   /** Whether operators have drained the clients. */
@@ -120,22 +115,7 @@
    */
   void close() {
     server.close();
-    fileWrites.shutdown();
-    try {
-      fileWrites.awaitTermination(FILE_WRITE_LIMIT_MS, TimeUnit.MILLISECONDS);
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
-  }
-
-  private static ThreadPoolExecutor createFileWriter() {
-    ThreadFactory daemonThreads = task -> {
-      Thread thread = new Thread(task, "process-file");
-      thread.setDaemon(true);
-      return thread;
-    };
-    return new ThreadPoolExecutor(0, 1, 0, TimeUnit.MILLISECONDS, new ArrayBlockingQueue<>(1), daemonThreads,
-        new ThreadPoolExecutor.DiscardPolicy());
+    processFileWriter.close();
   }
 
   private ProcessGreeting greeting(boolean serves) {
@@ -232,7 +212,7 @@
       budget.setShare(1);
       memory.setShare(1);
       if (discoverable && !shuttingDown) {
-        fileWrites.execute(this::writeProcessFile);
+        processFileWriter.execute(this::writeProcessFile);
       }
     }
   }
