Work for a client waits for what its sender still holds, not for an empty receive queue

A request was begun and ran for a client that had closed its connection 0.3 s before, behind 600 kB of input. Cause, by a trace of the reads: the window of the connection was full when the client closed, so its kernel still held input and the end. The gateway read the receive queue empty (16,384, 16,384, 13,285 bytes), took that for the end of all input and began the request; the next read, within a millisecond, brought 16,384 bytes more, and the end came after them. Ruled out: the wait's limit of 0.1 s (the request began 20 to 40 ms after the process went on). By reading, two more holes: after 0.1 s of input the work began all the same, and a loop that was held up for 5 ms between two checks took that for silence. Change: after much input (8 kB in a turn, or a turn that was cut short) work waits until the connection was quiet for 20 ms, if it has brought anything beyond the request that is to begin; the kernel's time of the last arrival is asked too. A request that would wait for over 0.1 s is refused, those behind it at once; an attempt waits until its own time ends. A long request with nothing behind it is not delayed: a client of the protocol sends one request at a time. UnreadInputTest: a turn that leaves nothing ended the wait by its old text, which is the fault; it asks for the quiet time now, that the limit is gone, and that a short or lone long request is not delayed.

--- a/door/src/main/java/willowdoor/net/ClientConnection.java
+++ b/door/src/main/java/willowdoor/net/ClientConnection.java
@@ -73,6 +73,11 @@
    * kept are answered, and then the connection is closed.
    */
   private static final int MAX_PENDING = 16;
+  /**
+   * How long, in milliseconds, requests wait for unread input behind them, as some clients write without end;
+   * then they are refused.
+   */
+  private static final double MAX_UNREAD_WAIT_MS = 100;
   /** The handlers that hold a request until it has arrived completely. */
   private static final List<Class<? extends ChannelHandler>> REQUEST_PARTS =
       List.of(RequestDecoder.class, BodyPieceCopier.class, HttpObjectAggregator.class);
@@ -104,6 +109,8 @@
   /** Pipelined requests; {@link #nextScheduled} tells whether the first of them is about to be handled. */
   private final ArrayDeque<PendingRequest> pending = new ArrayDeque<>(1);
   private boolean nextScheduled;
+  /** Since when requests wait for unread input behind them, or NaN. */
+  private double awaitsInputSinceMs = Double.NaN;
   private final UnreadInput unreadInput = new UnreadInput();
 
   /**
@@ -155,15 +162,16 @@
   /**
    * Called when the loop turns to the next connection.
    *
-   * @param moreUnread whether this connection may hold more, as the reads of one turn are limited
+   * @param bytes what was read of this one
+   * @param cutShort whether this connection may hold more, as the reads of one turn are limited
    */
-  void onTurnEnd(boolean moreUnread) {
-    unreadInput.onTurnEnd(server.now(), moreUnread);
+  void onTurnEnd(int bytes, boolean cutShort) {
+    unreadInput.onTurnEnd(server.now(), bytes, cutShort);
   }
 
   /** Called when the connection is read again after a pause. */
   void onReadingResumed() {
-    unreadInput.onReadingResumed();
+    unreadInput.onReadingResumed(server.now());
   }
 
   /** Frees what has arrived of a request that is not read any further. */
@@ -237,7 +245,7 @@
       pending.add(new PendingRequest(message, server.now() - Transport.kernelWaitMs(channel), heldBytes));
       scheduleNext();
     } else if (first) {
-      refuseForMemory(message);
+      refuseUnhandled(message, "memory");
     } else {
       readNoFurther(message);
     }
@@ -256,8 +264,9 @@
     }
   }
 
-  private void refuseForMemory(FullHttpRequest message) {
-    RequestLog.note(message.headers().get(Headers.REQUEST_ID), "refused", "reason", "memory");
+  /** Refuses a request of which nothing has run, and releases it. */
+  private void refuseUnhandled(FullHttpRequest message, String reason) {
+    RequestLog.note(message.headers().get(Headers.REQUEST_ID), "refused", "reason", reason);
     requestSeen = true;
     keepAlive = HttpUtil.isKeepAlive(message) && !message.decoderResult().isFailure() && !overLimit;
     message.release();
@@ -279,18 +288,40 @@
   }
 
   private void handleNext() {
-    if (unreadInput.mayExist(server.now())) {
+    boolean unread = mayHoldUnreadInput(pending.size() > 1);
+    double now = server.now();
+    if (!unread) {
+      awaitsInputSinceMs = Double.NaN;
+    } else if (Double.isNaN(awaitsInputSinceMs)) {
+      awaitsInputSinceMs = now;
+    }
+    if (unread && now - awaitsInputSinceMs < MAX_UNREAD_WAIT_MS) {
       channel.eventLoop().schedule(this::handleNext, UnreadInput.CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
       return;
     }
     nextScheduled = false;
     PendingRequest next = pending.poll();
-    if (next != null) {
-      memory.removeWaiting(next.heldBytes);
+    if (next == null) {
+      return;
+    }
+    memory.removeWaiting(next.heldBytes);
+    if (unread) {
+      refuseUnhandled(next.message, "unread input");
+    } else {
       handle(next);
     }
   }
 
+  /**
+   * Whether the connection may hold input that was not read yet, and with it its end.
+   *
+   * @param requestsBehind whether a complete request has arrived behind the one that this is asked for
+   */
+  private boolean mayHoldUnreadInput(boolean requestsBehind) {
+    boolean inputBehind = requestsBehind || !wantsInput() || !Double.isNaN(receivingSinceMs);
+    return unreadInput.mayExist(server.now(), inputBehind, () -> Transport.sinceArrivalMs(channel));
+  }
+
   private void handle(PendingRequest next) {
     FullHttpRequest message = next.message;
     requestSeen = true;
@@ -385,7 +416,7 @@
 
       @Override
       public boolean mayHoldUnreadInput() {
-        return unreadInput.mayExist(server.now());
+        return ClientConnection.this.mayHoldUnreadInput(!pending.isEmpty());
       }
 
       @Override
--- a/door/src/main/java/willowdoor/net/ModuleDriver.java
+++ b/door/src/main/java/willowdoor/net/ModuleDriver.java
@@ -88,7 +88,7 @@
 
     /**
      * Whether the connection may hold input that was not read yet; the end of a connection comes after all
-     * input. True for a limited time only, as some clients write without end.
+     * input. May stay true, as some clients write without end.
      */
     default boolean mayHoldUnreadInput() {
       return false;
--- a/door/src/main/java/willowdoor/net/ReceivedBytesHandler.java
+++ b/door/src/main/java/willowdoor/net/ReceivedBytesHandler.java
@@ -25,6 +25,7 @@
   private final ClientConnection connection;
   private final RequestDecoder decoder;
   private int readsInThisTurn;
+  private int bytesInThisTurn;
   private long nanosInThisTurn;
 
   ReceivedBytesHandler(ClientConnection connection, RequestDecoder decoder) {
@@ -35,6 +36,7 @@
   @Override
   public void channelRead(ChannelHandlerContext ctx, Object bytes) {
     readsInThisTurn++;
+    bytesInThisTurn += ((ByteBuf) bytes).readableBytes();
     if (!connection.wantsInput()) {
       ReferenceCountUtil.release(bytes);
       return;
@@ -63,8 +65,10 @@
   @Override
   public void channelReadComplete(ChannelHandlerContext ctx) {
     ctx.fireChannelReadComplete();
-    connection.onTurnEnd(readsInThisTurn >= READS_PER_TURN || nanosInThisTurn > MAX_TURN_NANOS);
+    connection.onTurnEnd(bytesInThisTurn,
+        readsInThisTurn >= READS_PER_TURN || nanosInThisTurn > MAX_TURN_NANOS);
     readsInThisTurn = 0;
+    bytesInThisTurn = 0;
     nanosInThisTurn = 0;
   }
 }
--- a/door/src/main/java/willowdoor/net/Transport.java
+++ b/door/src/main/java/willowdoor/net/Transport.java
@@ -141,10 +141,17 @@
    * does not tell. A loop that is short of CPU reads late, and only the kernel knows how late.
    */
   static double kernelWaitMs(Channel channel) {
+    double sinceMs = sinceArrivalMs(channel);
+    return Double.isFinite(sinceMs) ? sinceMs : 0;
+  }
+
+  /** How long ago the newest bytes of a connection arrived; infinity if the transport does not tell. */
+  static double sinceArrivalMs(Channel channel) {
     try {
-      return channel instanceof EpollSocketChannel socket ? socket.tcpInfo().lastDataRecv() : 0;
+      return channel instanceof EpollSocketChannel socket ? socket.tcpInfo().lastDataRecv()
+          : Double.POSITIVE_INFINITY;
     } catch (ChannelException e) {
-      return 0;
+      return Double.POSITIVE_INFINITY;
     }
   }
 }
--- a/door/src/main/java/willowdoor/net/UnreadInput.java
+++ b/door/src/main/java/willowdoor/net/UnreadInput.java
@@ -1,50 +1,65 @@
 package willowdoor.net;
 
+import java.util.function.DoubleSupplier;
+
 /**
- * Tracks whether a client's connection may hold input that was not read yet, as the reads of one turn of the
- * loop are limited. The end of a connection comes after all its input, so work for a client waits until there
- * is none, for a limited time: some clients write without end.
+ * Tracks whether a client's connection may hold input that was not read yet, here or at its sender. The end of
+ * a connection comes after all its input, so work for a client waits until there is none.
+ *
+ * <p>An empty receive queue shows nothing after much input: its sender's kernel sends more once the window is
+ * open again, and the end of the connection last. So the connection has to be quiet for a while then, if it
+ * has brought anything beyond the request that is to begin.
  */
 final class UnreadInput {
 
   /** Interval of the checks of {@link #mayExist} while work waits, in milliseconds. */
   static final long CHECK_INTERVAL_MS = 5;
-  /** How long work waits for the same unread input, in milliseconds. */
-  private static final double MAX_WAIT_MS = 100;
+  /** Input of so many bytes in one turn of the loop may have filled the window of the connection. */
+  private static final int MUCH_BYTES = 8 * 1024;
+  /** Time without input after which nothing more is at the sender. */
+  private static final double QUIET_MS = 20;
+  /** The kernel tells times of arrival to so many milliseconds. */
+  private static final double KERNEL_CLOCK_MS = 10;
 
-  /** Since when each turn of the loop may have left something unread, or NaN. */
-  private double sinceMs = Double.NaN;
-  /** Whether something was read, or reading was resumed, since the last check. */
-  private boolean readSinceCheck;
+  /** Much was read, and the connection was not quiet since. */
+  private boolean much;
+  /** The last turn was cut short, or reading is paused: something may be in the receive queue. */
+  private boolean cutShort;
+  private double lastReadMs;
 
   /**
    * Called when the loop turns to the next connection.
    *
-   * @param moreUnread whether this connection may hold more
+   * @param bytes what was read in this turn
+   * @param turnCutShort whether the turn ended by its limits and not because nothing was left
    */
-  void onTurnEnd(double nowMs, boolean moreUnread) {
-    readSinceCheck = true;
-    if (!moreUnread) {
-      sinceMs = Double.NaN;
-    } else if (Double.isNaN(sinceMs)) {
-      sinceMs = nowMs;
-    }
+  void onTurnEnd(double nowMs, int bytes, boolean turnCutShort) {
+    much |= turnCutShort || bytes >= MUCH_BYTES;
+    cutShort = turnCutShort;
+    lastReadMs = nowMs;
   }
 
   /** Called when the connection is read again after a pause. */
-  void onReadingResumed() {
-    readSinceCheck = true;
+  void onReadingResumed(double nowMs) {
+    lastReadMs = nowMs;
   }
 
   /**
-   * Whether work for the client should wait, and ask again after {@link #CHECK_INTERVAL_MS}. If nothing was
-   * read since the last check, there is nothing unread.
+   * Whether work for the client should wait, and ask again after {@link #CHECK_INTERVAL_MS}.
+   *
+   * @param inputBehind whether anything was read beyond the request that the work is for
+   * @param sinceArrivalMs tells how long the newest bytes have been with the kernel: a loop that is held up
+   *     has not read what has come meanwhile
    */
-  boolean mayExist(double nowMs) {
-    if (!readSinceCheck) {
-      sinceMs = Double.NaN;
+  boolean mayExist(double nowMs, boolean inputBehind, DoubleSupplier sinceArrivalMs) {
+    if (!much) {
+      return false;
+    }
+    double sinceReadMs = nowMs - lastReadMs;
+    if (sinceReadMs >= QUIET_MS && sinceArrivalMs.getAsDouble() >= sinceReadMs - KERNEL_CLOCK_MS) {
+      much = false;
+      return false;
     }
-    readSinceCheck = false;
-    return nowMs - sinceMs < MAX_WAIT_MS;
+    return cutShort || inputBehind || sinceReadMs >= QUIET_MS;
   }
 }
--- a/door/src/test/java/willowdoor/net/UnreadInputTest.java
+++ b/door/src/test/java/willowdoor/net/UnreadInputTest.java
@@ -5,36 +5,71 @@
 
 import org.junit.jupiter.api.Test;
 
-/** Unread input of a client is waited for while it is read, and for a limited time. */
+/** Unread input of a client is waited for until its connection is quiet. */
 class UnreadInputTest {
 
+  private static final int MUCH = 16_384;
+
   private final UnreadInput input = new UnreadInput();
+  /** When the newest bytes came to the kernel. */
+  private double arrivedMs;
+
+  private boolean mayExist(double nowMs, boolean inputBehind) {
+    return input.mayExist(nowMs, inputBehind, () -> nowMs - arrivedMs);
+  }
+
+  @Test
+  void aShortRequestIsNotDelayed() {
+    assertFalse(mayExist(0, false));
+    input.onTurnEnd(1, 300, false);
+    assertFalse(mayExist(1, true));
+  }
 
+  /** Guards against a delay of each long request, whose last byte ends the turn. */
   @Test
-  void aTurnThatLeavesNothingEndsTheWait() {
-    assertFalse(input.mayExist(0));
-    input.onTurnEnd(1, true);
-    assertTrue(input.mayExist(1));
-    input.onTurnEnd(2, false);
-    assertFalse(input.mayExist(6));
+  void aLongRequestAloneIsNotDelayed() {
+    input.onTurnEnd(1, MUCH, true);
+    assertTrue(mayExist(1, false));
+    input.onTurnEnd(2, 700, false);
+    assertFalse(mayExist(2, false));
   }
 
-  /** Guards against a wait of the whole limit where the last read of a turn was the last there is. */
+  /** Guards against an empty receive queue taken for the end of all input: the sender holds more. */
   @Test
-  void anIntervalWithoutReadsEndsTheWait() {
-    input.onTurnEnd(1, true);
-    assertTrue(input.mayExist(1));
-    assertFalse(input.mayExist(6));
-    assertFalse(input.mayExist(7));
+  void aTurnThatLeavesNothingIsNoEndOfMuchInput() {
+    input.onTurnEnd(1, MUCH, true);
+    arrivedMs = 2;
+    input.onTurnEnd(2, 13_000, false);
+    assertTrue(mayExist(2, true));
+    assertTrue(mayExist(21, true));
+    assertFalse(mayExist(22, true));
+    assertFalse(mayExist(23, true));
   }
 
+  /** Guards against a wait without end where the last read of a turn was the last there is. */
   @Test
-  void aClientThatWritesWithoutEndIsWaitedForALimitedTime() {
-    for (int t = 1; t <= 100; t += 5) {
-      input.onTurnEnd(t, true);
-      assertTrue(input.mayExist(t));
+  void quietEndsTheWaitOfATurnThatWasCutShort() {
+    input.onTurnEnd(1, MUCH, true);
+    assertTrue(mayExist(1, false));
+    assertTrue(mayExist(20, false));
+    assertFalse(mayExist(21, false));
+  }
+
+  @Test
+  void aClientThatWritesWithoutEndIsWaitedFor() {
+    for (int t = 1; t <= 1_000; t += 5) {
+      input.onTurnEnd(t, MUCH, true);
+      assertTrue(mayExist(t, false));
     }
-    input.onTurnEnd(101, true);
-    assertFalse(input.mayExist(101));
+  }
+
+  /** Guards against a loop that was held up and has not read what came meanwhile. */
+  @Test
+  void whatArrivedSinceTheLastReadIsUnread() {
+    input.onTurnEnd(1, MUCH, false);
+    arrivedMs = 60;
+    assertTrue(mayExist(100, false));
+    input.onTurnEnd(101, 700, false);
+    assertFalse(mayExist(101, false));
   }
 }
