Test: the soak's lists go to each process that watches, not to the newest watch

While both processes ran, only one of them heard of a drain. Change: each list goes to all watches that are open; a watch that has ended is dropped, and if there is none for a second, the run has failed. Stricter than before: both processes of an upgrade get the lists, and a gateway without a watch is found.

--- a/door/src/test/java/willowdoor/net/FaultSoakTest.java
+++ b/door/src/test/java/willowdoor/net/FaultSoakTest.java
@@ -48,6 +48,7 @@
   /** The first process of an upgrade ends so long after the longest deadline at the latest. */
   private static final long MAX_END_MS = 6_000;
   private static final long END_POLL_MS = 50;
+  private static final long MAX_WITHOUT_WATCH_MS = 1_000;
   /** Separates the draws of upgrades from those of all else. */
   private static final long UPGRADE_DRAWS = 0x5eed;
 
@@ -185,8 +186,7 @@
     long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(RUN_MS);
     for (int version = 8; System.nanoTime() < endNanos; version++) {
       pause(random.nextInt(900));
-      peers.sendToNewestWatch(
-          Peers.rosterJson(version, true, entries(backends, random.nextInt(BACKENDS + 2))) + "\n");
+      sendList(Peers.rosterJson(version, true, entries(backends, random.nextInt(BACKENDS + 2))) + "\n");
       if (random.nextInt(3) == 0) {
         ServingProcess heldUp = gateway;
         heldUp.signal("STOP");
@@ -220,6 +220,18 @@
     pause(SETTLE_MS);
   }
 
+  /** Sends the list to each process; one that has no watch just then opens one soon. */
+  private void sendList(String list) throws IOException {
+    long limitNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(MAX_WITHOUT_WATCH_MS);
+    while (!peers.sendToWatches(list)) {
+      if (System.nanoTime() > limitNanos) {
+        broken.add("no process watches the list");
+        return;
+      }
+      pause(1);
+    }
+  }
+
   /** What a client does over and over; the number is new each time. */
   private interface Behaviour {
     void act(String name, int number, Random random) throws IOException;
--- a/door/src/test/java/willowdoor/net/Peers.java
+++ b/door/src/test/java/willowdoor/net/Peers.java
@@ -166,8 +166,26 @@
 
   /** Sends bytes of a roster as one chunk on the newest watch. */
   void sendToNewestWatch(String bytes) throws IOException {
-    write(watchOutputs.get(watchOutputs.size() - 1), Integer.toHexString(bytes.length()) + "\r\n" + bytes
-        + "\r\n");
+    write(watchOutputs.get(watchOutputs.size() - 1), chunk(bytes));
+  }
+
+  private static String chunk(String bytes) {
+    return Integer.toHexString(bytes.length()) + "\r\n" + bytes + "\r\n";
+  }
+
+  /** Sends bytes of a roster on each watch that is open; returns whether there is one. */
+  boolean sendToWatches(String bytes) {
+    boolean sent = false;
+    for (OutputStream watch : watchOutputs) {
+      try {
+        write(watch, chunk(bytes));
+        sent = true;
+      } catch (IOException e) {
+        // Its gateway has ended, or opens another one.
+        watchOutputs.remove(watch);
+      }
+    }
+    return sent;
   }
 
   static String rosterEntry(String id, int port, String state) {
