Connections that only linger after their last answer leave their places to others

Callers saw: a client on a new connection was reset after its request, while others sent what is no request on ever new connections. Cause: after a 400 a connection stays half open for 300 ms, so that its client can read the answer, and counts as a client's meanwhile. Above the limit the one that had been idle longest was evicted, but never one that lingers; above the limit and a sixteenth, new connections were closed unread. Change: at the limit a new connection takes the place of the one that has lingered longest.

--- a/door/src/main/java/willowdoor/net/ClientConnection.java
+++ b/door/src/main/java/willowdoor/net/ClientConnection.java
@@ -630,10 +630,20 @@
     FullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, text);
     answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, text.readableBytes());
     answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-    channel.writeAndFlush(answer).addListener(f -> ((SocketChannel) channel).shutdownOutput());
+    channel.writeAndFlush(answer).addListener(f -> linger());
     channel.eventLoop().schedule(() -> channel.close(), LINGER_MS, TimeUnit.MILLISECONDS);
   }
 
+  private void linger() {
+    ((SocketChannel) channel).shutdownOutput();
+    server.onLingering(this);
+  }
+
+  /** Closes the connection before its client has had {@link #LINGER_MS} to read the last answer. */
+  void endLingering() {
+    channel.close();
+  }
+
   /** Whether an answer is being passed on, or the socket has not taken all of one. */
   boolean hasAnswerUnderWay() {
     return streamedAnswer != null || memory.hasUnwrittenAnswer();
--- a/door/src/main/java/willowdoor/net/ClientServer.java
+++ b/door/src/main/java/willowdoor/net/ClientServer.java
@@ -16,6 +16,7 @@
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.net.InetSocketAddress;
+import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -83,6 +84,8 @@
   private final ConnectionBudget budget;
   /** In the order in which they were opened. */
   private final Set<ClientConnection> connections = new LinkedHashSet<>();
+  /** Those that have their last answer and stay half open for a while, in the order of these answers. */
+  private final Set<ClientConnection> lingering = new LinkedHashSet<>();
   private long reportedRejections;
   private double nextMemoryReportMs;
   private boolean ready;
@@ -211,14 +214,14 @@
   }
 
   /**
-   * Registers a new connection. Returns true if it exceeds the limit; far above the limit the connection is
-   * closed at once, as file descriptors run out.
+   * Registers a new connection. At the limit it takes the place of one that only lingers. Returns true if it
+   * exceeds the limit; far above the limit the connection is closed at once, as file descriptors run out.
    */
   boolean register(ClientConnection connection) {
     connections.add(connection);
     budget.addClients(1);
     int max = budget.maxClients();
-    if (budget.clients() > max) {
+    if (budget.clients() > max && !closeLongestLingering()) {
       evictLongestIdle();
     }
     if (budget.clients() > max + max / EXCESS_DIVISOR) {
@@ -228,11 +231,28 @@
   }
 
   void unregister(ClientConnection connection) {
+    lingering.remove(connection);
     if (connections.remove(connection)) {
       budget.addClients(-1);
     }
   }
 
+  /** Called when a connection has its last answer, and stays half open so that its client can read it. */
+  void onLingering(ClientConnection connection) {
+    lingering.add(connection);
+  }
+
+  private boolean closeLongestLingering() {
+    Iterator<ClientConnection> longest = lingering.iterator();
+    if (!longest.hasNext()) {
+      return false;
+    }
+    ClientConnection connection = longest.next();
+    unregister(connection);
+    connection.endLingering();
+    return true;
+  }
+
   /**
    * Closes the connection that has been idle longest, if one may be closed, to make room for another client.
    */
--- a/door/src/test/java/willowdoor/net/BadClientTest.java
+++ b/door/src/test/java/willowdoor/net/BadClientTest.java
@@ -66,6 +66,22 @@
     assertEquals("close", answer.header("Connection"));
   }
 
+  /**
+   * Guards against connections of unsound clients that have their last answer, and stay half open for a while,
+   * in the places of clients that come meanwhile: these were reset after their requests.
+   */
+  @Test
+  void clientsThatHaveTheirLastAnswerLeaveTheirPlaces() throws Exception {
+    peers.start(peers.smallConfig());
+    for (int i = 0; i < 3 * MAX_CLIENTS; i++) {
+      Client unsound = peers.client();
+      assertEquals(400, unsound.ask("no request\r\n\r\n").status());
+      if (i % 10 == 0) {
+        assertEquals(200, peers.client().ask(Peers.get("r" + i, 3000)).status());
+      }
+    }
+  }
+
   /**
    * Clients and backends share one budget: whichever side needs more gets it, and together they never exceed
    * the budget.
