A connection that ends after unsound input keeps the answers that its client still takes

Callers saw: an answer of 60 kB was cut off where its client reads slowly and its next request is too large (413) or finds no memory (503). Cause: closeWith counted the 300 ms after which it closes from the moment when the last answer was written here, not from when the socket had taken it; what stood before it in the queue was dropped with the connection. Ruled out: malformed input and drains, which close once all is written; the same test with a malformed request held 2 of 2. Measured: AnswerLifecycleTest#unsoundInputCutsOffNoAnswerBeforeIt was red 2 of 2 (body is truncated) and is green 3 of 3.

--- a/door/src/main/java/willowdoor/net/ClientConnection.java
+++ b/door/src/main/java/willowdoor/net/ClientConnection.java
@@ -630,13 +630,16 @@
     FullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, text);
     answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, text.readableBytes());
     answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-    channel.writeAndFlush(answer).addListener(f -> linger());
-    channel.eventLoop().schedule(() -> channel.close(), LINGER_MS, TimeUnit.MILLISECONDS);
+    writeCounted(answer, text.readableBytes()).addListener(f -> linger());
   }
 
+  /** Closes the connection soon, once its client has been sent all answers. */
   private void linger() {
-    ((SocketChannel) channel).shutdownOutput();
-    server.onLingering(this);
+    if (channel.isActive()) {
+      ((SocketChannel) channel).shutdownOutput();
+      server.onLingering(this);
+      channel.eventLoop().schedule(this::endLingering, LINGER_MS, TimeUnit.MILLISECONDS);
+    }
   }
 
   /** Closes the connection before its client has had {@link #LINGER_MS} to read the last answer. */
--- a/door/src/test/java/willowdoor/net/AnswerLifecycleTest.java
+++ b/door/src/test/java/willowdoor/net/AnswerLifecycleTest.java
@@ -52,6 +52,9 @@
   private static final long KEEP_WRITING_MS = 5_000;
   private static final int SLOW_PIECES = 50;
   private static final int SMALL_RECEIVE_BUFFER_BYTES = 8_192;
+  private static final int HELD_BYTES = 60_000;
+  /** More than the kernel and the gateway hold for a client. */
+  private static final int MAX_UNREAD_ANSWERS = 6;
 
   @TempDir
   private Path folder;
@@ -313,6 +316,30 @@
     };
   }
 
+  /** Guards against an end of the connection after unsound input that cuts off the answers before it. */
+  @Test
+  void unsoundInputCutsOffNoAnswerBeforeIt() throws Exception {
+    String answer = "HTTP/1.1 200 OK\r\nX-Units-Charged: 1\r\nContent-Length: " + HELD_BYTES + "\r\n\r\n"
+        + "x".repeat(HELD_BYTES);
+    peers.answer = (request, out) -> Peers.write(out, answer);
+    for (int requests = 1; requests <= MAX_UNREAD_ANSWERS; requests++) {
+      Socket socket = new Socket();
+      socket.setReceiveBufferSize(SMALL_RECEIVE_BUFFER_BYTES);
+      socket.connect(gateway.address);
+      try (Client client = new Client(socket)) {
+        for (int i = 0; i < requests; i++) {
+          client.send(Peers.get("r" + requests + "-" + i, 3_000));
+          pause(STEADY_PAUSE_MS);
+        }
+        client.send(Peers.post("large", "").replace("Content-Length: 0", "Content-Length: 70000"));
+        pause(2 * LATE_MS);
+        for (int i = 0; i < requests; i++) {
+          assertEquals(HELD_BYTES, client.receive().body().length, gateway.log());
+        }
+      }
+    }
+  }
+
   private void awaitEnd() throws IOException {
     for (int polls = 0; gateway.isAlive(); polls++) {
       assertTrue(polls < 100, "the process stays after the last answer\n" + gateway.log());
--- a/door/src/test/java/willowdoor/net/Peers.java
+++ b/door/src/test/java/willowdoor/net/Peers.java
@@ -300,7 +300,11 @@
     private final InputStream in;
 
     Client(InetSocketAddress address) throws IOException {
-      socket = new Socket(address.getAddress(), address.getPort());
+      this(new Socket(address.getAddress(), address.getPort()));
+    }
+
+    Client(Socket connected) throws IOException {
+      socket = connected;
       socket.setSoTimeout(10_000);
       in = new BufferedInputStream(socket.getInputStream());
     }
