A backend's answer in tiny pieces takes no more of the loop than any other input

Callers saw: beside one long answer in chunks of one byte, other clients were answered after 2,126 and 2,619 ms (5 requests in 6 s). Cause: the bound on the time of a turn stood on clients' connections only. Of a backend up to 16 reads of 16 kB were decoded in one turn, and each chunk of a byte was written to the client by itself, with a system call: some 43,000 in a turn. Change: the bound of 1 ms stands on clients' and backends' connections (TurnLimitHandler); pieces of under 4 kB that come in one turn go to the client together. A pause and the wish to read (backpressure of a slow client) are kept apart, so that neither undoes the other. Measured: OnePeerFloodTest#aLongAnswerInTinyChunks was red 2 of 2 before; 221, 222 and 235 served, the longest after 19, 16 and 15 ms now. Green with it: LongAnswerTest, AnswerLifecycleTest, AnswerPipeTest, WarmUpTest, BackendPoolTest, BadBackendTest, FrontDoorTest, MemoryBoundTest, the others of OnePeerFloodTest.

--- a/door/src/main/java/willowdoor/net/AnswerPipe.java
+++ b/door/src/main/java/willowdoor/net/AnswerPipe.java
@@ -33,6 +33,7 @@
   }
 
   private final Channel backend;
+  private final TurnLimitHandler backendInput;
   private final AnswerLifecycle lifecycle;
   private final DoubleSupplier clockMs;
   /** Pieces that arrived before the receiver was set: no more than one read returns. */
@@ -44,10 +45,13 @@
   /**
    * Creates a pipe for an answer that is passed on from now on.
    *
+   * @param backendInput handler of the backend's connection that resumes and pauses reading
    * @param lifecycle tells when the answer has stalled
    */
-  AnswerPipe(Channel backend, AnswerLifecycle lifecycle, DoubleSupplier clockMs) {
+  AnswerPipe(Channel backend, TurnLimitHandler backendInput, AnswerLifecycle lifecycle,
+      DoubleSupplier clockMs) {
     this.backend = backend;
+    this.backendInput = backendInput;
     this.lifecycle = lifecycle;
     this.clockMs = clockMs;
     lifecycle.onPassedOn();
@@ -81,7 +85,7 @@
   void setReading(boolean reading) {
     if (!ended) {
       lifecycle.setHeldBack(clockMs.getAsDouble(), !reading);
-      backend.config().setAutoRead(reading);
+      backendInput.setReading(backend, reading);
     }
   }
 
--- a/door/src/main/java/willowdoor/net/BackendConnection.java
+++ b/door/src/main/java/willowdoor/net/BackendConnection.java
@@ -36,11 +36,14 @@
   private static final long MAX_CONTENT_LENGTH_BYTES = 1L << 30;
   /** Informational (1xx) responses that are accepted before the final response. */
   private static final int MAX_INFORMATIONAL = 16;
+  /** Smaller pieces of a response are passed through together: each costs a chunk and a write. */
+  private static final int MIN_PIECE_BYTES = 4_096;
   private static final double MIN_CHECK_MS = 1;
   /** The next check may become due earlier while one is scheduled. */
   private static final double MAX_CHECK_MS = 250;
 
   private final BackendPool pool;
+  private final TurnLimitHandler input;
   private final ResponseDecoder decoder;
   final BackendPool.Backend backend;
   /** The address that this connection was opened to; its backend may have moved since. */
@@ -67,14 +70,18 @@
   private Future<?> progressTimer;
   /** Receives the rest of a response that is passed through; null while the response is held. */
   private AnswerPipe pipe;
+  /** Small pieces of a response that is passed through, from one turn of the loop, or null. */
+  private ByteBuf gathered;
   /** The connection failed: a response whose end is the end of the connection is incomplete. */
   private boolean wasReset;
 
-  BackendConnection(BackendPool pool, BackendPool.Backend backend, ResponseDecoder decoder) {
+  BackendConnection(BackendPool pool, BackendPool.Backend backend, TurnLimitHandler input,
+      ResponseDecoder decoder) {
     this.pool = pool;
     this.backend = backend;
     this.address = backend.address;
     this.startedMs = backend.startedMs();
+    this.input = input;
     this.decoder = decoder;
   }
 
@@ -245,7 +252,7 @@
     body = null;
     currentAttempt = null;
     clearAnswer();
-    pipe = new AnswerPipe(channel, lifecycle, pool::now);
+    pipe = new AnswerPipe(channel, input, lifecycle, pool::now);
     pipe.forward(readSoFar);
     attempt.restOfAnswer = pipe;
     attempt.end(Status.OK, new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, response.status(),
@@ -259,9 +266,10 @@
     } else {
       if (content.content().isReadable()) {
         lifecycle.onBody(pool.now(), content.content().readableBytes());
-        target.forward(content.content().retain());
+        forward(content.content());
       }
       if (content instanceof LastHttpContent && !wasReset) {
+        forwardGathered();
         // A connection that has carried a passed-through response is not reused; closing frees its place.
         target.complete();
         channel.close();
@@ -269,6 +277,29 @@
     }
   }
 
+  /** Passes a piece through, together with those behind it in this turn if it is small. */
+  private void forward(ByteBuf piece) {
+    if (gathered == null && piece.readableBytes() >= MIN_PIECE_BYTES) {
+      pipe.forward(piece.retain());
+      return;
+    }
+    if (gathered == null) {
+      gathered = channel.alloc().buffer(MIN_PIECE_BYTES);
+    }
+    gathered.writeBytes(piece);
+    if (gathered.readableBytes() >= MIN_PIECE_BYTES) {
+      forwardGathered();
+    }
+  }
+
+  private void forwardGathered() {
+    if (gathered != null) {
+      ByteBuf piece = gathered;
+      gathered = null;
+      pipe.forward(piece);
+    }
+  }
+
   /**
    * Ends the attempt only after the whole read, when it is known whether more than the response has arrived.
    * Otherwise a second copy, or noise, would be taken for the response to the next attempt.
@@ -276,6 +307,7 @@
   @Override
   public void channelReadComplete(ChannelHandlerContext ctx) {
     if (pipe != null) {
+      forwardGathered();
       return;
     }
     if (currentAttempt != null && complete) {
@@ -418,6 +450,7 @@
     clearAnswer();
     pool.onClosed(this);
     if (pipe != null) {
+      forwardGathered();
       pipe.abort();
     }
     if (attempt != null) {
--- a/door/src/main/java/willowdoor/net/BackendPool.java
+++ b/door/src/main/java/willowdoor/net/BackendPool.java
@@ -222,11 +222,12 @@
     RequestLog.note(attempt.requestId(), "connecting");
     backend.connecting.add(attempt);
     ResponseDecoder decoder = new ResponseDecoder();
-    BackendConnection connection = new BackendConnection(this, backend, decoder);
+    TurnLimitHandler input = new TurnLimitHandler();
+    BackendConnection connection = new BackendConnection(this, backend, input, decoder);
     ChannelFuture connected = dialer.dial(backend.address, new ChannelInitializer<Channel>() {
       @Override
       protected void initChannel(Channel channel) {
-        channel.pipeline().addLast(decoder, new HttpRequestEncoder(), connection);
+        channel.pipeline().addLast(input, decoder, new HttpRequestEncoder(), connection);
       }
     });
     connected.addListener((ChannelFuture f) -> {
--- a/door/src/test/java/willowdoor/net/OnePeerFloodTest.java
+++ b/door/src/test/java/willowdoor/net/OnePeerFloodTest.java
@@ -4,6 +4,7 @@
 
 import java.io.IOException;
 import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -118,6 +119,11 @@
   private void othersAreServedBeside(Requests requests) throws Exception {
     long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(FLOOD_MS);
     flood(endNanos, requests);
+    othersAreServed(endNanos);
+  }
+
+  /** Asks one request after the other on a kept connection. */
+  private void othersAreServed(long endNanos) throws Exception {
     int served = 0;
     long longestMs = 0;
     try (Client client = gateway.client()) {
@@ -181,6 +187,27 @@
         "Transfer-Encoding: chunked") + chunks);
   }
 
+  /** Guards against a long answer in the smallest pieces, each of which is decoded and written by itself. */
+  @Test
+  void aLongAnswerInTinyChunks() throws Exception {
+    byte[] chunks = "1\r\nx\r\n".repeat(10_000).getBytes(StandardCharsets.ISO_8859_1);
+    peers.answer = (request, out) -> {
+      if (request.firstLine().startsWith("POST")) {
+        return Peers.write(out, Peers.OK);
+      }
+      Peers.write(out, "HTTP/1.1 200 OK\r\nX-Units-Charged: 2\r\nTransfer-Encoding: chunked\r\n\r\n");
+      while (true) {
+        out.write(chunks);
+      }
+    };
+    long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(FLOOD_MS);
+    try (Client reader = gateway.client()) {
+      reader.send(Peers.get("long", TIMEOUT_MS));
+      readAnswers(reader);
+      othersAreServed(endNanos);
+    }
+  }
+
   /** Guards against questions for the readiness that take all turns of the loop. */
   @Test
   void questionsForReadiness() throws Exception {
