The pause of a connection whose input takes long lasts, and gives the others their time

Trace: each step of a usual request took 9 to 18 ms; the flooding connection was decoded in every turn of the loop, 9 ms a read of 16 kB. Cause: the pause of 1 ms never took place. HttpObjectAggregator asks for a further read at the end of a turn where reading is off and its message is incomplete, so each turn brought one more read. Change: the first handler drops such a wish while it pauses; the pause is four times the time taken, 40 ms at most, so that one peer has about a fifth of the loop; only input of 4 kB and more in a turn leads to one. A pause is no quiet: work for the client waits until it was read on.

--- a/door/src/main/java/willowdoor/net/ClientConnection.java
+++ b/door/src/main/java/willowdoor/net/ClientConnection.java
@@ -169,6 +169,11 @@
     unreadInput.onTurnEnd(server.now(), bytes, cutShort);
   }
 
+  /** Called when the connection is not read for a while. */
+  void onReadingPaused() {
+    unreadInput.onReadingPaused();
+  }
+
   /** Called when the connection is read again after a pause. */
   void onReadingResumed() {
     unreadInput.onReadingResumed(server.now());
--- a/door/src/main/java/willowdoor/net/ReceivedBytesHandler.java
+++ b/door/src/main/java/willowdoor/net/ReceivedBytesHandler.java
@@ -15,7 +15,6 @@
   private final ClientConnection connection;
   private final RequestDecoder decoder;
   private int readsInThisTurn;
-  private int bytesInThisTurn;
 
   ReceivedBytesHandler(ClientConnection connection, RequestDecoder decoder) {
     this.connection = connection;
@@ -25,7 +24,6 @@
   @Override
   void onRead(ChannelHandlerContext ctx, ByteBuf bytes) {
     readsInThisTurn++;
-    bytesInThisTurn += bytes.readableBytes();
     if (connection.wantsInput()) {
       connection.onBytes(bytes.readableBytes());
       ctx.fireChannelRead(bytes);
@@ -36,10 +34,14 @@
   }
 
   @Override
-  void onTurnEnd(boolean timeIsOver) {
-    connection.onTurnEnd(bytesInThisTurn, timeIsOver || readsInThisTurn >= READS_PER_TURN);
+  void onTurnEnd(int bytes, boolean timeIsOver) {
+    connection.onTurnEnd(bytes, timeIsOver || readsInThisTurn >= READS_PER_TURN);
     readsInThisTurn = 0;
-    bytesInThisTurn = 0;
+  }
+
+  @Override
+  void onPaused() {
+    connection.onReadingPaused();
   }
 
   @Override
--- a/door/src/main/java/willowdoor/net/TurnLimitHandler.java
+++ b/door/src/main/java/willowdoor/net/TurnLimitHandler.java
@@ -2,8 +2,8 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -11,35 +11,54 @@
  * in tiny pieces takes many times that of the same bytes in one. Beyond the bound reading pauses, so that the
  * other connections have their turns.
  */
-class TurnLimitHandler extends ChannelInboundHandlerAdapter {
+class TurnLimitHandler extends ChannelDuplexHandler {
 
   /**
    * Time that the input of one connection may take before the loop turns to the next one, beyond the read
    * during which it is over.
    */
   private static final long MAX_TURN_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
-  private static final long PAUSE_MS = 1;
+  /** Less input than this has taken its time for another reason, such as a process that was held up. */
+  private static final int MIN_COSTLY_BYTES = 4 * 1024;
+  /** Reading pauses for this multiple of the time taken, so that one peer has a fifth of the loop at most. */
+  private static final int PAUSE_FACTOR = 4;
+  private static final long MAX_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(40);
 
   private boolean readingWanted = true;
   private boolean paused;
+  private int bytesInThisTurn;
   private long nanosInThisTurn;
 
   @Override
-  public final void channelRead(ChannelHandlerContext ctx, Object bytes) {
+  public final void channelRead(ChannelHandlerContext ctx, Object message) {
+    ByteBuf bytes = (ByteBuf) message;
+    bytesInThisTurn += bytes.readableBytes();
     long startNanos = System.nanoTime();
-    onRead(ctx, (ByteBuf) bytes);
+    onRead(ctx, bytes);
     nanosInThisTurn += System.nanoTime() - startNanos;
-    if (nanosInThisTurn > MAX_TURN_NANOS) {
+    if (isTimeOver()) {
       pause(ctx.channel());
     }
   }
 
+  private boolean isTimeOver() {
+    return nanosInThisTurn > MAX_TURN_NANOS && bytesInThisTurn >= MIN_COSTLY_BYTES;
+  }
+
   @Override
   public final void channelReadComplete(ChannelHandlerContext ctx) {
     ctx.fireChannelReadComplete();
-    boolean timeIsOver = nanosInThisTurn > MAX_TURN_NANOS;
+    onTurnEnd(bytesInThisTurn, isTimeOver());
+    bytesInThisTurn = 0;
     nanosInThisTurn = 0;
-    onTurnEnd(timeIsOver);
+  }
+
+  /** Drops the wish of a handler to read on during a pause: reading resumes by itself. */
+  @Override
+  public final void read(ChannelHandlerContext ctx) {
+    if (!paused) {
+      ctx.read();
+    }
   }
 
   /** Passes the bytes of one read on. */
@@ -50,9 +69,15 @@
   /**
    * Called when the loop turns to the next connection.
    *
+   * @param bytes what was read in this turn
    * @param timeIsOver whether the turn has ended by the time that it took
    */
-  void onTurnEnd(boolean timeIsOver) {
+  void onTurnEnd(int bytes, boolean timeIsOver) {
+    // Nothing is to be done.
+  }
+
+  /** Called when reading pauses. */
+  void onPaused() {
     // Nothing is to be done.
   }
 
@@ -74,11 +99,12 @@
       return;
     }
     paused = true;
+    onPaused();
     channel.config().setAutoRead(false);
     channel.eventLoop().schedule(() -> {
       paused = false;
       onResumed();
       channel.config().setAutoRead(readingWanted);
-    }, PAUSE_MS, TimeUnit.MILLISECONDS);
+    }, Math.min(PAUSE_FACTOR * nanosInThisTurn, MAX_PAUSE_NANOS), TimeUnit.NANOSECONDS);
   }
 }
--- a/door/src/main/java/willowdoor/net/UnreadInput.java
+++ b/door/src/main/java/willowdoor/net/UnreadInput.java
@@ -23,8 +23,9 @@
 
   /** Much was read, and the connection was not quiet since. */
   private boolean much;
-  /** The last turn was cut short, or reading is paused: something may be in the receive queue. */
+  /** The last turn was cut short: something may be in the receive queue. */
   private boolean cutShort;
+  private boolean paused;
   private double lastReadMs;
 
   /**
@@ -39,8 +40,14 @@
     lastReadMs = nowMs;
   }
 
+  /** Called when the connection is not read for a while. */
+  void onReadingPaused() {
+    paused = true;
+  }
+
   /** Called when the connection is read again after a pause. */
   void onReadingResumed(double nowMs) {
+    paused = false;
     lastReadMs = nowMs;
   }
 
@@ -52,8 +59,8 @@
    *     has not read what has come meanwhile
    */
   boolean mayExist(double nowMs, boolean inputBehind, DoubleSupplier sinceArrivalMs) {
-    if (!much) {
-      return false;
+    if (!much || paused) {
+      return much;
     }
     double sinceReadMs = nowMs - lastReadMs;
     if (sinceReadMs >= QUIET_MS && sinceArrivalMs.getAsDouble() >= sinceReadMs - KERNEL_CLOCK_MS) {
--- a/door/src/test/java/willowdoor/net/UnreadInputTest.java
+++ b/door/src/test/java/willowdoor/net/UnreadInputTest.java
@@ -55,6 +55,19 @@
     assertFalse(mayExist(21, false));
   }
 
+  /** Guards against a pause taken for silence: the receive queue may have filled up meanwhile. */
+  @Test
+  void aPauseIsNoQuiet() {
+    input.onReadingPaused();
+    input.onTurnEnd(1, MUCH, true);
+    assertTrue(mayExist(30, false));
+    input.onReadingResumed(31);
+    arrivedMs = 1;
+    assertTrue(mayExist(32, false));
+    input.onTurnEnd(33, 700, false);
+    assertFalse(mayExist(33, false));
+  }
+
   @Test
   void aClientThatWritesWithoutEndIsWaitedFor() {
     for (int t = 1; t <= 1_000; t += 5) {
