--- a/door/src/test/java/willowdoor/net/FaultSoakTest.java
+++ b/door/src/test/java/willowdoor/net/FaultSoakTest.java
@@ -52,6 +52,8 @@
   /** Separates the draws of upgrades from those of all else. */
   private static final long UPGRADE_DRAWS = 0x5eed;
 
+  private static final int LARGE_BYTES = 60_000;
+  private static final int MAX_AT_ONCE = 300;
   /** New connections keep coming for so long after SIGTERM. */
   private static final long NEW_CONNECTIONS_MS = 400;
 
@@ -182,6 +184,8 @@
     clients.add(client("leaves", random.nextLong(), this::leaveEarly));
     clients.add(client("again", random.nextLong(), this::leaveAndComeAgain));
     clients.add(client("long", random.nextLong(), this::wantLong));
+    clients.add(client("large", random.nextLong(), this::sendLarge));
+    clients.add(client("burst", random.nextLong(), this::sendManyAndGo));
     boolean crowd = random.nextBoolean();
     long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(RUN_MS);
     for (int version = 8; System.nanoTime() < endNanos; version++) {
@@ -312,7 +316,7 @@
             broken.add(id + ": served with " + answer.text());
           }
         }
-        // A streamed answer without a length is the stalling one, and ends with its connection.
+        // A streamed answer has no length: the stalling one ends with its connection.
         open = answer.header("Content-Length") != null && !"close".equals(answer.header("Connection"));
       }
     }
@@ -340,6 +344,49 @@
     }
   }
 
+  /** Sends a large request, which some backends read slowly; its final answer comes in time all the same. */
+  private void sendLarge(String name, int number, Random random) throws IOException {
+    String id = name + number;
+    int timeoutMs = timeoutMs(random);
+    classes.put(id, "buy");
+    String request = Peers.post(id, "x".repeat(LARGE_BYTES))
+        .replace("Request-Timeout-Ms: 3000", "Request-Timeout-Ms: " + timeoutMs);
+    try (Client client = gateway.client()) {
+      long sentNanos = System.nanoTime();
+      int status;
+      try {
+        status = client.ask(request).status();
+      } catch (IOException e) {
+        if (!stopping) {
+          broken.add(id + ": no answer in " + millisSince(sentNanos) + " of " + timeoutMs + " ms: " + e);
+        }
+        return;
+      }
+      answers.incrementAndGet();
+      if (millisSince(sentNanos) > timeoutMs + LATE_MS) {
+        broken.add(id + ": " + status + " after " + millisSince(sentNanos) + " of " + timeoutMs + " ms");
+      }
+    }
+  }
+
+  /** Sends many requests at once and closes the connection, with answers unread and requests behind them. */
+  private void sendManyAndGo(String name, int number, Random random) throws IOException {
+    List<String> ids = new ArrayList<>();
+    StringBuilder requests = new StringBuilder();
+    int many = 2 + random.nextInt(MAX_AT_ONCE);
+    for (int i = 0; i < many; i++) {
+      String id = name + number + "-" + i;
+      ids.add(id);
+      requests.append(request(id, random, deadlineMs));
+    }
+    try (Client client = gateway.client()) {
+      client.send(requests.toString());
+      pause(random.nextInt(30));
+    }
+    long goneNanos = System.nanoTime();
+    ids.forEach(id -> leftNanos.put(id, goneNanos));
+  }
+
   private void wantLong(String name, int number, Random random) throws IOException {
     String id = name + number;
     int timeoutMs = Math.max(1_000, timeoutMs(random));
