An answer is acknowledged at once, so that a copy held back comes in the quiet time

Cause, by the request log: unsolicited input came 41 to 44 ms after its answer where its backend had written it 0 to 9 ms after. A backend without TCP_NODELAY: its system holds the second small write back until the first is acknowledged, and this side acknowledges after some 40 ms, or with the next request. A connection rests for 25 ms; the request written then let the copy go, which came before its answer. Change: once an answer is whole and its connection will be used again, what was read is acknowledged (TCP_QUICKACK), so that whatever is held back comes while the connection rests. One system call and one small packet an answer.

--- a/door/src/main/java/willowdoor/net/BackendConnection.java
+++ b/door/src/main/java/willowdoor/net/BackendConnection.java
@@ -380,6 +380,8 @@
     clearAnswer();
     idleSinceMs = pool.now();
     if (reusable) {
+      // So that whatever the backend holds back behind its response comes before the next request is written.
+      Transport.acknowledge(channel);
       pool.release(this);
     } else {
       channel.close();
--- a/door/src/main/java/willowdoor/net/Transport.java
+++ b/door/src/main/java/willowdoor/net/Transport.java
@@ -96,6 +96,21 @@
     }
   }
 
+  /**
+   * Acknowledges what was read at once. A peer that sends small segments one after the other (Nagle's
+   * algorithm) holds the next one back until then, which is some 40 ms otherwise or with the next bytes that
+   * are written here.
+   */
+  static void acknowledge(Channel channel) {
+    if (channel instanceof EpollSocketChannel socket && channel.isActive()) {
+      try {
+        socket.config().setTcpQuickAck(true);
+      } catch (ChannelException e) {
+        LOG.log(Level.FINE, "what was read is acknowledged later", e);
+      }
+    }
+  }
+
   /** Makes the close of a connection reset it: bytes that the kernel holds are dropped. */
   static void setReset(Channel channel) {
     if (channel instanceof SocketChannel socket && channel.isActive()) {
--- a/door/src/test/java/willowdoor/net/BadBackendTest.java
+++ b/door/src/test/java/willowdoor/net/BadBackendTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.IOException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
@@ -14,6 +15,11 @@
 @Timeout(30)
 class BadBackendTest {
 
+  private static final long COPY_MS = 3;
+  private static final int REQUESTS_BETWEEN_COPIES = 12;
+  /** A little more than a connection rests, and less than the 40 ms after which a system acknowledges. */
+  private static final long BETWEEN_REQUESTS_MS = 30;
+
   private final Peers peers = new Peers();
 
   @AfterEach
@@ -53,6 +59,35 @@
     }
   }
 
+  /**
+   * The same for a copy that the backend's system holds back until the answer before it is acknowledged, which
+   * is by the next request unless that is done at once.
+   */
+  @Test
+  void aSecondCopyThatIsHeldBackIsNotTheNextAnswer() throws Exception {
+    peers.start();
+    Client client = peers.client();
+    AtomicInteger requests = new AtomicInteger();
+    peers.answer = (request, out) -> {
+      Peers.write(out, ok(request.header("Request-Id")));
+      pause(COPY_MS);
+      // A system acknowledges late on a connection that was in use for a while.
+      return requests.incrementAndGet() % REQUESTS_BETWEEN_COPIES != 0 || Peers.write(out, ok("stale"));
+    };
+    for (int i = 0; i < 8 * REQUESTS_BETWEEN_COPIES; i++) {
+      assertEquals("r" + i, client.ask(Peers.get("r" + i, 3000)).text());
+      pause(BETWEEN_REQUESTS_MS);
+    }
+  }
+
+  private static void pause(long ms) throws IOException {
+    try {
+      TimeUnit.MILLISECONDS.sleep(ms);
+    } catch (InterruptedException e) {
+      throw new IOException(e);
+    }
+  }
+
   @Test
   void informationalAnswersAreSkipped() throws Exception {
     peers.start();
