--- a/door/src/main/java/willowdoor/management/ManagementClient.java
+++ b/door/src/main/java/willowdoor/management/ManagementClient.java
@@ -66,9 +66,11 @@
         }).connect(address);
     loop.schedule(() -> pendingCall.finish(connecting.channel(), new CallResult(CallOutcome.NOTHING, null)),
         limitMs, TimeUnit.MILLISECONDS);
-    connecting.addListener((ChannelFuture f) -> {
-      if (!f.isSuccess()) {
-        pendingCall.finish(f.channel(), new CallResult(CallOutcome.NOBODY, null));
+    ConnectAttempt.onDone(loop, connecting, () -> {
+      if (!connecting.isSuccess()) {
+        boolean local = ConnectAttempt.isLocalFailure(connecting);
+        pendingCall.finish(connecting.channel(),
+            new CallResult(local ? CallOutcome.NOTHING : CallOutcome.NOBODY, null));
         return;
       }
       DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, target);
@@ -78,7 +80,7 @@
       if (!processId.isEmpty()) {
         request.headers().set(ManagementServer.PROCESS_HEADER, processId);
       }
-      f.channel().writeAndFlush(request);
+      connecting.channel().writeAndFlush(request);
     });
   }
 
@@ -92,7 +94,7 @@
     }
 
     void finish(Channel channel, CallResult result) {
-      channel.close();
+      ConnectAttempt.close(channel);
       if (!ended) {
         ended = true;
         callback.accept(result);
--- a/door/src/main/java/willowdoor/net/BackendPool.java
+++ b/door/src/main/java/willowdoor/net/BackendPool.java
@@ -15,6 +15,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import willowdoor.management.ConnectAttempt;
 import willowdoor.memory.MemoryBudget;
 import willowdoor.policy.GatewayApi.BackendEntry;
 import willowdoor.policy.GatewayApi.Phase;
@@ -230,29 +231,35 @@
         channel.pipeline().addLast(input, decoder, new HttpRequestEncoder(), connection);
       }
     });
-    connected.addListener((ChannelFuture f) -> {
+    ConnectAttempt.onDone(loop, connected, () -> {
       backend.connecting.remove(attempt);
-      RequestLog.note(attempt.requestId(), "connected", "up", f.isSuccess(), "attempt_over", attempt.ended());
-      if (f.isSuccess()) {
+      boolean up = connected.isSuccess();
+      RequestLog.note(attempt.requestId(), "connected", "up", up, "attempt_over", attempt.ended());
+      if (up) {
         // Behind what the client's socket has to tell at this moment, as in the start.
         loop.execute(() -> onceClientIsRead(attempt, () -> connection.start(attempt)));
       } else {
-        attempt.end(connectFailureStatus(f.cause()), null);
+        attempt.end(connectFailureStatus(connected), null);
       }
     });
-    connected.channel().closeFuture().addListener(f -> places.addBackends(-1));
+    ConnectAttempt.onClosed(loop, connected, () -> places.addBackends(-1));
   }
 
   /**
-   * Returns BROKEN for a reset, UNREACHABLE for any other failure to connect. A reset shows that a host
+   * Returns NOT_SENT for a failure of this machine, BROKEN for a reset, UNREACHABLE for any other failure to
+   * connect. A reset shows that a host
    * accepted the connection and dropped it. A running backend must not be taken for a restarted one,
    * whatever causes the reset: full connection tables at the backend, a middlebox, or an event loop here so
    * late that it sees the connection only after the reset. Drawback: a host that restarts, and resets
    * connections that were being opened meanwhile, gets one more attempt before a refused connection or the
    * roster shows its restart.
    */
-  private static Status connectFailureStatus(Throwable cause) {
-    return String.valueOf(cause.getMessage()).contains("reset") ? Status.BROKEN : Status.UNREACHABLE;
+  private static Status connectFailureStatus(ChannelFuture failed) {
+    if (ConnectAttempt.isLocalFailure(failed)) {
+      return Status.NOT_SENT;
+    }
+    String cause = String.valueOf(failed.cause().getMessage());
+    return cause.contains("reset") ? Status.BROKEN : Status.UNREACHABLE;
   }
 
   /**
--- a/door/src/main/java/willowdoor/net/ClientServer.java
+++ b/door/src/main/java/willowdoor/net/ClientServer.java
@@ -130,6 +130,7 @@
 
   private ServerBootstrap bootstrap(EventLoopGroup group) {
     return new ServerBootstrap().group(group)
+        .handler(new AcceptHandler())
         .option(ChannelOption.AUTO_READ, false)
         .childOption(ChannelOption.AUTO_READ, true)
         .childOption(ChannelOption.TCP_NODELAY, true)
--- a/door/src/main/java/willowdoor/net/CounterClient.java
+++ b/door/src/main/java/willowdoor/net/CounterClient.java
@@ -23,6 +23,7 @@
 import java.util.function.Consumer;
 import java.util.function.DoubleConsumer;
 import java.util.logging.Logger;
+import willowdoor.management.ConnectAttempt;
 import willowdoor.policy.GatewayApi.Counted;
 import willowdoor.policy.GatewayApi.Status;
 import willowdoor.recovery.CounterWatch;
@@ -310,11 +311,12 @@
     }
 
     void connect() {
-      dialer.dial(address, this).addListener((ChannelFuture f) -> {
+      ChannelFuture connected = dialer.dial(address, this);
+      ConnectAttempt.onDone(loop, connected, () -> {
         if (closed) {
-          f.channel().close();
-        } else if (f.isSuccess()) {
-          channel = f.channel();
+          ConnectAttempt.close(connected.channel());
+        } else if (connected.isSuccess()) {
+          channel = connected.channel();
           lastReadMs = clock.now();
           if (watch != null && links.contains(this)) {
             dispatch(new Connected(links.indexOf(this)));
--- a/door/src/main/java/willowdoor/net/DiscoveryClient.java
+++ b/door/src/main/java/willowdoor/net/DiscoveryClient.java
@@ -31,6 +31,7 @@
 import java.util.function.Consumer;
 import java.util.logging.Level;
 import java.util.logging.Logger;
+import willowdoor.management.ConnectAttempt;
 
 /** Watches discovery's list of backends. While the watch is disconnected, the last list stays in use. */
 final class DiscoveryClient {
@@ -137,20 +138,20 @@
     void connect() {
       ChannelFuture connected = bootstrap.clone().handler(this).connect(address);
       channel = connected.channel();
-      connected.addListener((ChannelFuture f) -> {
-        f.channel().closeFuture().addListener(closed -> scheduleReconnect(this));
-        if (f.isSuccess()) {
+      ConnectAttempt.onClosed(loop, connected, () -> scheduleReconnect(this));
+      ConnectAttempt.onDone(loop, connected, () -> {
+        if (connected.isSuccess()) {
           DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
               "/discovery/hosts?stream=1&index=" + version);
           String host = address.getAddress().getHostAddress() + ":" + address.getPort();
           request.headers().set(HttpHeaderNames.HOST, host);
-          f.channel().writeAndFlush(request);
+          channel.writeAndFlush(request);
         }
       });
     }
 
     void close() {
-      channel.close();
+      ConnectAttempt.close(channel);
     }
 
     @Override
--- a/door/src/main/java/willowdoor/net/FrontDoor.java
+++ b/door/src/main/java/willowdoor/net/FrontDoor.java
@@ -286,7 +286,7 @@
     if (ceilingShares != null) {
       ceilingShares.begin();
     }
-    serverChannel.config().setAutoRead(true);
+    AcceptHandler.setAccepting(serverChannel, true);
   }
 
   /** Answers {@code GET /up} with 200 from now on, as soon as a backend is known. */
@@ -392,7 +392,7 @@
     if (ceilingShares != null) {
       ceilingShares.handOver();
     }
-    serverChannel.config().setAutoRead(false);
+    AcceptHandler.setAccepting(serverChannel, false);
   }
 
   /** What this process has learned, for the process that replaces it; called on the loop, and only once. */
--- a/door/src/test/java/willowdoor/net/ServingProcess.java
+++ b/door/src/test/java/willowdoor/net/ServingProcess.java
@@ -39,16 +39,24 @@
 
   /** Does the same with the given options of the JVM. */
   ServingProcess(Path folder, String config, List<String> jvmOptions) throws Exception {
-    this(folder, config, jvmOptions, freeAddress());
+    this(folder, config, List.of(), jvmOptions, freeAddress());
     awaitUp();
   }
 
-  private ServingProcess(Path folder, String config, List<String> jvmOptions, InetSocketAddress address)
-      throws IOException {
+  /** Starts a gateway that the system gives no more descriptors than that, whatever its configuration says. */
+  static ServingProcess withDescriptors(Path folder, String config, int descriptors) throws Exception {
+    List<String> limited = List.of("sh", "-c", "ulimit -n " + descriptors + " && exec \"$@\"", "sh");
+    ServingProcess process = new ServingProcess(folder, config, limited, DEFAULT_OPTIONS, freeAddress());
+    process.awaitUp();
+    return process;
+  }
+
+  private ServingProcess(Path folder, String config, List<String> launcher, List<String> jvmOptions,
+      InetSocketAddress address) throws IOException {
     this.folder = folder;
     this.address = address;
     Path file = write("config.json", config);
-    List<String> command = new ArrayList<>();
+    List<String> command = new ArrayList<>(launcher);
     command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
     command.addAll(jvmOptions);
     command.addAll(List.of("-cp", System.getProperty("java.class.path"), "willowdoor.Main", "serve"));
@@ -62,7 +70,7 @@
 
   /** Starts a second process of the same front door with that configuration; does not wait for it. */
   ServingProcess startSecond(String config) throws IOException {
-    return new ServingProcess(folder, config, DEFAULT_OPTIONS, address);
+    return new ServingProcess(folder, config, List.of(), DEFAULT_OPTIONS, address);
   }
 
   /**
--- a/steward/src/main/java/willowdoor/steward/link/LinkClient.java
+++ b/steward/src/main/java/willowdoor/steward/link/LinkClient.java
@@ -106,7 +106,7 @@
   /** Closes the connection and fails the pending calls. */
   void close() {
     closed = true;
-    if (connecting != null) {
+    if (connecting != null && connecting.isOpen()) {
       connecting.close();
     }
     failAll("this process is stopping");
@@ -158,18 +158,27 @@
     InetSocketAddress steward = stewards.get(stewardIndex);
     ChannelFuture dialled = bootstrap.connect(steward);
     connecting = dialled.channel();
-    dialled.addListener((ChannelFuture f) -> f.channel().closeFuture().addListener(ended -> {
-      if (channel == f.channel()) {
-        channel = null;
-        failAll("the connection to the steward at " + steward + " ended");
-      }
-      stewardIndex = (stewardIndex + 1) % stewards.size();
-      double wait = backoffMs * (0.5 + ThreadLocalRandom.current().nextDouble());
-      backoffMs = Math.min(MAX_BACKOFF_MS, backoffMs * 2);
-      if (!loop.isShuttingDown()) {
-        loop.schedule(this::connect, (long) wait, TimeUnit.MILLISECONDS);
+    dialled.addListener((ChannelFuture f) -> {
+      if (f.isSuccess()) {
+        f.channel().closeFuture().addListener(ended -> onClosed(f.channel(), steward));
+      } else {
+        // Where the system gives no socket, this is not the loop's thread, and the channel never closes.
+        loop.execute(() -> onClosed(f.channel(), steward));
       }
-    }));
+    });
+  }
+
+  private void onClosed(Channel ended, InetSocketAddress steward) {
+    if (channel == ended) {
+      channel = null;
+      failAll("the connection to the steward at " + steward + " ended");
+    }
+    stewardIndex = (stewardIndex + 1) % stewards.size();
+    double wait = backoffMs * (0.5 + ThreadLocalRandom.current().nextDouble());
+    backoffMs = Math.min(MAX_BACKOFF_MS, backoffMs * 2);
+    if (!loop.isShuttingDown()) {
+      loop.schedule(this::connect, (long) wait, TimeUnit.MILLISECONDS);
+    }
   }
 
   private void failAll(String why) {
