A backend's start that lies in the future by this process's clock counts as one of now

Change: the start is taken as now at the latest, once for each start, so that lists that repeat it do not begin the slow start anew. The conditions of an attempt still name the start as it was reported.

--- a/policy/src/main/java/willowdoor/policy/GatewayState.java
+++ b/policy/src/main/java/willowdoor/policy/GatewayState.java
@@ -270,6 +270,8 @@
     double relativeCapacity;
     /** Start time as reported by the roster. */
     double reportedStartMs;
+    /** The same on the clock of this process. */
+    double startMs;
     /** Start time as assumed by this gateway: later if the backend seems to have restarted. */
     double assumedStartMs;
     /** Time of a failed connection that made the backend seem restarted, until that is refuted. */
--- a/policy/src/main/java/willowdoor/policy/QuotaPolicy.java
+++ b/policy/src/main/java/willowdoor/policy/QuotaPolicy.java
@@ -1117,8 +1117,12 @@
       b.zoneFailureRate = groupFailureRate(x.zone());
       b.cellFailureRate = groupFailureRate(x.zone() + "/" + x.cell());
       b.phase = x.phase();
-      b.assumedStartMs = Math.max(b.assumedStartMs, x.startedMs());
-      b.reportedStartMs = x.startedMs();
+      if (b.reportedStartMs != x.startedMs()) {
+        b.reportedStartMs = x.startedMs();
+        // A start in the future is one of just now, by a clock that is ahead of the one of this process.
+        b.startMs = Math.min(x.startedMs(), now);
+        b.assumedStartMs = Math.max(b.assumedStartMs, b.startMs);
+      }
       b.reportedCapacity = settings.capacitiesReported() ? Math.max(x.capacity(), 1e-6) : 1;
     }
     backends.values().removeIf(b -> b.phase == Phase.REMOVED && b.attemptsInFlight.isEmpty());
@@ -1269,7 +1273,7 @@
    */
   private void clearSuspectedRestart(Backend backend, Attempt<Job, Backend> attempt) {
     if (attempt.sentAt < backend.suspectedRestartAt) {
-      backend.assumedStartMs = backend.reportedStartMs;
+      backend.assumedStartMs = backend.startMs;
       backend.suspectedRestartAt = Double.NEGATIVE_INFINITY;
       warmCountedAt = Double.NEGATIVE_INFINITY;
     }
--- a/policy/src/test/java/willowdoor/policy/QuotaPolicyTest.java
+++ b/policy/src/test/java/willowdoor/policy/QuotaPolicyTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -415,6 +416,28 @@
     assertTrue(cold < all / 8, "under half of a warm backend's quarter: " + cold + " of " + all);
   }
 
+  /** Guards against backends that are shut out for as long as the clock of this process is behind. */
+  @Test
+  void backendsWhoseStartIsInTheFutureWarmUpFromNowOn() {
+    Fixtures f = Fixtures.withCounter();
+    double startMs = f.now + 3_600_000;
+    List<BackendEntry> restarted = new ArrayList<>();
+    for (int i = 0; i < 4; i++) {
+      restarted.add(new BackendEntry(i, i % 2 == 0 ? "a" : "b", i, Phase.SERVING, 1, startMs));
+    }
+    f.on(new Roster(RosterForm.CHANGES, restarted)).runTimers(6_000);
+    f.on(new Roster(RosterForm.COMPLETE, restarted)).runTimers(6_000);
+    int sent = 0;
+    for (int i = 0; i < 50; i++) {
+      f.runTimers(25).request("safe", "free", 1);
+      if (f.emitted(Send.class)) {
+        sent++;
+        f.outcome(f.lastOf(Send.class), 0, Status.OK, true);
+      }
+    }
+    assertEquals(50, sent);
+  }
+
   @Test
   void aFastFailingBackendBacksOffAndIsTriedAgain() {
     Fixtures f = Fixtures.withCounter();
