--- a/door/src/main/java/willowdoor/management/ConnectAttempt.java
+++ b/door/src/main/java/willowdoor/management/ConnectAttempt.java
@@ -13,7 +13,7 @@
  */
 public final class ConnectAttempt {
 
-  /** Numbers by which Netty tells what the system has refused: ENOMEM, ENFILE, EMFILE, EADDRNOTAVAIL, ENOBUFS. */
+  /** How Netty tells what the system refused: ENOMEM, ENFILE, EMFILE, EADDRNOTAVAIL, ENOBUFS. */
   private static final List<String> LOCAL_ERRORS =
       List.of("error(-12)", "error(-23)", "error(-24)", "error(-99)", "error(-105)");
 
--- a/door/src/main/java/willowdoor/net/AcceptHandler.java
+++ b/door/src/main/java/willowdoor/net/AcceptHandler.java
@@ -9,8 +9,8 @@
 import java.util.logging.Logger;
 
 /**
- * First handler of a listening socket. Where the system fails to accept a connection, the next try comes soon;
- * Netty's own handler accepts none for a second, and then also if accepting was stopped meanwhile.
+ * First handler of a listening socket. Where the system fails to accept a connection, the next try comes
+ * soon; Netty's own handler accepts none for a second, and then also if accepting was stopped meanwhile.
  */
 final class AcceptHandler extends ChannelInboundHandlerAdapter {
 
--- a/door/src/main/java/willowdoor/net/UnreadInput.java
+++ b/door/src/main/java/willowdoor/net/UnreadInput.java
@@ -3,8 +3,8 @@
 import java.util.function.DoubleSupplier;
 
 /**
- * Tracks whether a client's connection may hold input that was not read yet, here or at its sender. The end of
- * a connection comes after all its input, so work for a client waits until there is none.
+ * Tracks whether a client's connection may hold input that was not read yet, here or at its sender. The end
+ * of a connection comes after all its input, so work for a client waits until there is none.
  *
  * <p>An empty receive queue shows nothing after much input: its sender's kernel sends more once the window is
  * open again, and the end of the connection last. So the connection has to be quiet for a while then, if it
--- a/door/src/test/java/willowdoor/net/BadBackendTest.java
+++ b/door/src/test/java/willowdoor/net/BadBackendTest.java
@@ -60,8 +60,8 @@
   }
 
   /**
-   * The same for a copy that the backend's system holds back until the answer before it is acknowledged, which
-   * is by the next request unless that is done at once.
+   * The same for a copy that the backend's system holds back until the answer before it is acknowledged,
+   * which is by the next request unless that is done at once.
    */
   @Test
   void aSecondCopyThatIsHeldBackIsNotTheNextAnswer() throws Exception {
--- a/door/src/test/java/willowdoor/net/BadClientTest.java
+++ b/door/src/test/java/willowdoor/net/BadClientTest.java
@@ -67,8 +67,8 @@
   }
 
   /**
-   * Guards against connections of unsound clients that have their last answer, and stay half open for a while,
-   * in the places of clients that come meanwhile: these were reset after their requests.
+   * Guards against connections of unsound clients that have their last answer, and stay half open for a
+   * while, in the places of clients that come meanwhile: these were reset after their requests.
    */
   @Test
   void clientsThatHaveTheirLastAnswerLeaveTheirPlaces() throws Exception {
--- a/door/src/test/java/willowdoor/net/NoDescriptorTest.java
+++ b/door/src/test/java/willowdoor/net/NoDescriptorTest.java
@@ -19,8 +19,8 @@
 import willowdoor.net.Peers.Client;
 
 /**
- * A gateway in its own process for which the system has no more descriptors for a while, so that it can accept
- * no connection and open none: it goes on as before once there are some again.
+ * A gateway in its own process for which the system has no more descriptors for a while, so that it can
+ * accept no connection and open none: it goes on as before once there are some again.
  */
 @Timeout(60)
 class NoDescriptorTest {
--- a/door/src/test/java/willowdoor/net/ServingProcess.java
+++ b/door/src/test/java/willowdoor/net/ServingProcess.java
@@ -43,7 +43,7 @@
     awaitUp();
   }
 
-  /** Starts a gateway that the system gives no more descriptors than that, whatever its configuration says. */
+  /** Starts a gateway that the system gives only so many descriptors, whatever its configuration says. */
   static ServingProcess withDescriptors(Path folder, String config, int descriptors) throws Exception {
     List<String> limited = List.of("sh", "-c", "ulimit -n " + descriptors + " && exec \"$@\"", "sh");
     ServingProcess process = new ServingProcess(folder, config, limited, DEFAULT_OPTIONS, freeAddress());
