A time of arrival that leads to no read ends the wait for unread input after a while

Change: a newer time of arrival is believed for four checks, between which the loop reads what there is.

--- a/door/src/main/java/willowdoor/net/UnreadInput.java
+++ b/door/src/main/java/willowdoor/net/UnreadInput.java
@@ -20,6 +20,8 @@
   private static final double QUIET_MS = 20;
   /** The kernel tells times of arrival to so many milliseconds. */
   private static final double KERNEL_CLOCK_MS = 10;
+  /** Checks after which a time of arrival is not believed any more, if nothing was read in between. */
+  private static final int MAX_CHECKS = 4;
 
   /** Much was read, and the connection was not quiet since. */
   private boolean much;
@@ -27,6 +29,7 @@
   private boolean cutShort;
   private boolean paused;
   private double lastReadMs;
+  private int checksSinceRead;
 
   /**
    * Called when the loop turns to the next connection.
@@ -38,6 +41,7 @@
     much |= turnCutShort || bytes >= MUCH_BYTES;
     cutShort = turnCutShort;
     lastReadMs = nowMs;
+    checksSinceRead = 0;
   }
 
   /** Called when the connection is not read for a while. */
@@ -63,10 +67,12 @@
       return much;
     }
     double sinceReadMs = nowMs - lastReadMs;
-    if (sinceReadMs >= QUIET_MS && sinceArrivalMs.getAsDouble() >= sinceReadMs - KERNEL_CLOCK_MS) {
-      much = false;
-      return false;
+    if (sinceReadMs < QUIET_MS) {
+      return cutShort || inputBehind;
     }
-    return cutShort || inputBehind || sinceReadMs >= QUIET_MS;
+    checksSinceRead++;
+    boolean arrivedSince = sinceArrivalMs.getAsDouble() < sinceReadMs - KERNEL_CLOCK_MS;
+    much = arrivedSince && checksSinceRead <= MAX_CHECKS;
+    return much;
   }
 }
--- a/door/src/test/java/willowdoor/net/UnreadInputTest.java
+++ b/door/src/test/java/willowdoor/net/UnreadInputTest.java
@@ -55,6 +55,17 @@
     assertFalse(mayExist(21, false));
   }
 
+  /** Guards against a wait without end where the system does not tell when input arrived. */
+  @Test
+  void aTimeOfArrivalThatLeadsToNoReadIsNotBelieved() {
+    input.onTurnEnd(1, MUCH, false);
+    int checks = 0;
+    for (arrivedMs = 30; mayExist(arrivedMs, false); arrivedMs += UnreadInput.CHECK_INTERVAL_MS) {
+      checks++;
+    }
+    assertTrue(checks > 1 && checks < 10, checks + " checks");
+  }
+
   /** Guards against a pause taken for silence: the receive queue may have filled up meanwhile. */
   @Test
   void aPauseIsNoQuiet() {
