The request that a connection receives is a class of its own

Change: moved to IncomingRequest, nothing else. Measured: BadClientTest, PipelinedTest, ConnectionMemoryTest, DelayedReadTest green.

--- a/door/src/main/java/willowdoor/net/ClientConnection.java
+++ b/door/src/main/java/willowdoor/net/ClientConnection.java
@@ -46,16 +46,6 @@
    * client can read the answer.
    */
   private static final long LINGER_MS = 300;
-  /**
-   * Time limit for receiving a request, in milliseconds, counted from the connect or, for a later request,
-   * from the request's first byte. The head may take 2 s. Received bytes extend the limit at the rate of
-   * {@link #MIN_BYTES_PER_MS}, as a body may arrive at 64 kB/s. A client that sends only a trickle gains
-   * practically no time: each held connection is one that another client cannot have.
-   */
-  private static final double REQUEST_TIMEOUT_MS = 2_600;
-  private static final double MIN_BYTES_PER_MS = 40;
-  /** The same for the time since the last byte: a client that stops is to hear of it within 3 s. */
-  private static final double REQUEST_SILENCE_MS = 2_400;
   /**
    * Milliseconds after which a connection between requests may be closed if another client needs its place.
    */
@@ -102,10 +92,7 @@
   /** When the connection was opened or last answered, in milliseconds on the door's clock. */
   private double idleSinceMs;
   private boolean requestSeen;
-  /** When the request being received began, or NaN; {@link #receivedBytes} counts its bytes so far. */
-  private double receivingSinceMs = Double.NaN;
-  private int receivedBytes;
-  private double lastReceivedMs;
+  private final IncomingRequest incoming = new IncomingRequest();
   private final ConnectionMemory memory;
   /** No more requests are taken: those pending are answered, and then the connection is closed. */
   private boolean closeAfterPending;
@@ -142,20 +129,15 @@
 
   /** Called with the number of bytes received, before they are decoded. */
   void onBytes(int bytes) {
-    lastReceivedMs = server.now();
-    if (Double.isNaN(receivingSinceMs)) {
-      receivingSinceMs = lastReceivedMs;
-    }
-    receivedBytes += bytes;
+    incoming.onBytes(server.now(), bytes);
   }
 
   /** Called after the received bytes have been decoded. */
   void onDecoded(RequestDecoder decoder) {
-    if (decoder.hasUndecodedBytes() && Double.isNaN(receivingSinceMs)) {
-      receivingSinceMs = server.now();
+    if (decoder.hasUndecodedBytes()) {
+      incoming.onBegun(server.now());
     }
-    boolean receiving = !Double.isNaN(receivingSinceMs);
-    if (!memory.setReceiving(receiving ? receivedBytes + decoder.overheadBytes() : 0)) {
+    if (!memory.setReceiving(incoming.isReceiving() ? incoming.bytes() + decoder.overheadBytes() : 0)) {
       closeWith(HttpResponseStatus.SERVICE_UNAVAILABLE, "too much is being received");
     }
     if (!wantsInput()) {
@@ -194,8 +176,7 @@
   }
 
   private void onRequestComplete() {
-    receivingSinceMs = Double.NaN;
-    receivedBytes = 0;
+    incoming.reset();
     memory.setReceiving(0);
   }
 
@@ -211,10 +192,15 @@
     if (currentRequestId != null || closing || !pending.isEmpty() || memory.hasUnwrittenAnswer()) {
       return false;
     }
-    if (requestSeen && Double.isNaN(receivingSinceMs)) {
+    if (requestSeen && !incoming.isReceiving()) {
       return nowMs - idleSinceMs > EVICT_IDLE_MS;
     }
-    return nowMs - (requestSeen ? receivingSinceMs : idleSinceMs) > EVICT_SILENT_MS;
+    return nowMs - requestedSinceMs() > EVICT_SILENT_MS;
+  }
+
+  /** Since when a request is expected: from the connect on, and later from its first byte on. */
+  private double requestedSinceMs() {
+    return requestSeen ? incoming.sinceMs() : idleSinceMs;
   }
 
   /**
@@ -231,13 +217,11 @@
       }
     } else if (closing) {
       return;
-    } else if (!Double.isNaN(receivingSinceMs)) {
-      double limitMs = REQUEST_TIMEOUT_MS + receivedBytes / MIN_BYTES_PER_MS;
-      if (nowMs - (requestSeen ? receivingSinceMs : idleSinceMs) > limitMs
-          || nowMs - lastReceivedMs > REQUEST_SILENCE_MS) {
+    } else if (incoming.isReceiving()) {
+      if (incoming.isOverdue(nowMs, requestedSinceMs())) {
         closeWith(HttpResponseStatus.REQUEST_TIMEOUT, "request is not whole in time");
       }
-    } else if (nowMs - idleSinceMs > (requestSeen ? IDLE_TIMEOUT_MS : REQUEST_TIMEOUT_MS)) {
+    } else if (nowMs - idleSinceMs > (requestSeen ? IDLE_TIMEOUT_MS : IncomingRequest.LIMIT_MS)) {
       closeIfIdle();
     }
   }
@@ -328,7 +312,7 @@
    * @param requestsBehind whether a complete request has arrived behind the one that this is asked for
    */
   private boolean mayHoldUnreadInput(boolean requestsBehind) {
-    boolean inputBehind = requestsBehind || !wantsInput() || !Double.isNaN(receivingSinceMs);
+    boolean inputBehind = requestsBehind || !wantsInput() || incoming.isReceiving();
     return unreadInput.mayExist(server.now(), inputBehind, () -> Transport.sinceArrivalMs(channel));
   }
 
@@ -682,13 +666,13 @@
    * @param forMs the time without a request, in milliseconds
    */
   boolean isIdle(double nowMs, double forMs) {
-    return currentRequestId == null && pending.isEmpty() && !closing && Double.isNaN(receivingSinceMs)
+    return currentRequestId == null && pending.isEmpty() && !closing && !incoming.isReceiving()
         && !hasAnswerUnderWay() && nowMs - idleSinceMs >= (requestSeen ? forMs : EVICT_SILENT_MS);
   }
 
   /** Closes the connection if it has been idle since that moment. */
   void closeIfIdleSince(double sinceMs) {
-    if (Double.isNaN(receivingSinceMs) && idleSinceMs <= sinceMs) {
+    if (!incoming.isReceiving() && idleSinceMs <= sinceMs) {
       closeIfIdle();
     }
   }
