Review: an unsafe request runs twice where an upgrade is held up for 0.14 s

Seen: both processes of an upgrade claim a request's id at each other; where both are held up for more than the 100 ms that a claim waits, each rejects the other's claim and lets its own request run.

Rig.java can start a second process of a front door.

--- a/review/lib-2/src/Rig.java
+++ b/review/lib-2/src/Rig.java
@@ -202,14 +202,24 @@
 
   /** Starts a front door that may hold so many descriptors. */
   Door startDoor(int index, String settings, int sockets) throws IOException {
-    String name = "n" + index;
-    int port = freePort();
+    return start("n" + index, index, freePort(), 0, settings, sockets);
+  }
+
+  /** Starts a process of a front door that has a management address, at the clients' port. */
+  Door startProcess(int number, int port, String settings) throws IOException {
+    return start("n0", number, port, freePort(), settings, 1_024);
+  }
+
+  private Door start(String name, int number, int port, int management, String settings, int sockets)
+      throws IOException {
+    int index = management == 0 ? number : 0;
     Path folder = Files.createDirectories(temporary.resolve(name));
     String config = "{\"name\":\"" + name + "\",\"listen\":\"127.0.0.1:" + port + "\",\"discovery\":\"127.0.0.1:"
-        + discovery.port() + "\",\"seed\":\"8c1f30d27a5be96" + index + "\",\"limits\":{\"cores\":1.0,"
+        + discovery.port() + "\"," + (management == 0 ? "" : "\"management\":\"127.0.0.1:" + management + "\",")
+        + "\"seed\":\"8c1f30d27a5be96" + number + "\",\"limits\":{\"cores\":1.0,"
         + "\"memory_mb\":192,\"sockets\":" + sockets + "},\"counter\":\"127.0.0.1:" + counter.port() + "\",\"known\":"
         + discovery.list() + ",\"settings\":" + settings.replace("SELF", Integer.toString(index)) + "}";
-    Path file = temporary.resolve(name + ".json");
+    Path file = temporary.resolve(name + "-" + number + ".json");
     Files.writeString(file, config);
     Matcher run = Pattern.compile("(?m)^run = \"(.*)\"$").matcher(Files.readString(Path.of("deploy/balancer.toml")));
     if (!run.find()) {
@@ -221,16 +231,16 @@
     builder.environment().put("GW_LISTEN", "127.0.0.1:" + port);
     builder.environment().put("GW_DISCOVERY", "127.0.0.1:" + discovery.port());
     builder.environment().put("TMPDIR", folder.toString());
-    builder.redirectErrorStream(true).redirectOutput(temporary.resolve(name + ".log").toFile());
+    builder.redirectErrorStream(true).redirectOutput(temporary.resolve(name + "-" + number + ".log").toFile());
     Process process = builder.start();
     processes.add(process);
-    Door door = new Door(name, port, process);
+    Door door = new Door(management == 0 ? name : name + ", process " + number, port, process);
     double until = now() + 30_000;
     while (now() < until && process.isAlive()) {
-      try (Client c = client(door)) {
-        c.write("GET /up HTTP/1.1\r\nHost: a\r\n\r\n");
+      try (Client c = new Client(management == 0 ? port : management)) {
+        c.write("GET " + (management == 0 ? "/up" : "/ready") + " HTTP/1.1\r\nHost: a\r\n\r\n");
         if (c.read(1_000).status == 200) {
-          note("%s: ready", name);
+          note("%s: ready", door.name);
           return door;
         }
       } catch (IOException e) {
@@ -238,7 +248,7 @@
       }
       sleep(50);
     }
-    throw new IOException(name + " is not ready: " + Files.readString(temporary.resolve(name + ".log")));
+    throw new IOException(name + " is not ready: " + Files.readString(temporary.resolve(name + "-" + number + ".log")));
   }
 
   /**
