Review: a short slow answer ends after its client's time, or never

Seen: 390 bytes without a length that take 6 s are passed on 1.6 s past the latest moment for a client of 4 s. The answers that never end, the case until now, are the same script's second kind.

Added: AnswerPastItsTime in place of EndlessAnswer, and its claim.

--- a/review/lib-2/src/AnswerPastItsTime.java
+++ b/review/lib-2/src/AnswerPastItsTime.java
@@ -2,12 +2,19 @@
 import java.util.ArrayList;
 import java.util.List;
 
-/** Answers that never end, from one backend: their requests have to get their final answer all the same. */
-final class EndlessAnswer {
+/**
+ * Short answers without a length that a backend writes in small pieces: one kind takes 6 s, the other never ends.
+ * Their clients wait for 4 s, and have to get a final answer half a second after that at the latest.
+ */
+final class AnswerPastItsTime {
 
   private static final int TIMEOUT_MS = 4_000;
   /** Half a second after its time, and 50 ms on sockets. */
   private static final int SLACK_MS = 550;
+  private static final int PIECE_MS = 400;
+  private static final int SLOW_PIECES = 15;
+  private static final int PIECES_WITHOUT_TROUBLE = 5;
+  private static final String[] KINDS = {"slow", "plain", "endless", "plain", "slow", "plain", "endless", "plain"};
 
   public static void main(String[] arguments) {
     Rig.run(arguments, rig -> {
@@ -22,20 +29,22 @@
 
   private static void answer(Rig rig, Rig.Exchange x) throws IOException {
     Rig.sleep(150);
-    if (!x.request.startLine().contains("/rows")) {
+    if (x.request.startLine().contains("/plain")) {
       x.answer("200 OK", "", x.body());
       return;
     }
+    int pieces = !Rig.TROUBLE ? PIECES_WITHOUT_TROUBLE
+        : x.request.startLine().contains("/slow") ? SLOW_PIECES : Integer.MAX_VALUE;
     int bytes = 0;
     try {
       x.out.write(Rig.bytes("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"));
-      for (int i = 0; i < (Rig.TROUBLE ? 1_000 : 5); i++) {
+      for (int i = 0; i < pieces; i++) {
         x.out.write(Rig.bytes(Rig.chunk(x.body() + "\n")));
         bytes += x.body().length() + 1;
-        Rig.sleep(300);
+        Rig.sleep(PIECE_MS);
       }
       x.out.write(Rig.bytes("0\r\n\r\n"));
-      rig.note("%s: answer to %s written whole, %d bytes", x.backend.name, x.id, bytes);
+      rig.note("%s: the answer to %s is written whole, %d bytes", x.backend.name, x.id, bytes);
     } catch (IOException e) {
       rig.note("%s: the connection of %s is closed; %d bytes of its answer were written", x.backend.name, x.id,
           bytes);
@@ -45,22 +54,20 @@
 
   private static boolean run(Rig rig, Rig.Door door) throws Exception {
     List<Thread> clients = new ArrayList<>();
-    List<String> lost = new ArrayList<>();
-    for (int i = 0; i < 6; i++) {
-      boolean isLong = i % 2 == 0;
+    List<String> late = new ArrayList<>();
+    for (String kind : KINDS) {
       clients.add(Rig.background(() -> {
         try (Rig.Client c = rig.client(door)) {
           String id = rig.newId();
-          String head = Rig.head(id, "check-quote", TIMEOUT_MS, 0);
-          double sent = rig.now();
-          c.write(isLong ? head.replace("GET /check-quote", "GET /check-quote/rows") : head);
-          rig.note("client: sent %s%s", id, isLong ? " (rows)" : "");
-          Rig.Answer a = c.read(20_000);
-          double tookMs = rig.now() - sent;
-          rig.note("client: %s: after %.0f ms: status %d, %s", id, tookMs, a.status, a.kind());
+          double sentMs = rig.now();
+          c.write(Rig.head(id, "check-quote", TIMEOUT_MS, 0).replace("GET /check-quote", "GET /check-quote/" + kind));
+          rig.note("client: sent %s (%s)", id, kind);
+          Rig.Answer a = c.read(15_000);
+          double tookMs = rig.now() - sentMs;
+          rig.note("client: %s (%s): after %.0f ms: status %d, %s", id, kind, tookMs, a.status, a.kind());
           if (!a.whole && !a.ended || tookMs > TIMEOUT_MS + SLACK_MS) {
-            synchronized (lost) {
-              lost.add(id);
+            synchronized (late) {
+              late.add(id);
             }
           }
         }
@@ -70,6 +77,6 @@
     for (Thread t : clients) {
       t.join();
     }
-    return !lost.isEmpty();
+    return !late.isEmpty();
   }
 }
