Silence is no consent: of two processes the first decides who may run an id

Cause: a claim of an id with no reply after 0.1 s counted as granted, and nothing ordered the two processes. Evidence: the request log of each id that ran twice has the claim unanswered in both. Ruled out: a matter of both being held up together (either alone is enough), a limit that is only too short.

Change: the process that was first decides (BegunRequests). The second one begins nothing unconfirmed; its claims are repeated until the request's time is up. The first begins by its own right, and repeats its claims so that the second knows what must not run when it has ended. That a process has ended is told by the system: a refused connection, another process, the end of the control connection. A call that was closed without an answer is no such proof any more. On the same cause: held requests are told with the state of the first process, and the daemon tells its successor what has begun before. A daemon at its end fails what it holds, and closes the connection of its successor.

--- a/daemon/src/main/java/willowdoor/daemon/life/ControlSocket.java
+++ b/daemon/src/main/java/willowdoor/daemon/life/ControlSocket.java
@@ -65,9 +65,22 @@
     });
   }
 
-  /** Writes no file from now on; not to be called on the event loop. */
+  /**
+   * Writes no file from now on, and ends the connection of the successor: nothing begins here any more. Not to
+   * be called on the event loop.
+   */
   void close() {
     fileWriter.close();
+    if (!door.loop().isShuttingDown()) {
+      door.loop().execute(this::releaseSuccessor);
+    }
+  }
+
+  private void releaseSuccessor() {
+    if (successor != null) {
+      door.failAll();
+      successor.connection.close();
+    }
   }
 
   private boolean tryOpen() {
@@ -120,6 +133,7 @@
   /** The connection of a process that asks to take over; runs on the event loop. */
   private final class SuccessorConnection extends SimpleChannelInboundHandler<String> {
     private String pid = "?";
+    private ChannelHandlerContext connection;
     private boolean counted;
     private boolean descriptorSent;
     private boolean ready;
@@ -172,6 +186,7 @@
         refuse(ctx, "process " + ProcessHandle.current().pid() + " is " + instance.phase());
       } else {
         successor = this;
+        connection = ctx;
         ctx.executor().schedule(() -> {
           if (!ready && ctx.channel().isActive()) {
             refuse(ctx, "not ready within " + readyLimitMs + " ms");
--- a/daemon/src/main/java/willowdoor/daemon/life/Daemon.java
+++ b/daemon/src/main/java/willowdoor/daemon/life/Daemon.java
@@ -44,8 +44,9 @@
   private final FrontDoor door;
   private final Instance instance;
   private final ControlSocket controlSocket;
-  /** Null if no process can take over. */
-  private final HandoverClaims claims;
+  /** Claims of ids at the process before this one, and at its successor; null if no process can take over. */
+  private final HandoverClaims claimsAtHolder;
+  private final HandoverClaims claimsAtSuccessor;
   private HandoverClient handoverClient;
   private ExtAuthzGate authorisationGate;
   private FairGate fairGate;
@@ -98,9 +99,10 @@
       }
     });
     String path = config.takeOver().controlSocket();
-    claims = path.isEmpty() ? null : new HandoverClaims(door);
+    claimsAtHolder = path.isEmpty() ? null : new HandoverClaims(door, false);
+    claimsAtSuccessor = path.isEmpty() ? null : new HandoverClaims(door, true);
     controlSocket = path.isEmpty() ? null : new ControlSocket(door, instance, Path.of(path), config.takeOver()
-        .readyLimitMs(), claims);
+        .readyLimitMs(), claimsAtSuccessor);
   }
 
   /**
@@ -151,8 +153,9 @@
           door::trafficShare, config.fair().clientBy(), config.fair().header());
       filters = append(filters, fairGate);
     }
-    if (claims != null) {
-      filters = append(filters, new IdClaims(door.loop(), claims));
+    if (claimsAtHolder != null) {
+      filters = append(filters, new IdClaims(door.loop(), claimsAtHolder));
+      filters = append(filters, new IdClaims(door.loop(), claimsAtSuccessor));
     }
     RequestFilter opened = filters;
     door.loop().submit(() -> door.setFilter(opened)).sync();
@@ -215,7 +218,7 @@
             "cannot take over: take_over.control_socket is not set, or this machine has no epoll");
       }
       handoverClient = HandoverClient.connect(door.group(), Path.of(config.takeOver().controlSocket()),
-          formatAddress(address), claims,
+          formatAddress(address), claimsAtHolder,
           () -> instance
           .post(new FatalError("the running instance refused after it had handed over its socket")),
           this::inheritLearnedState);
--- a/daemon/src/main/java/willowdoor/daemon/life/HandoverClaims.java
+++ b/daemon/src/main/java/willowdoor/daemon/life/HandoverClaims.java
@@ -16,7 +16,8 @@
 
 /**
  * The claims of request ids ({@link IdClaims}) between the two processes of a handover, as lines on its
- * connection, in both directions. Ids are percent-encoded:
+ * connection, in both directions; one object for the process before this one, one for its successor. Ids are
+ * percent-encoded:
  *
  * <pre>
  *   claim NUMBER ID...       requests with these ids are about to begin at the sender
@@ -24,8 +25,8 @@
  * </pre>
  *
  * <p>The holder adds the word {@code claims} to its line {@code handing}; the successor then sends an empty
- * claim before it is ready. An older process does neither, and gets no such line. Everything runs on the
- * event loop.
+ * claim before it is ready, and the holder tells it what has begun so far, by claims with the number 0. An
+ * older process does neither, and gets no such line. Everything runs on the event loop.
  */
 final class HandoverClaims implements IdClaims.Peer {
 
@@ -33,7 +34,14 @@
   private static final String CLAIM = "claim";
   private static final String CLAIMED = "claimed";
 
+  /** Number of claims to whose reply nobody listens. */
+  private static final String NO_REPLY_WANTED = "0";
+
   private final FrontDoor door;
+  /** Whether this process holds the socket, and the other one is its successor. */
+  private final boolean isHolder;
+  /** The holder has refused the handover while its connection was open, and goes on. */
+  private boolean refused;
   /** The connection to the other process, or null. */
   private ChannelHandlerContext other;
   private boolean otherTakesClients;
@@ -41,8 +49,9 @@
   /** Waits for the reply to the last claim, or null. */
   private IdClaims.Reply callback;
 
-  HandoverClaims(FrontDoor door) {
+  HandoverClaims(FrontDoor door, boolean isHolder) {
     this.door = door;
+    this.isHolder = isHolder;
   }
 
   /**
@@ -62,14 +71,22 @@
     otherTakesClients |= other == connection;
   }
 
-  /** The connection has ended. */
+  /** The connection has ended, and with it the other process, unless that one has refused the handover. */
   void detach(ChannelHandlerContext connection) {
-    if (other == connection) {
+    if (other != null && other == connection) {
       other = null;
-      finish(lastNumber, IdClaims.Reply::onNoReply);
+      if (!refused) {
+        door.onOtherProcessEnded();
+      }
+      finish(lastNumber, refused ? IdClaims.Reply::onNoReply : IdClaims.Reply::onOtherEnded);
     }
   }
 
+  /** The holder refuses the handover, closes the connection and goes on: nothing is confirmed any more. */
+  void onRefused() {
+    refused = true;
+  }
+
   /** Handles a line of the connection if it is about claims; returns whether it is. */
   boolean handle(ChannelHandlerContext connection, String line) {
     String[] words = line.split(" ");
@@ -80,8 +97,12 @@
       List<String> ids = Stream.of(words).skip(2)
           .map(word -> URLDecoder.decode(word, StandardCharsets.UTF_8)).toList();
       if (words[0].equals(CLAIM)) {
-        attach(connection, false);
-        reply(words[1], ids);
+        if (isHolder && other != connection) {
+          attach(connection, false);
+          tellBegun();
+        }
+        // Behind the requests that this turn of the loop has read: they came before.
+        door.loop().execute(() -> reply(connection, words[1], ids));
       } else if (other == connection) {
         finish(Long.parseLong(words[1]), waiting -> waiting.onReply(Set.copyOf(ids)));
       }
@@ -91,8 +112,14 @@
     }
   }
 
-  private void reply(String number, List<String> ids) {
-    HandoverProtocol.writeLine(other, line(CLAIMED, number, door.noteClaimedElsewhere(ids)));
+  private void reply(ChannelHandlerContext connection, String number, List<String> ids) {
+    HandoverProtocol.writeLine(connection, line(CLAIMED, number, door.rejectedClaims(ids, isHolder)));
+  }
+
+  private void tellBegun() {
+    for (List<String> ids : IdClaims.batches(door.begunIds())) {
+      HandoverProtocol.writeLine(other, line(CLAIM, NO_REPLY_WANTED, ids));
+    }
   }
 
   private static String line(String word, String number, List<String> ids) {
@@ -102,12 +129,12 @@
 
   /** Tells the other process, by an empty claim, that this one takes part. */
   void announce() {
-    HandoverProtocol.writeLine(other, line(CLAIM, "0", List.of()));
+    HandoverProtocol.writeLine(other, line(CLAIM, NO_REPLY_WANTED, List.of()));
   }
 
   @Override
   public boolean exists() {
-    return other != null;
+    return other != null || refused;
   }
 
   @Override
@@ -115,12 +142,21 @@
     return other != null && otherTakesClients;
   }
 
+  @Override
+  public boolean isFirst() {
+    return isHolder;
+  }
+
   @Override
   public void claim(List<String> ids, IdClaims.Reply whenReplied) {
-    if (other == null) {
+    if (refused) {
       whenReplied.onNoReply();
       return;
     }
+    if (other == null) {
+      whenReplied.onOtherEnded();
+      return;
+    }
     long number = ++lastNumber;
     callback = whenReplied;
     HandoverProtocol.writeLine(other, line(CLAIM, Long.toString(number), ids));
--- a/daemon/src/main/java/willowdoor/daemon/life/HandoverClient.java
+++ b/daemon/src/main/java/willowdoor/daemon/life/HandoverClient.java
@@ -133,6 +133,7 @@
         handleLearnedLine(line);
       } else if (!descriptor.completeExceptionally(
           new IOException("the running instance refused the handover: " + line))) {
+        claims.onRefused();
         onLateRefusal.run();
       }
     }
--- a/daemon/src/test/java/willowdoor/daemon/life/HandoverTest.java
+++ b/daemon/src/test/java/willowdoor/daemon/life/HandoverTest.java
@@ -138,6 +138,23 @@
     assertServes(old.address(), "last");
   }
 
+  /** Guards against an id that runs again at the successor once the process that has run it has ended. */
+  @Test
+  void anIdOfThePredecessorDoesNotRunAgainAfterItsEnd() throws Exception {
+    Daemon old = startWithControlSocket();
+    DaemonFixture.Caller atPredecessor = fixture.new Caller(old.address(), "d0");
+    String request = atPredecessor.requestText("early", RequestKind.TRANSFER, 3_000);
+    atPredecessor.sendRaw(request);
+    assertEquals(200, atPredecessor.receiveStatus("early"));
+    fixture.createDaemon(old.address(), "").start(true);
+    assertExitCode(InstanceLifecycle.EXIT_ORDERLY, old);
+    old.close();
+    DaemonFixture.Caller atSuccessor = fixture.new Caller(old.address(), "d0");
+    atSuccessor.sendRaw(request);
+    assertEquals(400, atSuccessor.receiveStatus("early"));
+    assertEquals(1, fixture.history("early").stream().filter(e -> e.kind() == Kind.EFFECT).count());
+  }
+
   /** Whether the process at the other end of a kept connection sends clients away. */
   private static boolean isDraining(DaemonFixture.Caller kept) {
     try {
--- a/door/src/main/java/willowdoor/management/ConnectAttempt.java
+++ b/door/src/main/java/willowdoor/management/ConnectAttempt.java
@@ -53,6 +53,11 @@
     return channel.isOpen() || channel.closeFuture().isDone();
   }
 
+  /** Whether the connection was refused, as nobody listens at the address. */
+  public static boolean isRefused(ChannelFuture done) {
+    return !done.isSuccess() && String.valueOf(done.cause().getMessage()).contains("Connection refused");
+  }
+
   /** Whether this machine, and not the peer, is why the connection could not be opened. */
   public static boolean isLocalFailure(ChannelFuture failed) {
     String text = String.valueOf(failed.cause().getMessage());
--- a/door/src/main/java/willowdoor/management/ManagementClient.java
+++ b/door/src/main/java/willowdoor/management/ManagementClient.java
@@ -3,6 +3,7 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -19,13 +20,18 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 
 /** Calls the management address of another process, with one call per connection, as an operator would. */
 public final class ManagementClient {
 
-  /** Outcome of a call: an answer arrived; no process listens there; or no answer arrived in time. */
+  /**
+   * Outcome of a call: an answer arrived; the system tells that no process listens there; or no answer
+   * arrived, which tells nothing about the process.
+   */
   public enum CallOutcome { ANSWER, NOBODY, NOTHING }
 
   /**
@@ -54,23 +60,14 @@
    */
   public void call(InetSocketAddress address, String processId, HttpMethod method, String target,
       long limitMs, Consumer<CallResult> callback) {
-    PendingCall pendingCall = new PendingCall(callback);
-    ChannelFuture connecting = new Bootstrap().group(loop).channel(channelType)
-        .option(ChannelOption.TCP_NODELAY, true)
-        .handler(new ChannelInitializer<Channel>() {
-          @Override
-          protected void initChannel(Channel channel) {
-            channel.pipeline()
-                .addLast(new HttpClientCodec(), new HttpObjectAggregator(MAX_ANSWER_BYTES), pendingCall);
-          }
-        }).connect(address);
+    PendingCall pendingCall = new PendingCall(address, callback);
+    ChannelFuture connecting = connect(address,
+        () -> List.of(new HttpClientCodec(), new HttpObjectAggregator(MAX_ANSWER_BYTES), pendingCall));
     loop.schedule(() -> pendingCall.finish(connecting.channel(), new CallResult(CallOutcome.NOTHING, null)),
         limitMs, TimeUnit.MILLISECONDS);
     ConnectAttempt.onDone(loop, connecting, () -> {
       if (!connecting.isSuccess()) {
-        boolean local = ConnectAttempt.isLocalFailure(connecting);
-        pendingCall.finish(connecting.channel(),
-            new CallResult(local ? CallOutcome.NOTHING : CallOutcome.NOBODY, null));
+        pendingCall.finish(connecting.channel(), withoutAnswer(connecting));
         return;
       }
       DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, target);
@@ -84,12 +81,30 @@
     });
   }
 
+  private ChannelFuture connect(InetSocketAddress address, Supplier<List<ChannelHandler>> handlers) {
+    return new Bootstrap().group(loop).channel(channelType)
+        .option(ChannelOption.TCP_NODELAY, true)
+        .handler(new ChannelInitializer<Channel>() {
+          @Override
+          protected void initChannel(Channel channel) {
+            handlers.get().forEach(handler -> channel.pipeline().addLast(handler));
+          }
+        }).connect(address);
+  }
+
+  /** The result of a call of which no more is known than how its last attempt to connect has ended. */
+  private static CallResult withoutAnswer(ChannelFuture connected) {
+    return new CallResult(ConnectAttempt.isRefused(connected) ? CallOutcome.NOBODY : CallOutcome.NOTHING, null);
+  }
+
   /** One call, finished once. */
-  private static final class PendingCall extends SimpleChannelInboundHandler<FullHttpResponse> {
+  private final class PendingCall extends SimpleChannelInboundHandler<FullHttpResponse> {
+    private final InetSocketAddress address;
     private final Consumer<CallResult> callback;
     private boolean ended;
 
-    PendingCall(Consumer<CallResult> callback) {
+    PendingCall(InetSocketAddress address, Consumer<CallResult> callback) {
+      this.address = address;
       this.callback = callback;
     }
 
@@ -109,10 +124,16 @@
               new Reply(answer.status().code(), answer.content().toString(StandardCharsets.UTF_8))));
     }
 
-    /** A process that dies during a call counts as {@link CallOutcome#NOBODY}. */
+    /**
+     * A process that dies during a call counts as {@link CallOutcome#NOBODY}. But a process may also close a
+     * call and go on, so it is asked once more whether one listens there.
+     */
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
-      finish(ctx.channel(), new CallResult(CallOutcome.NOBODY, null));
+      if (!ended && !loop.isShuttingDown()) {
+        ChannelFuture connecting = connect(address, List::of);
+        ConnectAttempt.onDone(loop, connecting, () -> finish(connecting.channel(), withoutAnswer(connecting)));
+      }
     }
 
     @Override
--- a/door/src/main/java/willowdoor/management/ManagementServer.java
+++ b/door/src/main/java/willowdoor/management/ManagementServer.java
@@ -133,7 +133,8 @@
       } else if (call instanceof Call.Hello hello) {
         answer(ctx, operations.hello(hello.greeting()));
       } else if (call instanceof Call.Claim claim) {
-        answer(ctx, operations.claim(claim.ids()));
+        // Behind the requests that this turn of the loop has read: they came before.
+        ctx.executor().execute(() -> answer(ctx, operations.claim(claim.ids())));
       } else if (call instanceof Call.Invalid invalid) {
         answer(ctx, invalid.reply());
       } else if (call instanceof Call.Execute execute) {
--- a/door/src/main/java/willowdoor/management/Operations.java
+++ b/door/src/main/java/willowdoor/management/Operations.java
@@ -28,8 +28,7 @@
    * Requests that must not run twice are about to begin at the other process of this front door.
    *
    * @param ids their ids
-   * @return if successful, the ids that this process rejects, as it holds such a request or one has begun, a
-   *     line each
+   * @return if successful, the ids that this process rejects, a line each
    */
   default Reply claim(List<String> ids) {
     return new Reply(404, "this process has no other process");
--- a/door/src/main/java/willowdoor/net/FrontDoor.java
+++ b/door/src/main/java/willowdoor/net/FrontDoor.java
@@ -324,7 +324,8 @@
     return at.getAddress().getHostAddress() + ":" + at.getPort();
   }
 
-  List<String> begunIds() {
+  /** The ids of requests that have begun here, or may begin, and must not run twice; called on the loop. */
+  public List<String> begunIds() {
     return driver.begunIds();
   }
 
@@ -334,15 +335,23 @@
   }
 
   /**
-   * Notes ids of requests that are about to begin at the other process of this front door, and returns those
-   * that must not; called on the loop.
+   * Decides on ids that the other process of this front door claims for its requests, and returns those that
+   * must not begin there; called on the loop.
+   *
+   * @param isFirst whether this process is the first of the two
    */
-  public List<String> noteClaimedElsewhere(List<String> ids) {
-    return driver.noteClaimedElsewhere(ids);
+  public List<String> rejectedClaims(List<String> ids, boolean isFirst) {
+    return driver.rejectedClaims(ids, isFirst);
+  }
+
+  /** The other process of this front door has ended; called on the loop. */
+  public void onOtherProcessEnded() {
+    driver.onOtherProcessEnded();
   }
 
   /** Called when this process is the only one of its front door again. */
   void onAlone() {
+    onOtherProcessEnded();
     if (serverChannel != null) {
       ReusePortGroup.distribute(serverChannel);
     }
--- a/door/src/main/java/willowdoor/net/FrontDoorOperations.java
+++ b/door/src/main/java/willowdoor/net/FrontDoorOperations.java
@@ -255,7 +255,7 @@
 
   @Override
   public Reply claim(List<String> ids) {
-    return Reply.ok(String.join("\n", door.noteClaimedElsewhere(ids)));
+    return Reply.ok(String.join("\n", door.rejectedClaims(ids, !startedSecond)));
   }
 
   /** The other process as the one where ids are claimed. */
@@ -270,10 +270,15 @@
       return otherProcess != null && (startedSecond || otherProcess.isServing());
     }
 
+    @Override
+    public boolean isFirst() {
+      return !startedSecond;
+    }
+
     @Override
     public void claim(List<String> ids, IdClaims.Reply callback) {
       if (otherProcess == null) {
-        callback.onNoReply();
+        callback.onOtherEnded();
       } else {
         otherProcess.claim(ids, callback);
       }
--- a/door/src/main/java/willowdoor/net/ModuleDriver.java
+++ b/door/src/main/java/willowdoor/net/ModuleDriver.java
@@ -301,25 +301,35 @@
     return begunRequests.contains(clock.now(), id);
   }
 
-  /** The ids of the requests that have begun and must not run twice. */
+  /** The ids of the requests that have begun, or are held and may begin, and must not run twice. */
   List<String> begunIds() {
-    return begunRequests.ids(clock.now());
+    List<String> ids = begunRequests.ids(clock.now());
+    requests.values().stream().filter(r -> !r.isSafe() && !r.begun && !r.finished)
+        .forEach(r -> ids.add(r.request.id()));
+    return ids;
   }
 
   /** Notes ids of requests that have begun at the other process of this front door. */
   void noteBegunElsewhere(List<String> ids) {
     double now = clock.now();
-    ids.forEach(id -> begunRequests.add(now, id, now + MAX_DEADLINE_MS));
+    ids.forEach(id -> begunRequests.addOfOther(now, id, now + MAX_DEADLINE_MS));
   }
 
   /**
-   * Notes ids of requests that are about to begin at the other process of this front door, unless a request
-   * with the id is held here or has begun. Returns the ids of those, which must not begin there.
+   * Decides on ids that the other process of this front door claims for its requests, and returns those that
+   * must not begin there.
+   *
+   * @param isFirst whether this process is the first of the two
    */
-  List<String> noteClaimedElsewhere(List<String> ids) {
-    List<String> rejected = ids.stream().filter(id -> holds(id) || hasBegun(id)).toList();
-    noteBegunElsewhere(ids.stream().filter(id -> !rejected.contains(id)).toList());
-    return rejected;
+  List<String> rejectedClaims(List<String> ids, boolean isFirst) {
+    double now = clock.now();
+    return ids.stream().filter(id ->
+        !begunRequests.confirmClaim(now, id, now + MAX_DEADLINE_MS, isFirst && holds(id))).toList();
+  }
+
+  /** The other process of this front door has ended. */
+  void onOtherProcessEnded() {
+    begunRequests.onOtherEnded();
   }
 
   /**
--- a/door/src/main/java/willowdoor/net/PeerProcess.java
+++ b/door/src/main/java/willowdoor/net/PeerProcess.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.QueryStringEncoder;
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.logging.Logger;
@@ -28,6 +29,8 @@
   /** Limit of a forwarded order. An operator waits 1 s for a confirmation, which covers both processes. */
   private static final long ORDER_LIMIT_MS = 750;
   private static final long HELLO_LIMIT_MS = 1_500;
+  /** Status of the reply of a version that knows no claims of ids. */
+  private static final int KNOWS_NO_CLAIMS = 404;
 
   private final EventLoop loop;
   private final ManagementClient caller;
@@ -89,16 +92,21 @@
   void claim(List<String> ids, IdClaims.Reply callback) {
     QueryStringEncoder target = new QueryStringEncoder("/claim");
     ids.forEach(id -> target.addParam("id", id));
-    caller.call(address, processId, HttpMethod.POST, target.toString(), IdClaims.REPLY_LIMIT_MS, end -> {
-      if (end.outcome() == CallOutcome.NOBODY) {
-        markGone();
-      }
-      if (end.outcome() == CallOutcome.ANSWER && end.reply().isOk()) {
-        callback.onReply(end.reply().text().lines().collect(Collectors.toSet()));
-      } else {
-        callback.onNoReply();
-      }
-    });
+    caller.call(address, processId, HttpMethod.POST, target.toString(), IdClaims.REPLY_LIMIT_MS,
+        end -> onClaimEnd(end, callback));
+  }
+
+  private void onClaimEnd(CallResult end, IdClaims.Reply callback) {
+    if (end.outcome() == CallOutcome.NOBODY) {
+      markGone();
+      callback.onOtherEnded();
+    } else if (end.outcome() == CallOutcome.ANSWER && end.reply().isOk()) {
+      callback.onReply(end.reply().text().lines().collect(Collectors.toSet()));
+    } else if (end.outcome() == CallOutcome.ANSWER && end.reply().status() == KNOWS_NO_CLAIMS) {
+      callback.onReply(Set.of());
+    } else {
+      callback.onNoReply();
+    }
   }
 
   /**
--- a/door/src/test/java/willowdoor/net/RequestIdentityTest.java
+++ b/door/src/test/java/willowdoor/net/RequestIdentityTest.java
@@ -9,8 +9,10 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -28,6 +30,14 @@
   private static final int REQUESTS = 20;
   /** So many connections reach both processes with near certainty. */
   private static final int COPIES = 8;
+  private static final int TIMEOUT_MS = 2_000;
+  private static final int HELD_UP_ROUNDS = 3;
+  private static final long SHORT_SERVICE_MS = 120;
+  private static final int PAIRS = 40;
+  /** A front door may be held up for 150 ms. */
+  private static final long HELD_UP_MS = 130;
+  /** New connections go to the second process so long after the first was told to end. */
+  private static final long DIRECTED_MS = 60;
 
   @TempDir
   private Path folder;
@@ -125,6 +135,97 @@
     assertTrue(runs.values().stream().allMatch(n -> n == 1), runs + "\n" + gateway.log());
   }
 
+  /** Guards against an id that both processes run, as neither can reply to the other in time. */
+  @Test
+  void anIdThatComesToBothProcessesWhileTheyAreHeldUpDoesNotRunTwice() throws Exception {
+    peers.answer = (request, out) -> {
+      pause(SHORT_SERVICE_MS);
+      return Peers.write(out, Peers.OK);
+    };
+    gateway = new ServingProcess(folder, config(ServingProcess.freeAddress()));
+    for (int round = 0; round < HELD_UP_ROUNDS; round++) {
+      heldUpRound(round, round != 1, round != 2);
+    }
+  }
+
+  /** An upgrade in which each id comes to the first process, and soon to the second, while some are held up. */
+  private void heldUpRound(int round, boolean firstIsHeldUp, boolean secondIsHeldUp) throws Exception {
+    List<Client> atFirst = new ArrayList<>();
+    for (int i = 0; i < PAIRS; i++) {
+      atFirst.add(gateway.client());
+    }
+    use(atFirst, "early" + round);
+    InetSocketAddress management = ServingProcess.freeAddress();
+    second = gateway.startSecond(config(management));
+    second.awaitReady(management);
+    use(atFirst, "late" + round);
+    gateway.signal("TERM");
+    pause(DIRECTED_MS);
+    List<Client> atSecond = new ArrayList<>();
+    for (int i = 0; i < PAIRS; i++) {
+      atSecond.add(gateway.client());
+    }
+    Thread heldUp = new Thread(() -> holdUp(firstIsHeldUp, secondIsHeldUp));
+    heldUp.start();
+    for (int i = 0; i < PAIRS; i++) {
+      String request = Peers.post("pair" + round + "-" + i, "b");
+      atFirst.get(i).send(request);
+      pause(1);
+      atSecond.get(i).send(request);
+    }
+    heldUp.join();
+    Set<Integer> ofFirst = new HashSet<>();
+    Set<Integer> ofSecond = new HashSet<>();
+    for (int i = 0; i < PAIRS; i++) {
+      ofFirst.add(statusFor(atFirst.get(i), "first " + i));
+      ofSecond.add(statusFor(atSecond.get(i), "second " + i));
+      atFirst.get(i).close();
+      atSecond.get(i).close();
+    }
+    Map<String, Integer> runs = runs();
+    assertTrue(runs.values().stream().allMatch(n -> n == 1), runs + "\n" + gateway.log());
+    assertEquals(Set.of(200), ofFirst, "the request that came first is the one that runs");
+    assertEquals(Set.of(400), ofSecond, gateway.log());
+    gateway.close();
+    gateway = second;
+    second = null;
+  }
+
+  private int statusFor(Client client, String name) throws IOException {
+    try {
+      return client.receive().status();
+    } catch (IOException e) {
+      throw new AssertionError("no answer to " + name + ": " + gateway.log(), e);
+    }
+  }
+
+  /** Has a request answered on each of these connections. */
+  private void use(List<Client> clients, String name) throws IOException {
+    for (Client client : clients) {
+      client.send(Peers.get(name + "-" + clients.indexOf(client), TIMEOUT_MS));
+    }
+    for (Client client : clients) {
+      statusFor(client, name);
+    }
+  }
+
+  private void holdUp(boolean first, boolean alsoSecond) {
+    try {
+      pause(PAIRS / 2);
+      List<ServingProcess> processes = new ArrayList<>(first ? List.of(gateway) : List.of());
+      processes.addAll(alsoSecond ? List.of(second) : List.of());
+      for (ServingProcess process : processes) {
+        process.signal("STOP");
+      }
+      pause(HELD_UP_MS);
+      for (ServingProcess process : processes) {
+        process.signal("CONT");
+      }
+    } catch (Exception e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
   /** Guards against an id that comes to both processes before the one has told the other of it. */
   @Test
   void anIdThatComesToBothProcessesAtOnceDoesNotRunTwice() throws Exception {
--- a/policy/src/test/java/willowdoor/policy/BegunRequestsTest.java
+++ b/policy/src/test/java/willowdoor/policy/BegunRequestsTest.java
@@ -21,6 +21,30 @@
     assertEquals(List.of(), begun.ids(60_000));
   }
 
+  /** Guards against an id that two processes run, as each takes the claim of the other for nothing. */
+  @Test
+  void ofTwoProcessesThatHoldAnIdTheFirstRunsIt() {
+    assertFalse(begun.confirmClaim(0, "r1", 1_000, true), "held by the first process");
+    BegunRequests atSecond = new BegunRequests();
+    assertTrue(atSecond.confirmClaim(0, "r1", 1_000, false), "held by the second process, not begun");
+    assertTrue(atSecond.contains(1, "r1"), "it doesn't begin there any more");
+  }
+
+  @Test
+  void aClaimThatComesAgainIsConfirmedAgainWhileItsProcessRuns() {
+    assertTrue(begun.confirmClaim(0, "r1", 1_000, false));
+    assertTrue(begun.confirmClaim(10, "r1", 1_000, false));
+    begun.onOtherEnded();
+    assertFalse(begun.confirmClaim(20, "r1", 1_000, false), "a third process");
+  }
+
+  @Test
+  void whatHasBegunHereIsNeverConfirmed() {
+    begun.add(0, "r1", 1_000);
+    begun.addOfOther(0, "r1", 1_000);
+    assertFalse(begun.confirmClaim(10, "r1", 1_000, false));
+  }
+
   @Test
   void everNewIdsStayWithinTheBound() {
     for (int i = 0; i < 2 * BegunRequests.MAX_IDS; i++) {
