An answer that is still short at its client's latest moment is late, and ends then

Cause: passing an answer on took it out of the request's time. What was left was a limit of silence, which each piece starts anew. Evidence: with pieces each 60, 400 and 900 ms the answer lives as long as the backend writes, whatever the client's time. Ruled out: a timer of the request that does not run (what is not passed on is in time), bytes that lie in the gateway.

Change: AnswerLifecycle knows the latest moment for the last byte of a short answer, 0.45 s after the client's time. What is passed on and still short then is LATE, and given up by a reset, so that the client can tell. Past 64 KiB only a stall ends it. Time in which the client took nothing, and the backend was not read, is added. The pipe logs whether an answer had stalled or was late.

--- a/door/src/main/java/willowdoor/net/AnswerPipe.java
+++ b/door/src/main/java/willowdoor/net/AnswerPipe.java
@@ -6,7 +6,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.DoubleSupplier;
 import willowdoor.policy.AnswerLifecycle;
-import willowdoor.policy.AnswerLifecycle.State;
 
 /**
  * Passes the rest of a long response through as it arrives. Bytes from the backend are forwarded to the
@@ -46,7 +45,7 @@
    * Creates a pipe for an answer that is passed on from now on.
    *
    * @param backendInput handler of the backend's connection that resumes and pauses reading
-   * @param lifecycle tells when the answer has stalled
+   * @param lifecycle tells when the answer is given up
    */
   AnswerPipe(Channel backend, TurnLimitHandler backendInput, AnswerLifecycle lifecycle,
       DoubleSupplier clockMs) {
@@ -55,17 +54,17 @@
     this.lifecycle = lifecycle;
     this.clockMs = clockMs;
     lifecycle.onPassedOn();
-    scheduleStallCheck();
+    scheduleCheck();
   }
 
-  private void scheduleStallCheck() {
-    double waitMs = Math.max(MIN_CHECK_MS, lifecycle.stalledAtMs() - clockMs.getAsDouble());
+  private void scheduleCheck() {
+    double waitMs = Math.max(MIN_CHECK_MS, lifecycle.givenUpAtMs() - clockMs.getAsDouble());
     backend.eventLoop().schedule(() -> {
-      if (!ended && lifecycle.state(clockMs.getAsDouble()) == State.STALLED) {
-        RequestLog.note(null, "answer given up", "reason", "stalled");
+      if (!ended && lifecycle.isGivenUp(clockMs.getAsDouble())) {
+        RequestLog.note(null, "answer given up", "reason", lifecycle.state(clockMs.getAsDouble()));
         abort();
       } else if (!ended) {
-        scheduleStallCheck();
+        scheduleCheck();
       }
     }, (long) Math.min(MAX_CHECK_MS, waitMs), TimeUnit.MILLISECONDS);
   }
--- a/door/src/main/java/willowdoor/net/BackendConnection.java
+++ b/door/src/main/java/willowdoor/net/BackendConnection.java
@@ -22,7 +22,6 @@
 import java.util.concurrent.TimeUnit;
 import willowdoor.memory.Holder;
 import willowdoor.policy.AnswerLifecycle;
-import willowdoor.policy.AnswerLifecycle.State;
 import willowdoor.policy.AttemptStart;
 import willowdoor.policy.GatewayApi.Status;
 
@@ -341,7 +340,7 @@
       return;
     }
     double now = pool.now();
-    if (lifecycle.state(now) == State.STALLED) {
+    if (lifecycle.isGivenUp(now)) {
       RequestLog.note(currentAttempt.requestId(), "answer given up", "reason", "stalled");
       endAsSpoilt();
     } else if (lifecycle.isDueToPassOn(now)) {
--- a/door/src/test/java/willowdoor/net/AnswerLifecycleTest.java
+++ b/door/src/test/java/willowdoor/net/AnswerLifecycleTest.java
@@ -50,6 +50,7 @@
   private static final String UNTIL_CLOSE = "Connection: close";
   private static final List<String> FRAMINGS = List.of(CHUNKED, UNTIL_CLOSE, "Content-Length: " + LONG_BYTES);
   private static final long KEEP_WRITING_MS = 5_000;
+  private static final long MAX_DRIBBLED_MS = 8_000;
   private static final int SLOW_PIECES = 50;
   private static final int SMALL_RECEIVE_BUFFER_BYTES = 8_192;
   private static final int HELD_BYTES = 60_000;
@@ -261,6 +262,34 @@
     }
   }
 
+  /** Writes pieces of a byte until the gateway closes the connection. */
+  private Peers.Answer dribbles(String framing, long pauseMs) {
+    return (request, out) -> {
+      writeHead(out, framing);
+      for (int i = 0; i < MAX_DRIBBLED_MS / pauseMs; i++) {
+        writePiece(out, framing, i, i + 1);
+        pause(pauseMs);
+      }
+      return false;
+    };
+  }
+
+  /** Guards against answers that never end, each piece of which gives them more time. */
+  @Test
+  void answersThatNeverEndAreGivenUpInTime() throws Exception {
+    for (int timeoutMs : new int[] {900, 2_000}) {
+      for (String framing : List.of(CHUNKED, UNTIL_CLOSE)) {
+        for (long pauseMs : new long[] {60, 400, 900}) {
+          peers.answer = dribbles(framing, pauseMs);
+          Received received = ask(Peers.get("d" + timeoutMs + framing.charAt(0) + pauseMs, timeoutMs));
+          String what = framing + ", " + timeoutMs + " ms: ended after " + received.endMs;
+          assertTrue(received.endMs <= timeoutMs + LATE_MS, what + "\n" + gateway.log());
+          assertTrue(!received.complete || received.status != 200, what);
+        }
+      }
+    }
+  }
+
   /** Guards against a retry that is spared where there is time for one: the other answer is whole. */
   @Test
   void aStalledAnswerIsRetriedWhileThereIsTime() throws Exception {
--- a/policy/src/main/java/willowdoor/policy/AnswerLifecycle.java
+++ b/policy/src/main/java/willowdoor/policy/AnswerLifecycle.java
@@ -7,15 +7,16 @@
  *
  * <p>Where an answer tells no length, nobody knows beforehand whether it will be long. The first bytes of a
  * long answer are due in time, and its last byte whenever it comes; so an answer without a length that still
- * makes progress at the end of its time is passed on. After that it is given up soon enough for its client if
- * it falls silent, as it may as well be a short one that never ends.
+ * makes progress at the end of its time is passed on. From then on one moment decides: the latest at which
+ * its client may get the last byte of a short answer. An answer that is still short at that moment is a short
+ * one that is late, however often another piece comes, and it is given up so that its client can tell.
  *
  * <p>All times are milliseconds on the clock of the caller, which passes them in.
  */
 public final class AnswerLifecycle {
 
-  /** State of an answer. A stalled answer is over as a whole one is. */
-  public enum State { NONE, HEAD, PROGRESS, PASSED_ON, WHOLE, STALLED }
+  /** State of an answer. A stalled or late answer is over as a whole one is. */
+  public enum State { NONE, HEAD, PROGRESS, PASSED_ON, WHOLE, STALLED, LATE }
 
   /** A body of more bytes is long: it is passed on as it comes. */
   public static final int MAX_SHORT_BYTES = 64 * 1024;
@@ -47,6 +48,8 @@
   /** When the backend gave something last, or its client took something last while it is held back. */
   private double progressAtMs;
   private boolean heldBack;
+  /** How long the backend was not read, as the client took no more, in milliseconds. */
+  private double heldBackMs;
 
   /**
    * An answer of which nothing was read yet.
@@ -99,6 +102,7 @@
   public void setHeldBack(double nowMs, boolean isHeldBack) {
     if (heldBack != isHeldBack) {
       heldBack = isHeldBack;
+      heldBackMs += isHeldBack ? -nowMs : nowMs;
       progressAtMs = nowMs;
     }
   }
@@ -117,10 +121,15 @@
 
   /** The state at this moment. */
   public State state(double nowMs) {
-    if (state != State.WHOLE && nowMs >= stalledAtMs()) {
-      return State.STALLED;
+    if (!isGivenUp(nowMs)) {
+      return state;
     }
-    return state;
+    return mayBeLate() && nowMs >= latestMs() ? State.LATE : State.STALLED;
+  }
+
+  /** Whether the answer has stalled, or is late. */
+  public boolean isGivenUp(double nowMs) {
+    return state != State.WHOLE && nowMs >= givenUpAtMs();
   }
 
   /** Whether the answer has begun, is not complete, and makes progress. */
@@ -145,12 +154,23 @@
   public double nextCheckMs(double nowMs) {
     double dueMs = headAtMs + MAX_HOLD_MS;
     boolean becomesDue = state == State.PROGRESS && mayBePassedOn(nowMs) && nowMs < dueMs;
-    return becomesDue ? Math.min(dueMs, stalledAtMs()) : stalledAtMs();
+    return becomesDue ? Math.min(dueMs, givenUpAtMs()) : givenUpAtMs();
+  }
+
+  /** When the answer is given up unless something comes until then. */
+  public double givenUpAtMs() {
+    double stalledAtMs = progressAtMs + maxSilenceMs();
+    return mayBeLate() ? Math.min(latestMs(), stalledAtMs) : stalledAtMs;
+  }
+
+  /** Whether the answer is passed on, and is short as far as is known. */
+  private boolean mayBeLate() {
+    return state == State.PASSED_ON && !isLong() && !heldBack;
   }
 
-  /** When the answer has stalled unless something comes until then. */
-  public double stalledAtMs() {
-    return progressAtMs + maxSilenceMs();
+  /** The latest moment for the last byte of a short answer; time in which its client took nothing is added. */
+  private double latestMs() {
+    return deadlineMs + MAX_LATE_MS + heldBackMs;
   }
 
   private double maxSilenceMs() {
--- a/policy/src/test/java/willowdoor/policy/AnswerLifecycleStatesTest.java
+++ b/policy/src/test/java/willowdoor/policy/AnswerLifecycleStatesTest.java
@@ -30,9 +30,9 @@
     answer.onHead(0, -1, true);
     answer.onBody(10, PIECE_BYTES);
     assertTrue(answer.mayBePassedOn(900));
-    assertEquals(State.STALLED, answer.state(answer.stalledAtMs()));
-    assertFalse(answer.mayBePassedOn(answer.stalledAtMs()));
-    assertFalse(answer.isUnderWay(answer.stalledAtMs()));
+    assertEquals(State.STALLED, answer.state(answer.givenUpAtMs()));
+    assertFalse(answer.mayBePassedOn(answer.givenUpAtMs()));
+    assertFalse(answer.isUnderWay(answer.givenUpAtMs()));
   }
 
   @Test
@@ -60,9 +60,43 @@
     early.onHead(10, -1, true);
     early.onBody(20, PIECE_BYTES);
     early.onPassedOn();
-    assertTrue(early.stalledAtMs() <= 600 + 500, "the client hears of its end in time");
+    assertTrue(early.givenUpAtMs() <= 600 + 500, "the client hears of its end in time");
     early.onBody(1_000, AnswerLifecycle.MAX_SHORT_BYTES);
-    assertTrue(early.stalledAtMs() > 10_000, "a long answer may pause for seconds");
+    assertTrue(early.givenUpAtMs() > 10_000, "a long answer may pause for seconds");
+  }
+
+  /** Guards against a short answer that its backend never ends, and whose client hears of no end. */
+  @Test
+  void aPassedOnAnswerThatIsStillShortAtItsClientsTimeIsLate() {
+    answer.onHead(0, -1, true);
+    answer.onBody(10, 1);
+    answer.onPassedOn();
+    for (double now = 100; now < DEADLINE_MS + 400; now += 100) {
+      answer.onBody(now, 1);
+      assertEquals(State.PASSED_ON, answer.state(now + 50));
+    }
+    answer.onBody(DEADLINE_MS + 449, 1);
+    assertEquals(State.LATE, answer.state(DEADLINE_MS + 450));
+  }
+
+  @Test
+  void aBodyOfKnownLengthThatIsShortIsDueToo() {
+    answer.onHead(0, PIECE_BYTES, true);
+    answer.onPassedOn();
+    answer.onBody(DEADLINE_MS + 400, 1);
+    assertEquals(State.LATE, answer.state(DEADLINE_MS + 450));
+  }
+
+  /** Guards against an answer that ends by a time in which it was not read, as its client took nothing. */
+  @Test
+  void theTimeInWhichTheClientTookNothingIsAdded() {
+    answer.onHead(0, -1, true);
+    answer.onPassedOn();
+    answer.setHeldBack(2_000, true);
+    answer.setHeldBack(8_000, false);
+    answer.onBody(9_000, 1);
+    assertEquals(State.PASSED_ON, answer.state(DEADLINE_MS + 6_000));
+    assertEquals(State.LATE, answer.state(DEADLINE_MS + 6_450));
   }
 
   @Test
