No silence within its client's time ends an answer that may be long

Cause: until 64 KiB had come, a constant silence counted as a stall, though the client's time tells when a short answer is due. Before the pass, 1 s of silence ended every answer, also where no other attempt could take its place. Evidence: 2.5 s after 40 and 60 kB, and 1.6 s after 30 kB that came at once, are cut off. Ruled out: a failing backend connection (it writes on), one limit that is only too short (two of them cut).

Change: the rule for the latest moment alone decides once an answer is passed on. One that is held is given up for its silence where another attempt may replace it: the policy tells that with each attempt (AttemptConditions.replaceable), once for a request; else it is passed on, as it is past 16 KiB.

--- a/door/src/main/java/willowdoor/net/BackendConnection.java
+++ b/door/src/main/java/willowdoor/net/BackendConnection.java
@@ -133,7 +133,7 @@
     }
     FullHttpRequest request = BackendPool.requestFor(attempt, now);
     currentAttempt = attempt;
-    lifecycle = new AnswerLifecycle(attempt.deadlineMs);
+    lifecycle = new AnswerLifecycle(attempt.deadlineMs, attempt.conditions.replaceable());
     attempt.connection = this;
     attempt.onBegin();
     RequestLog.note(attempt.requestId(), "attempt written", "timeout_ms",
--- a/door/src/test/java/willowdoor/net/AnswerLifecycleTest.java
+++ b/door/src/test/java/willowdoor/net/AnswerLifecycleTest.java
@@ -50,6 +50,7 @@
   private static final String UNTIL_CLOSE = "Connection: close";
   private static final List<String> FRAMINGS = List.of(CHUNKED, UNTIL_CLOSE, "Content-Length: " + LONG_BYTES);
   private static final long KEEP_WRITING_MS = 5_000;
+  private static final long PIECE_PAUSE_MS = 280;
   private static final long MAX_DRIBBLED_MS = 8_000;
   private static final int SLOW_PIECES = 50;
   private static final int SMALL_RECEIVE_BUFFER_BYTES = 8_192;
@@ -60,6 +61,7 @@
   @TempDir
   private Path folder;
   private final Peers peers = new Peers();
+  private final AtomicInteger requests = new AtomicInteger();
   private final byte[] body = new byte[LONG_BYTES];
   private final ExecutorService clients = Executors.newCachedThreadPool();
   private ServingProcess gateway;
@@ -200,7 +202,7 @@
   /** Asks by a safe and by a keyed request; both get the whole answer, and its first bytes in time. */
   private void passesWhole(String kind, String framing, int timeoutMs, Peers.Answer answer) throws Exception {
     peers.answer = answer;
-    String id = "r" + FRAMINGS.indexOf(framing);
+    String id = "r" + requests.incrementAndGet();
     Future<Received> safe = clients.submit(() -> ask(Peers.get(id + "-safe", timeoutMs)));
     Future<Received> keyed = clients.submit(() -> ask(post(id + "-keyed", timeoutMs)));
     for (Received received : List.of(safe.get(), keyed.get())) {
@@ -236,6 +238,41 @@
     }
   }
 
+  /** Writes some of a long answer, pauses once, and writes the rest. */
+  private Peers.Answer pauses(String framing, int bytesBefore, int piecesBefore, long pauseMs) {
+    return (request, out) -> {
+      writeHead(out, framing);
+      for (int i = 0; i < piecesBefore; i++) {
+        writePiece(out, framing, bytesBefore / piecesBefore * i, bytesBefore / piecesBefore * (i + 1));
+        pause(i == piecesBefore - 1 ? pauseMs : PIECE_PAUSE_MS);
+      }
+      writePiece(out, framing, bytesBefore, LONG_BYTES);
+      if (framing.equals(CHUNKED)) {
+        Peers.write(out, "0\r\n\r\n");
+      }
+      return !framing.equals(UNTIL_CLOSE);
+    };
+  }
+
+  /** Guards against a long answer that is cut off as its backend pauses before it is known to be long. */
+  @Test
+  void longAnswersWithAPauseInTheirFirstPartAreNotCutOff() throws Exception {
+    for (String framing : List.of(CHUNKED, UNTIL_CLOSE)) {
+      passesWhole("pause after 40 kB", framing, 4_000, pauses(framing, 40_000, 5, 2_500));
+      passesWhole("pause after 60 kB", framing, 4_000, pauses(framing, 60_000, 5, 2_500));
+    }
+  }
+
+  /** Guards against the same where the first part comes at once, and nothing is passed on before the pause. */
+  @Test
+  void longAnswersWithAnEarlyPauseAreNotCutOff() throws Exception {
+    for (String framing : List.of(CHUNKED, UNTIL_CLOSE)) {
+      passesWhole("30 kB at once", framing, 4_000, pauses(framing, 30_000, 1, 1_600));
+      passesWhole("8 kB at once", framing, 4_000, pauses(framing, 8_000, 1, 2_000));
+      passesWhole("head alone", framing, 3_000, answerOf(framing, 1_700, LUMPS, STEADY_PAUSE_MS));
+    }
+  }
+
   /** Answers that stop in the middle, again and again, and never end. */
   private Peers.Answer stalls(String framing, int bytes) {
     return (request, out) -> {
--- a/door/src/test/java/willowdoor/net/AnswerPipeTest.java
+++ b/door/src/test/java/willowdoor/net/AnswerPipeTest.java
@@ -15,7 +15,7 @@
   @Test
   void abortReleasesBufferedPieces() {
     EmbeddedChannel backend = new EmbeddedChannel();
-    AnswerPipe pipe = new AnswerPipe(backend, new TurnLimitHandler(), new AnswerLifecycle(0), () -> 0);
+    AnswerPipe pipe = new AnswerPipe(backend, new TurnLimitHandler(), new AnswerLifecycle(0, true), () -> 0);
     ByteBuf first = Unpooled.buffer().writeZero(100);
     pipe.forward(first);
     pipe.abort();
--- a/policy/src/main/java/willowdoor/policy/AnswerLifecycle.java
+++ b/policy/src/main/java/willowdoor/policy/AnswerLifecycle.java
@@ -8,8 +8,12 @@
  * <p>Where an answer tells no length, nobody knows beforehand whether it will be long. The first bytes of a
  * long answer are due in time, and its last byte whenever it comes; so an answer without a length that still
  * makes progress at the end of its time is passed on. From then on one moment decides: the latest at which
- * its client may get the last byte of a short answer. An answer that is still short at that moment is a short
- * one that is late, however often another piece comes, and it is given up so that its client can tell.
+ * its client may get the last byte of a short answer. Before it the answer may be long, and no silence proves
+ * a fault, as backends may pause for seconds. An answer that is still short at that moment is a short one that
+ * is late, however often another piece comes, and it is given up so that its client can tell.
+ *
+ * <p>An answer that is held, so that another attempt may still replace it, is given up after some silence: its
+ * backend may have stalled. One that cannot be replaced, or that is probably long, is passed on instead.
  *
  * <p>All times are milliseconds on the clock of the caller, which passes them in.
  */
@@ -25,12 +29,13 @@
 
   /** Silence after which an answer has stalled that cannot be long, or of which no whole head has come. */
   private static final double SHORT_SILENCE_MS = 700;
-  /** The same for an answer without a length, of which the head alone, or a part of the body, has come. */
+  /** The same for a held answer without a length, of which the head alone, or a part of the body, has come. */
   private static final double HEAD_SILENCE_MS = 1_500;
-  private static final double BODY_SILENCE_MS = 1_000;
-  /** Bounds of the silence of an answer that was passed on before it was known to be long. */
-  private static final double MIN_PASSED_ON_SILENCE_MS = 1_000;
-  private static final double MAX_PASSED_ON_SILENCE_MS = 2_000;
+  static final double BODY_SILENCE_MS = 1_000;
+  /** A head alone is waited for for longer while so much time is left for another attempt. */
+  private static final double RETRY_TIME_MS = 1_000;
+  /** Without a length, an answer of which more bytes have come is probably long. */
+  private static final int PROBABLY_LONG_BYTES = 16 * 1024;
   /** A final answer may come so long after the deadline of its attempt. */
   private static final double MAX_LATE_MS = 450;
   /** Age at which an answer without a length is passed on, so as not to delay it. */
@@ -39,6 +44,7 @@
   private static final double RECENT_MS = 400;
 
   private final double deadlineMs;
+  private final boolean replaceable;
   private State state = State.NONE;
   private boolean hasLength;
   private boolean passable;
@@ -55,9 +61,11 @@
    * An answer of which nothing was read yet.
    *
    * @param deadlineMs the end of the attempt's time
+   * @param replaceable whether another attempt may replace the answer if it stalls
    */
-  public AnswerLifecycle(double deadlineMs) {
+  public AnswerLifecycle(double deadlineMs, boolean replaceable) {
     this.deadlineMs = deadlineMs;
+    this.replaceable = replaceable;
   }
 
   /** The first bytes of a head have come. */
@@ -124,7 +132,7 @@
     if (!isGivenUp(nowMs)) {
       return state;
     }
-    return mayBeLate() && nowMs >= latestMs() ? State.LATE : State.STALLED;
+    return mayBeLate() ? State.LATE : State.STALLED;
   }
 
   /** Whether the answer has stalled, or is late. */
@@ -146,21 +154,31 @@
 
   /** Whether the answer has been held for so long that its client should get what there is. */
   public boolean isDueToPassOn(double nowMs) {
-    return state == State.PROGRESS && mayBePassedOn(nowMs) && nowMs >= headAtMs + MAX_HOLD_MS
-        && nowMs <= progressAtMs + RECENT_MS;
+    if (state != State.PROGRESS || !mayBePassedOn(nowMs)) {
+      return false;
+    }
+    return nowMs >= headAtMs + MAX_HOLD_MS && nowMs <= progressAtMs + RECENT_MS
+        || isKeptThoughSilent() && nowMs >= progressAtMs + BODY_SILENCE_MS;
+  }
+
+  /** Whether the answer is held and not given up for its silence. */
+  private boolean isKeptThoughSilent() {
+    return passable && !hasLength && (state == State.HEAD || state == State.PROGRESS)
+        && (!replaceable || bodyBytes > PROBABLY_LONG_BYTES);
   }
 
   /** When {@link #state} or {@link #isDueToPassOn} is to be asked again, unless something comes. */
   public double nextCheckMs(double nowMs) {
-    double dueMs = headAtMs + MAX_HOLD_MS;
+    double agedMs = headAtMs + MAX_HOLD_MS;
+    double dueMs = nowMs < agedMs ? agedMs
+        : isKeptThoughSilent() ? progressAtMs + BODY_SILENCE_MS : Double.POSITIVE_INFINITY;
     boolean becomesDue = state == State.PROGRESS && mayBePassedOn(nowMs) && nowMs < dueMs;
     return becomesDue ? Math.min(dueMs, givenUpAtMs()) : givenUpAtMs();
   }
 
   /** When the answer is given up unless something comes until then. */
   public double givenUpAtMs() {
-    double stalledAtMs = progressAtMs + maxSilenceMs();
-    return mayBeLate() ? Math.min(latestMs(), stalledAtMs) : stalledAtMs;
+    return mayBeLate() ? latestMs() : progressAtMs + maxSilenceMs();
   }
 
   /** Whether the answer is passed on, and is short as far as is known. */
@@ -175,15 +193,16 @@
 
   private double maxSilenceMs() {
     if (state == State.PASSED_ON) {
-      boolean knownLong = isLong() || heldBack;
-      double inTime = deadlineMs + MAX_LATE_MS - progressAtMs;
-      return knownLong ? MAX_SILENCE_MS
-          : Math.min(MAX_PASSED_ON_SILENCE_MS, Math.max(MIN_PASSED_ON_SILENCE_MS, inTime));
+      return MAX_SILENCE_MS;
+    }
+    if (isKeptThoughSilent()) {
+      return Double.POSITIVE_INFINITY;
     }
     if (state == State.NONE || hasLength) {
       return SHORT_SILENCE_MS;
     }
-    return state == State.HEAD ? HEAD_SILENCE_MS : BODY_SILENCE_MS;
+    return state == State.HEAD ? Math.max(HEAD_SILENCE_MS, deadlineMs - RETRY_TIME_MS - progressAtMs)
+        : BODY_SILENCE_MS;
   }
 
   private boolean isLong() {
--- a/policy/src/main/java/willowdoor/policy/AttemptConditions.java
+++ b/policy/src/main/java/willowdoor/policy/AttemptConditions.java
@@ -9,10 +9,12 @@
  * @param completeByMs when the backend must have the whole request at the latest, or infinity: a request
  *     begins with its last byte
  * @param backendStartedMs start of the backend that was chosen, as the roster reported it
+ * @param replaceable whether another attempt may follow if the answer to this one stalls
  */
-public record AttemptConditions(double beginByMs, double completeByMs, double backendStartedMs) {
+public record AttemptConditions(double beginByMs, double completeByMs, double backendStartedMs,
+    boolean replaceable) {
 
   /** Conditions of an attempt without limits of its own, at a backend that started long ago. */
   public static final AttemptConditions NONE =
-      new AttemptConditions(Double.POSITIVE_INFINITY, Double.POSITIVE_INFINITY, 0);
+      new AttemptConditions(Double.POSITIVE_INFINITY, Double.POSITIVE_INFINITY, 0, true);
 }
--- a/policy/src/main/java/willowdoor/policy/GatewayState.java
+++ b/policy/src/main/java/willowdoor/policy/GatewayState.java
@@ -371,6 +371,8 @@
     boolean retryExempt;
     /** Time until which backends drop repeats of a keyed request that may have run. */
     double repeatsDroppedUntil = Double.POSITIVE_INFINITY;
+    /** An answer to an earlier attempt was spoilt, or has stalled. */
+    boolean answerWasSpoilt;
     int attemptCount;
 
     JobState(Request request, RequestClass requestClass, double now) {
--- a/policy/src/main/java/willowdoor/policy/QuotaPolicy.java
+++ b/policy/src/main/java/willowdoor/policy/QuotaPolicy.java
@@ -1444,13 +1444,41 @@
     attemptsByKey.put(job.request.id() + "#" + attempt.number, attempt);
     double beginBy = Math.min(repeatUntil(job), cold ? now + SLOW_START_BEGIN_MS : Double.POSITIVE_INFINITY);
     actions.add(new Send(job.request.id(), backend.id, leftMs,
-        new AttemptConditions(beginBy, job.repeatsDroppedUntil - HOLD_UP_MS, backend.reportedStartMs)));
+        new AttemptConditions(beginBy, job.repeatsDroppedUntil - HOLD_UP_MS, backend.reportedStartMs,
+            isReplaceable(job))));
+  }
+
+  /**
+   * Whether another attempt may follow the one that begins now if its answer stalls. After one spoilt answer
+   * the next is waited for: two backends that stall alike are less likely than answers that come slowly.
+   */
+  private boolean isReplaceable(Job job) {
+    double stalledBy = now + AnswerLifecycle.BODY_SILENCE_MS;
+    boolean mayRepeat = job.requestClass.repeat() == Repeat.SAFE
+        || job.requestClass.repeat() == Repeat.KEYED && stalledBy < repeatUntil(job, now);
+    return mayRepeat && !job.answerWasSpoilt
+        && job.attemptCount < settings.capabilities().maxAttempts()
+        && job.request.giveUpMs() - stalledBy >= minRetryMs();
+  }
+
+  /** The time that a request needs for another attempt. */
+  private double minRetryMs() {
+    return fleetServiceMs / 2 + ANSWER_MARGIN_MS;
   }
 
   /** The time until which a repeat of the request may begin; infinity if nothing limits it. */
   private static double repeatUntil(Job job) {
-    return job.repeatsDroppedUntil
-        - Math.max(HOLD_UP_MS, REPEAT_MARGIN_SHARE * job.requestClass.repeatWindowMs());
+    return job.repeatsDroppedUntil - repeatMarginMs(job);
+  }
+
+  /** The same, if an attempt that begins at that moment may be the first of a keyed request that runs. */
+  private static double repeatUntil(Job job, double firstAtMs) {
+    return Math.min(job.repeatsDroppedUntil, firstAtMs + job.requestClass.repeatWindowMs())
+        - repeatMarginMs(job);
+  }
+
+  private static double repeatMarginMs(Job job) {
+    return Math.max(HOLD_UP_MS, REPEAT_MARGIN_SHARE * job.requestClass.repeatWindowMs());
   }
 
   /** Ends a request whose client left. One that waits for the counter is not sent when the answer comes. */
@@ -1491,6 +1519,7 @@
       settleTrueUnits(job, outcome.trueUnits());
     }
     job.mayHaveRun |= !outcome.status().provesNotRun();
+    job.answerWasSpoilt |= outcome.status() == Status.SPOILT;
     if (job.mayHaveRun && job.requestClass.repeat() == Repeat.KEYED && job.keyedBackend == null) {
       job.keyedBackend = attempt.backend;
       job.repeatsDroppedUntil = attempt.sentAt + job.requestClass.repeatWindowMs();
@@ -1510,7 +1539,7 @@
         || job.requestClass.repeat() == Repeat.KEYED
         && now < repeatUntil(job);
     double leftMs = job.request.giveUpMs() - now;
-    if (!allowed || retryTokens < 1 && !job.retryExempt || leftMs < fleetServiceMs / 2 + ANSWER_MARGIN_MS) {
+    if (!allowed || retryTokens < 1 && !job.retryExempt || leftMs < minRetryMs()) {
       giveUp(job);
     } else {
       dispatch(job);
--- a/policy/src/test/java/willowdoor/policy/AnswerLifecycleStatesTest.java
+++ b/policy/src/test/java/willowdoor/policy/AnswerLifecycleStatesTest.java
@@ -12,7 +12,7 @@
 
   private static final double DEADLINE_MS = 3_000;
   private static final int PIECE_BYTES = 10_000;
-  private final AnswerLifecycle answer = new AnswerLifecycle(DEADLINE_MS);
+  private final AnswerLifecycle answer = new AnswerLifecycle(DEADLINE_MS, true);
 
   @Test
   void anAnswerThatGivesOnAndOnNeverStalls() {
@@ -40,7 +40,7 @@
     answer.onHead(0, PIECE_BYTES, true);
     answer.onBody(10, 1);
     assertFalse(answer.mayBePassedOn(20), "its last byte is due in time");
-    AnswerLifecycle error = new AnswerLifecycle(DEADLINE_MS);
+    AnswerLifecycle error = new AnswerLifecycle(DEADLINE_MS, true);
     error.onHead(0, -1, false);
     assertFalse(error.mayBePassedOn(20), "an error is no answer for the client");
   }
@@ -56,7 +56,7 @@
 
   @Test
   void aPassedOnAnswerIsGivenUpInTimeUntilItIsKnownToBeLong() {
-    AnswerLifecycle early = new AnswerLifecycle(600);
+    AnswerLifecycle early = new AnswerLifecycle(600, true);
     early.onHead(10, -1, true);
     early.onBody(20, PIECE_BYTES);
     early.onPassedOn();
@@ -65,6 +65,52 @@
     assertTrue(early.givenUpAtMs() > 10_000, "a long answer may pause for seconds");
   }
 
+  /** Guards against a long answer that is cut off in a pause, although its client still waits. */
+  @Test
+  void noSilenceBeforeItsClientsTimeEndsAnAnswerThatIsPassedOn() {
+    answer.onHead(0, -1, true);
+    answer.onBody(10, PIECE_BYTES);
+    answer.onPassedOn();
+    assertEquals(State.PASSED_ON, answer.state(DEADLINE_MS + 449));
+    answer.onBody(DEADLINE_MS + 449, AnswerLifecycle.MAX_SHORT_BYTES);
+    assertEquals(State.PASSED_ON, answer.state(DEADLINE_MS + 10_000));
+  }
+
+  /** Guards against a sound answer that is cut off in its first pause, with no other to take its place. */
+  @Test
+  void aSilentAnswerThatNoOtherMayReplaceIsPassedOn() {
+    AnswerLifecycle last = new AnswerLifecycle(DEADLINE_MS, false);
+    last.onHead(0, -1, true);
+    assertEquals(State.HEAD, last.state(2_500));
+    last.onBody(2_500, 1);
+    AnswerLifecycle early = new AnswerLifecycle(DEADLINE_MS, false);
+    early.onHead(0, -1, true);
+    early.onBody(10, 1);
+    assertFalse(early.isDueToPassOn(1_009));
+    assertEquals(1_010, early.nextCheckMs(1_005));
+    assertTrue(early.isDueToPassOn(1_010));
+    assertEquals(State.PROGRESS, early.state(2_000));
+  }
+
+  @Test
+  void aSilentAnswerThatIsProbablyLongIsPassedOn() {
+    answer.onHead(0, -1, true);
+    answer.onBody(10, 3 * PIECE_BYTES);
+    assertFalse(answer.isDueToPassOn(1_009));
+    assertTrue(answer.isDueToPassOn(1_010));
+  }
+
+  /** A head alone may be a long answer that comes late, or one that has stalled. */
+  @Test
+  void aHeadAloneIsWaitedForWhileAnotherAttemptHasTime() {
+    answer.onHead(100, -1, true);
+    assertEquals(State.HEAD, answer.state(DEADLINE_MS - 1_001));
+    assertEquals(State.STALLED, answer.state(DEADLINE_MS - 1_000));
+    AnswerLifecycle hurried = new AnswerLifecycle(1_800, true);
+    hurried.onHead(100, -1, true);
+    assertEquals(State.STALLED, hurried.state(1_600));
+  }
+
   /** Guards against a short answer that its backend never ends, and whose client hears of no end. */
   @Test
   void aPassedOnAnswerThatIsStillShortAtItsClientsTimeIsLate() {
--- a/policy/src/test/java/willowdoor/policy/QuotaPolicyTest.java
+++ b/policy/src/test/java/willowdoor/policy/QuotaPolicyTest.java
@@ -64,6 +64,21 @@
     assertEquals(1 + 2, f.lastOf(Add.class).amount());
   }
 
+  /** Guards against a sound answer that is given up in a pause, with no attempt to take its place. */
+  @Test
+  void anAnswerIsReplaceableWhileAnotherAttemptMayFollow() {
+    Fixtures f = Fixtures.withCounter();
+    f.request("unsafe", "rated", 1);
+    assertFalse(f.replyTotal(1).lastOf(Send.class).conditions().replaceable());
+    f.request("zone", "rated", 1);
+    assertTrue(f.replyTotal(2).lastOf(Send.class).conditions().replaceable(), "within its window");
+    f.request("safe", "rated", 1);
+    Send first = f.replyTotal(3).lastOf(Send.class);
+    assertTrue(first.conditions().replaceable());
+    Send second = f.outcome(first, 0, Status.SPOILT, false).lastOf(Send.class);
+    assertFalse(second.conditions().replaceable(), "after an answer that was spoilt or has stalled");
+  }
+
   @Test
   void aSpentCustomerIsRefusedWithoutACall() {
     Fixtures f = Fixtures.withCounter();
