A connection on which a request is arriving is never idle, for whoever closes one

Cause: "idle" was four predicates. That of eviction took a request that is arriving for silence after 0.3 s, that of the stop did not ask for it, and none asked for input that waits in the socket. Ruled out: the system closes (the gateway does), one limit that is only too short.

Never-used connections go before used ones. What is still arriving when the process ends is refused before it is whole (failAll), on the platform 0.4 s before the earliest SIGKILL; the daemon's end and its hand-over go the same way.

--- a/daemon/src/test/java/willowdoor/daemon/life/GracefulShutdownTest.java
+++ b/daemon/src/test/java/willowdoor/daemon/life/GracefulShutdownTest.java
@@ -31,6 +31,10 @@
 @Timeout(60)
 class GracefulShutdownTest {
 
+  private static final int ARRIVED_BYTES = 40;
+  private static final long ARRIVED_AFTER_MS = 50;
+  private static final long REST_AFTER_MS = 800;
+
   private DaemonFixture fixture;
 
   @BeforeEach
@@ -97,6 +101,36 @@
     assertRulesKept();
   }
 
+  /** Guards against a request that is cut off as it arrives, when the daemon is told to end. */
+  @Test
+  void aRequestThatIsArrivingIsAnswered() throws Exception {
+    Daemon daemon = fixture.startDaemon();
+    DaemonFixture.Caller caller = fixture.new Caller(daemon.address(), "d0");
+    caller.send("first", RequestKind.BUY, 3_000);
+    assertEquals(200, caller.receiveStatus());
+    String request = caller.requestText("r1", RequestKind.BUY, 3_000);
+    caller.sendRaw(request.substring(0, ARRIVED_BYTES));
+    daemon.requestEnd();
+    TimeUnit.MILLISECONDS.sleep(REST_AFTER_MS);
+    caller.sendRaw(request.substring(ARRIVED_BYTES));
+    assertEquals(200, caller.receiveStatus("r1"));
+    assertExitCode(InstanceLifecycle.EXIT_ORDERLY, daemon);
+  }
+
+  /** Guards against the same where the request has not arrived when the last ones are answered. */
+  @Test
+  void aRequestThatIsArrivingAtTheDeadlineIsRefused() throws Exception {
+    Daemon daemon = fixture.createDaemon(new InetSocketAddress("127.0.0.1", 0),
+        "[end]\naccept_ms = 50\nanswer_ms = 400\n").start(false);
+    DaemonFixture.awaitUp(daemon.address());
+    DaemonFixture.Caller caller = fixture.new Caller(daemon.address(), "d0");
+    caller.sendRaw(caller.requestText("r1", RequestKind.BUY, 3_000).substring(0, ARRIVED_BYTES));
+    TimeUnit.MILLISECONDS.sleep(ARRIVED_AFTER_MS);
+    daemon.requestEnd();
+    assertEquals(503, caller.receiveStatus("r1"));
+    assertExitCode(InstanceLifecycle.EXIT_ORDERLY, daemon);
+  }
+
   /**
    * The backend writes only half of its answer. The retry continues during the shutdown, and the client
    * receives a single answer.
--- a/daemon/src/test/java/willowdoor/daemon/life/HandoverTest.java
+++ b/daemon/src/test/java/willowdoor/daemon/life/HandoverTest.java
@@ -39,6 +39,8 @@
 
   private static final int CLAIMED_REQUESTS = 10;
   private static final long FILE_WRITTEN_MS = 500;
+  private static final int ARRIVED_BYTES = 40;
+  private static final long REST_AFTER_MS = 800;
 
   private DaemonFixture fixture;
 
@@ -138,6 +140,24 @@
     assertServes(old.address(), "last");
   }
 
+  /** Guards against a request that is cut off as it arrives at a process that has been replaced. */
+  @Test
+  void aRequestThatIsArrivingAtThePredecessorIsAnswered() throws Exception {
+    Daemon old = startWithControlSocket();
+    DaemonFixture.Caller caller = fixture.new Caller(old.address(), "d0");
+    DaemonFixture.Caller probe = fixture.new Caller(old.address(), "d0");
+    caller.send("first", RequestKind.BUY, 3_000);
+    assertEquals(200, caller.receiveStatus());
+    fixture.createDaemon(old.address(), "").start(true);
+    String request = caller.requestText("r1", RequestKind.BUY, 3_000);
+    DaemonFixture.await("the predecessor drains", () -> isDraining(probe));
+    caller.sendRaw(request.substring(0, ARRIVED_BYTES));
+    Thread.sleep(REST_AFTER_MS);
+    caller.sendRaw(request.substring(ARRIVED_BYTES));
+    assertEquals(200, caller.receiveStatus("r1"));
+    assertExitCode(InstanceLifecycle.EXIT_ORDERLY, old);
+  }
+
   /** Guards against an id that runs again at the successor once the process that has run it has ended. */
   @Test
   void anIdOfThePredecessorDoesNotRunAgainAfterItsEnd() throws Exception {
--- a/door/src/main/java/willowdoor/net/ClientConnection.java
+++ b/door/src/main/java/willowdoor/net/ClientConnection.java
@@ -35,6 +35,7 @@
 import java.util.logging.Level;
 import java.util.logging.Logger;
 import willowdoor.policy.AnswerLifecycle;
+import willowdoor.policy.ConnectionActivity;
 import willowdoor.policy.GatewayApi.Request;
 
 /** Connection of one client. Handles one request at a time and sends exactly one final answer to each. */
@@ -46,15 +47,6 @@
    * client can read the answer.
    */
   private static final long LINGER_MS = 300;
-  /**
-   * Milliseconds after which a connection between requests may be closed if another client needs its place.
-   */
-  private static final double EVICT_IDLE_MS = 2_050;
-  /**
-   * The same for a connection without a complete request: clients connect in order to send a request, and
-   * send it at once.
-   */
-  private static final double EVICT_SILENT_MS = 300;
   /**
    * Milliseconds after which a connection between requests is closed in any case: some clients never come
    * back.
@@ -70,6 +62,8 @@
    * then they are refused.
    */
   private static final double MAX_UNREAD_WAIT_MS = 100;
+  /** Precision with which the kernel tells the time of an arrival, in milliseconds, with a margin. */
+  private static final double ARRIVAL_PRECISION_MS = 10;
   /** The handlers that hold a request until it has arrived completely. */
   private static final List<Class<? extends ChannelHandler>> REQUEST_PARTS =
       List.of(RequestDecoder.class, BodyPieceCopier.class, HttpObjectAggregator.class);
@@ -180,22 +174,19 @@
     memory.setReceiving(0);
   }
 
-  double idleSinceMs() {
-    return idleSinceMs;
+  /** What the connection is used for at that moment. */
+  ConnectionActivity activity(double nowMs) {
+    return new ConnectionActivity(currentRequestId != null || !pending.isEmpty(), incoming.isReceiving(),
+        hasAnswerUnderWay(), requestSeen, nowMs - idleSinceMs);
   }
 
   /**
-   * Whether the connection has no request, and has had none for long enough to be closed in favour of another
-   * client.
+   * Whether the kernel has input of this connection that was not read yet: a request may have arrived that
+   * is not known here. Input that came with what was read last is not told apart, but has been read since.
    */
-  boolean isEvictable(double nowMs) {
-    if (currentRequestId != null || closing || !pending.isEmpty() || memory.hasUnwrittenAnswer()) {
-      return false;
-    }
-    if (requestSeen && !incoming.isReceiving()) {
-      return nowMs - idleSinceMs > EVICT_IDLE_MS;
-    }
-    return nowMs - requestedSinceMs() > EVICT_SILENT_MS;
+  boolean hasUnreadInput(double nowMs) {
+    double readSinceMs = nowMs - Math.max(idleSinceMs, incoming.lastByteMs());
+    return Transport.sinceArrivalMs(channel) + ARRIVAL_PRECISION_MS < readSinceMs;
   }
 
   /** Since when a request is expected: from the connect on, and later from its first byte on. */
@@ -646,37 +637,43 @@
     return streamedAnswer != null || memory.hasUnwrittenAnswer();
   }
 
-  /**
-   * Closes the connection if it has no request, and no answer that its client still takes; one that is
-   * answered during a drain closes with its answer.
-   */
+  /** Closes the connection if it is idle; one that is answered during a drain closes with its answer. */
   void closeIfIdle() {
-    if (currentRequestId == null && pending.isEmpty() && !closing && !hasAnswerUnderWay()) {
-      RequestLog.note(null, "connection ends", "reason", "idle", "open_ms", server.now() - idleSinceMs);
-      closing = true;
-      channel.close();
+    double now = server.now();
+    if (!closing && activity(now).isIdle() && !hasUnreadInput(now)) {
+      close("idle");
     }
   }
 
-  /**
-   * Whether the connection has had no request, and nothing of a next one was received, for so long. A
-   * connection without any request so far is given {@link #EVICT_SILENT_MS}, the time that clients take to
-   * send a request, however late this loop accepted the connection.
-   *
-   * @param forMs the time without a request, in milliseconds
-   */
-  boolean isIdle(double nowMs, double forMs) {
-    return currentRequestId == null && pending.isEmpty() && !closing && !incoming.isReceiving()
-        && !hasAnswerUnderWay() && nowMs - idleSinceMs >= (requestSeen ? forMs : EVICT_SILENT_MS);
-  }
-
   /** Closes the connection if it has been idle since that moment. */
   void closeIfIdleSince(double sinceMs) {
-    if (!incoming.isReceiving() && idleSinceMs <= sinceMs) {
+    if (idleSinceMs <= sinceMs) {
       closeIfIdle();
     }
   }
 
+  /** Closes a new connection of which nothing was read, as there is no room for it. */
+  void closeUnread() {
+    close("no room");
+  }
+
+  private void close(String reason) {
+    RequestLog.note(null, "connection ends", "reason", reason, "open_ms", server.now() - idleSinceMs);
+    closing = true;
+    channel.close();
+  }
+
+  /** Refuses the request that is arriving, if there is one: the process ends before it could be served. */
+  void refuseArriving() {
+    if (currentRequestId == null && pending.isEmpty() && incoming.isReceiving()) {
+      closeWith(HttpResponseStatus.SERVICE_UNAVAILABLE, "the process ends");
+    }
+  }
+
+  boolean isClosing() {
+    return closing;
+  }
+
   private void releasePending() {
     for (PendingRequest request : pending) {
       memory.removeWaiting(request.heldBytes);
--- a/door/src/main/java/willowdoor/net/ClientServer.java
+++ b/door/src/main/java/willowdoor/net/ClientServer.java
@@ -16,6 +16,7 @@
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.net.InetSocketAddress;
+import java.util.Comparator;
 import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -24,6 +25,7 @@
 import java.util.logging.Level;
 import java.util.logging.Logger;
 import willowdoor.memory.MemoryBudget;
+import willowdoor.policy.ConnectionActivity;
 import willowdoor.policy.GatewayApi.Request;
 
 /** Accepts client connections, and holds the state that all of them share. */
@@ -223,10 +225,10 @@
     budget.addClients(1);
     int max = budget.maxClients();
     if (budget.clients() > max && !closeLongestLingering()) {
-      evictLongestIdle();
+      evictIdle();
     }
     if (budget.clients() > max + max / EXCESS_DIVISOR) {
-      connection.closeIfIdle();
+      connection.closeUnread();
     }
     return budget.clients() > max;
   }
@@ -254,20 +256,15 @@
     return true;
   }
 
-  /**
-   * Closes the connection that has been idle longest, if one may be closed, to make room for another client.
-   */
-  private void evictLongestIdle() {
+  /** Closes the first connection that may be evicted, if there is one, to make room for another client. */
+  private void evictIdle() {
     double now = clock.now();
-    ClientConnection oldest = null;
-    for (ClientConnection c : connections) {
-      if (c.isEvictable(now) && (oldest == null || c.idleSinceMs() < oldest.idleSinceMs())) {
-        oldest = c;
-      }
-    }
-    if (oldest != null) {
-      oldest.closeIfIdle();
-    }
+    connections.stream()
+        .filter(c -> !c.isClosing() && c.activity(now).mayBeEvicted())
+        .sorted(Comparator.comparing(c -> c.activity(now), ConnectionActivity.EVICTION_ORDER))
+        .filter(c -> !c.hasUnreadInput(now))
+        .findFirst()
+        .ifPresent(ClientConnection::closeIfIdle);
   }
 
   private void closeOverdue() {
@@ -276,7 +273,8 @@
     List.copyOf(connections).forEach(c -> c.closeIfOverdue(now));
     if (now >= closeIdleFromMs) {
       double idleMs = now - closeIdleFromMs > DRAIN_CLOSE_ALL_MS ? 0 : DRAIN_IDLE_MS;
-      List<ClientConnection> idle = connections.stream().filter(c -> c.isIdle(now, idleMs)).toList();
+      List<ClientConnection> idle = connections.stream()
+          .filter(c -> !c.isClosing() && c.activity(now).isIdleFor(idleMs)).toList();
       // Closed after one more poll of the sockets: a loop that runs late has not read what arrived meanwhile.
       loop.schedule(() -> idle.forEach(c -> c.closeIfIdleSince(now)), 1, TimeUnit.MILLISECONDS);
     }
@@ -327,14 +325,22 @@
     listening.eventLoop().schedule(() -> listening.close(), delayMs, TimeUnit.MILLISECONDS);
   }
 
-  /** Stops accepting connections, and closes those without a request. */
+  /**
+   * Stops accepting connections, and closes those that are idle. A request that is arriving is still answered,
+   * which closes its connection.
+   */
   void stopAccepting(Channel listening) {
     stoppedAccepting = true;
     listening.close();
     List.copyOf(connections).forEach(ClientConnection::closeIfIdle);
   }
 
-  /** Whether connections without a request are closed at once. */
+  /** Refuses the requests that are arriving, as the process ends. */
+  void refuseArriving() {
+    List.copyOf(connections).forEach(ClientConnection::refuseArriving);
+  }
+
+  /** Whether idle connections are closed at once. */
   boolean hasStoppedAccepting() {
     return stoppedAccepting;
   }
--- a/door/src/main/java/willowdoor/net/FrontDoor.java
+++ b/door/src/main/java/willowdoor/net/FrontDoor.java
@@ -432,14 +432,15 @@
     clients.setCloseAfterAnswer(false);
   }
 
-  /** Closes this process's descriptor of the listening socket, and closes connections without a request. */
+  /** Closes this process's descriptor of the listening socket, and the connections that are idle. */
   public void stopAccepting() {
     clients.stopAccepting(serverChannel);
   }
 
-  /** Fails all unanswered requests, and refuses new ones. */
+  /** Fails all unanswered requests, and refuses new ones, also those that are arriving. */
   public void failAll() {
     driver.failAll();
+    clients.refuseArriving();
   }
 
   /** Whether no client connection is open. */
@@ -500,7 +501,7 @@
     }, KEEP_ACCEPTING_MS + POLL_MS, POLL_MS, TimeUnit.MILLISECONDS);
     try {
       if (!drained.await(shutdownTimes.failUnansweredMs(), TimeUnit.MILLISECONDS)) {
-        loop.submit(driver::failAll).sync();
+        loop.submit(this::failAll).sync();
         drained.await(KEEP_ACCEPTING_MS / 2, TimeUnit.MILLISECONDS);
         awaitAnswersUnderWay();
       }
--- a/door/src/main/java/willowdoor/net/IncomingRequest.java
+++ b/door/src/main/java/willowdoor/net/IncomingRequest.java
@@ -49,6 +49,11 @@
     return sinceMs;
   }
 
+  /** When the last bytes of the connection were read; 0 if none were. */
+  double lastByteMs() {
+    return lastByteMs;
+  }
+
   /** Bytes of the request so far. */
   int bytes() {
     return bytes;
