--- a/daemon/src/main/java/willowdoor/daemon/life/ControlSocket.java
+++ b/daemon/src/main/java/willowdoor/daemon/life/ControlSocket.java
@@ -66,8 +66,8 @@
   }
 
   /**
-   * Writes no file from now on, and ends the connection of the successor: nothing begins here any more. Not to
-   * be called on the event loop.
+   * Writes no file from now on, and ends the connection of the successor: nothing begins here any more. Not
+   * to be called on the event loop.
    */
   void close() {
     fileWriter.close();
--- a/door/src/main/java/willowdoor/management/ManagementClient.java
+++ b/door/src/main/java/willowdoor/management/ManagementClient.java
@@ -94,7 +94,8 @@
 
   /** The result of a call of which no more is known than how its last attempt to connect has ended. */
   private static CallResult withoutAnswer(ChannelFuture connected) {
-    return new CallResult(ConnectAttempt.isRefused(connected) ? CallOutcome.NOBODY : CallOutcome.NOTHING, null);
+    boolean isRefused = ConnectAttempt.isRefused(connected);
+    return new CallResult(isRefused ? CallOutcome.NOBODY : CallOutcome.NOTHING, null);
   }
 
   /** One call, finished once. */
@@ -132,7 +133,8 @@
     public void channelInactive(ChannelHandlerContext ctx) {
       if (!ended && !loop.isShuttingDown()) {
         ChannelFuture connecting = connect(address, List::of);
-        ConnectAttempt.onDone(loop, connecting, () -> finish(connecting.channel(), withoutAnswer(connecting)));
+        ConnectAttempt.onDone(loop, connecting,
+            () -> finish(connecting.channel(), withoutAnswer(connecting)));
       }
     }
 
--- a/door/src/main/java/willowdoor/net/ClientConnection.java
+++ b/door/src/main/java/willowdoor/net/ClientConnection.java
@@ -10,10 +10,7 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.CodecException;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
-import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -27,10 +24,8 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpContentException;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.List;
-import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 import java.util.logging.Level;
 import java.util.logging.Logger;
@@ -361,7 +356,7 @@
       answer(HttpResponseStatus.BAD_REQUEST, e.getMessage());
       return;
     }
-    FullHttpRequest backendRequest = backendRequest(message);
+    FullHttpRequest backendRequest = ClientMessages.backendRequest(message);
     HttpHeaders headers = message.headers();
     currentRequestId = request.id();
     memory.setCurrent(next.heldBytes);
@@ -370,7 +365,7 @@
       public void served(FullHttpResponse answer, HttpHeaders more, AnswerPipe rest) {
         if (rest == null) {
           currentRequestId = null;
-          ClientConnection.this.served(answer, more);
+          write(ClientMessages.served(answer, more));
         } else {
           streamAnswer(answer, more, rest);
         }
@@ -412,47 +407,9 @@
     backendRequest.release();
   }
 
-  /** Builds the request to a backend: the request line, the body and the forwarded headers, unchanged. */
-  private static FullHttpRequest backendRequest(FullHttpRequest message) {
-    HttpHeaders headers = message.headers();
-    DefaultFullHttpRequest backendRequest = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, message.method(),
-        message.uri(), message.content().retain());
-    for (CharSequence name : new CharSequence[] {HttpHeaderNames.HOST, Headers.REQUEST_ID,
-        Headers.REQUEST_CLASS, Headers.IDEMPOTENCY_KEY, HttpHeaderNames.CONTENT_TYPE}) {
-      String value = headers.get(name);
-      if (value != null) {
-        backendRequest.headers().set(name, value);
-      }
-    }
-    if (message.content().isReadable() || message.method().equals(HttpMethod.POST)) {
-      backendRequest.headers().set(HttpHeaderNames.CONTENT_LENGTH, message.content().readableBytes());
-    }
-    return backendRequest;
-  }
-
-  private void served(FullHttpResponse backendAnswer, HttpHeaders extraHeaders) {
-    DefaultFullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK,
-        backendAnswer.content().retain());
-    String type = backendAnswer.headers().get(HttpHeaderNames.CONTENT_TYPE);
-    if (type != null) {
-      answer.headers().set(HttpHeaderNames.CONTENT_TYPE, type);
-    }
-    if (extraHeaders != null) {
-      answer.headers().add(extraHeaders);
-    }
-    write(answer);
-  }
-
   /** Streams a long answer to the client as it arrives; the connection is occupied until the answer ends. */
   private void streamAnswer(FullHttpResponse backendAnswer, HttpHeaders extraHeaders, AnswerPipe rest) {
-    HttpResponse answer = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
-    String type = backendAnswer.headers().get(HttpHeaderNames.CONTENT_TYPE);
-    if (type != null) {
-      answer.headers().set(HttpHeaderNames.CONTENT_TYPE, type);
-    }
-    if (extraHeaders != null) {
-      answer.headers().add(extraHeaders);
-    }
+    HttpResponse answer = ClientMessages.servedHead(backendAnswer, extraHeaders);
     if (HttpUtil.isContentLengthSet(backendAnswer)) {
       answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, HttpUtil.getContentLength(backendAnswer));
     } else if (acceptsChunked) {
@@ -534,25 +491,15 @@
   }
 
   private void refused(double holdOffMs) {
-    FullHttpResponse answer = emptyAnswer(holdOffMs > 0 ? HttpResponseStatus.TOO_MANY_REQUESTS
-        : HttpResponseStatus.SERVICE_UNAVAILABLE);
-    if (holdOffMs > 0) {
-      answer.headers().set(HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.3f", holdOffMs / 1000));
-    }
-    write(answer);
+    write(ClientMessages.refusal(holdOffMs));
   }
 
   private void answer(HttpResponseStatus status) {
-    write(emptyAnswer(status));
+    write(ClientMessages.empty(status));
   }
 
   private void answer(HttpResponseStatus status, String reason) {
-    ByteBuf text = Unpooled.copiedBuffer(reason + "\n", StandardCharsets.US_ASCII);
-    write(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, text));
-  }
-
-  private static FullHttpResponse emptyAnswer(HttpResponseStatus status) {
-    return new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
+    write(ClientMessages.text(status, reason));
   }
 
   private void write(FullHttpResponse answer) {
@@ -611,11 +558,11 @@
     RequestLog.note(currentRequestId, "connection ends", "reason", reason, "status", status.code());
     closing = true;
     releasePending();
-    ByteBuf text = Unpooled.copiedBuffer(reason + "\n", StandardCharsets.US_ASCII);
-    FullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, text);
-    answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, text.readableBytes());
+    FullHttpResponse answer = ClientMessages.text(status, reason);
+    int bytes = answer.content().readableBytes();
+    answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, bytes);
     answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-    writeCounted(answer, text.readableBytes()).addListener(f -> linger());
+    writeCounted(answer, bytes).addListener(f -> linger());
   }
 
   /** Closes the connection soon, once its client has been sent all answers. */
--- a/door/src/main/java/willowdoor/net/ClientServer.java
+++ b/door/src/main/java/willowdoor/net/ClientServer.java
@@ -326,8 +326,8 @@
   }
 
   /**
-   * Stops accepting connections, and closes those that are idle. A request that is arriving is still answered,
-   * which closes its connection.
+   * Stops accepting connections, and closes those that are idle. A request that is arriving is still
+   * answered, which closes its connection.
    */
   void stopAccepting(Channel listening) {
     stoppedAccepting = true;
--- a/door/src/main/java/willowdoor/net/IdClaims.java
+++ b/door/src/main/java/willowdoor/net/IdClaims.java
@@ -1,14 +1,9 @@
 package willowdoor.net;
 
-import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpVersion;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Iterator;
 import java.util.LinkedHashSet;
@@ -228,7 +223,8 @@
       if (rejected && state == State.WAITING) {
         state = State.OVER;
         RequestLog.note(id, "rejected by the other process");
-        continuation.answer(usedBefore());
+        continuation.answer(
+            ClientMessages.text(HttpResponseStatus.BAD_REQUEST, "Request-Id was used before"));
       }
       proceed();
       state = State.OVER;
@@ -243,11 +239,6 @@
       }
     }
 
-    private static DefaultFullHttpResponse usedBefore() {
-      ByteBuf text = Unpooled.copiedBuffer("Request-Id was used before\n", StandardCharsets.US_ASCII);
-      return new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.BAD_REQUEST, text);
-    }
-
     /** What has not proceeded needs no claim any more; what has is still claimed. */
     @Override
     public void onEnd(RequestEnd end) {
--- a/door/src/test/java/willowdoor/net/AnswerLifecycleTest.java
+++ b/door/src/test/java/willowdoor/net/AnswerLifecycleTest.java
@@ -263,7 +263,7 @@
     }
   }
 
-  /** Guards against the same where the first part comes at once, and nothing is passed on before the pause. */
+  /** Guards against the same where the first part comes at once, before anything is passed on. */
   @Test
   void longAnswersWithAnEarlyPauseAreNotCutOff() throws Exception {
     for (String framing : List.of(CHUNKED, UNTIL_CLOSE)) {
--- a/door/src/test/java/willowdoor/net/RequestIdentityTest.java
+++ b/door/src/test/java/willowdoor/net/RequestIdentityTest.java
@@ -148,7 +148,32 @@
     }
   }
 
-  /** An upgrade in which each id comes to the first process, and soon to the second, while some are held up. */
+  /** Guards against a request that the second process begins, or keeps, as the first one doesn't reply. */
+  @Test
+  void theSecondProcessBeginsNothingWhileTheFirstIsSilent() throws Exception {
+    peers.answer = (request, out) -> Peers.write(out, Peers.OK);
+    gateway = new ServingProcess(folder, config(ServingProcess.freeAddress()));
+    List<Client> kept = List.of(gateway.client());
+    use(kept, "kept");
+    InetSocketAddress management = ServingProcess.freeAddress();
+    second = gateway.startSecond(config(management));
+    second.awaitReady(management);
+    gateway.signal("TERM");
+    pause(DIRECTED_MS);
+    Client waiting = gateway.client();
+    Client refused = gateway.client();
+    gateway.signal("STOP");
+    waiting.send(Peers.post("waiting", "b"));
+    long sentNanos = System.nanoTime();
+    refused.send(Peers.post("refused", "b").replace("Request-Timeout-Ms: 3000", "Request-Timeout-Ms: 800"));
+    assertEquals(503, statusFor(refused, "refused"));
+    assertTrue(System.nanoTime() - sentNanos < TimeUnit.MILLISECONDS.toNanos(850), "the refusal is in time");
+    assertTrue(peers.backendRequests.stream().noneMatch(m -> "waiting".equals(m.header("Request-Id"))));
+    gateway.close();
+    assertEquals(200, statusFor(waiting, "waiting"));
+  }
+
+  /** An upgrade in which each id comes to both processes, first to the old one, while some are held up. */
   private void heldUpRound(int round, boolean firstIsHeldUp, boolean secondIsHeldUp) throws Exception {
     List<Client> atFirst = new ArrayList<>();
     for (int i = 0; i < PAIRS; i++) {
--- a/policy/src/main/java/willowdoor/policy/AnswerLifecycle.java
+++ b/policy/src/main/java/willowdoor/policy/AnswerLifecycle.java
@@ -9,11 +9,11 @@
  * long answer are due in time, and its last byte whenever it comes; so an answer without a length that still
  * makes progress at the end of its time is passed on. From then on one moment decides: the latest at which
  * its client may get the last byte of a short answer. Before it the answer may be long, and no silence proves
- * a fault, as backends may pause for seconds. An answer that is still short at that moment is a short one that
- * is late, however often another piece comes, and it is given up so that its client can tell.
+ * a fault, as backends may pause for seconds. An answer that is still short at that moment is a short one
+ * that is late, however often another piece comes, and it is given up so that its client can tell.
  *
- * <p>An answer that is held, so that another attempt may still replace it, is given up after some silence: its
- * backend may have stalled. One that cannot be replaced, or that is probably long, is passed on instead.
+ * <p>An answer that is held, so that another attempt may still replace it, is given up after some silence:
+ * its backend may have stalled. One that cannot be replaced, or that is probably long, is passed on instead.
  *
  * <p>All times are milliseconds on the clock of the caller, which passes them in.
  */
@@ -29,7 +29,7 @@
 
   /** Silence after which an answer has stalled that cannot be long, or of which no whole head has come. */
   private static final double SHORT_SILENCE_MS = 700;
-  /** The same for a held answer without a length, of which the head alone, or a part of the body, has come. */
+  /** The same for a held answer without a length, of which the head, or a part of the body, has come. */
   private static final double HEAD_SILENCE_MS = 1_500;
   static final double BODY_SILENCE_MS = 1_000;
   /** A head alone is waited for for longer while so much time is left for another attempt. */
@@ -186,7 +186,7 @@
     return state == State.PASSED_ON && !isLong() && !heldBack;
   }
 
-  /** The latest moment for the last byte of a short answer; time in which its client took nothing is added. */
+  /** The latest moment for the last byte of a short answer; time in which nothing was read is added. */
   private double latestMs() {
     return deadlineMs + MAX_LATE_MS + heldBackMs;
   }
