An answer whose backend has paused before is not given up in its next pause

A backend that gives a part, nothing for 0.2 s and another part writes slowly; its silence is more likely the next pause. Such an answer is passed on after 1 s, as one past 16 KiB is. One that gives a part at once and then nothing is still asked for again, once.

--- a/door/src/test/java/willowdoor/net/AnswerLifecycleTest.java
+++ b/door/src/test/java/willowdoor/net/AnswerLifecycleTest.java
@@ -268,6 +268,7 @@
   void longAnswersWithAnEarlyPauseAreNotCutOff() throws Exception {
     for (String framing : List.of(CHUNKED, UNTIL_CLOSE)) {
       passesWhole("30 kB at once", framing, 4_000, pauses(framing, 30_000, 1, 1_600));
+      passesWhole("8 kB in two", framing, 4_000, pauses(framing, 8_000, 2, 2_800));
       passesWhole("8 kB at once", framing, 4_000, pauses(framing, 8_000, 1, 2_000));
       passesWhole("head alone", framing, 3_000, answerOf(framing, 1_700, LUMPS, STEADY_PAUSE_MS));
     }
--- a/policy/src/main/java/willowdoor/policy/AnswerLifecycle.java
+++ b/policy/src/main/java/willowdoor/policy/AnswerLifecycle.java
@@ -13,7 +13,8 @@
  * that is late, however often another piece comes, and it is given up so that its client can tell.
  *
  * <p>An answer that is held, so that another attempt may still replace it, is given up after some silence:
- * its backend may have stalled. One that cannot be replaced, or that is probably long, is passed on instead.
+ * its backend may have stalled. One that cannot be replaced, that is probably long, or whose backend has made
+ * a pause before, is passed on instead.
  *
  * <p>All times are milliseconds on the clock of the caller, which passes them in.
  */
@@ -34,6 +35,8 @@
   static final double BODY_SILENCE_MS = 1_000;
   /** A head alone is waited for for longer while so much time is left for another attempt. */
   private static final double RETRY_TIME_MS = 1_000;
+  /** A backend that gives nothing for so long between two parts is pausing; longer than a loop is held up. */
+  private static final double PAUSE_MS = 200;
   /** Without a length, an answer of which more bytes have come is probably long. */
   private static final int PROBABLY_LONG_BYTES = 16 * 1024;
   /** A final answer may come so long after the deadline of its attempt. */
@@ -51,6 +54,8 @@
   private long bodyBytes;
   private long announcedBytes;
   private double headAtMs;
+  /** The backend has given a part of the body, nothing for a while, and another part. */
+  private boolean hasPaused;
   /** When the backend gave something last, or its client took something last while it is held back. */
   private double progressAtMs;
   private boolean heldBack;
@@ -96,6 +101,7 @@
 
   /** A part of the body has come. */
   public void onBody(double nowMs, int bytes) {
+    hasPaused |= state == State.PROGRESS && nowMs - progressAtMs >= PAUSE_MS;
     state = state == State.HEAD ? State.PROGRESS : state;
     bodyBytes += bytes;
     progressAtMs = nowMs;
@@ -164,7 +170,7 @@
   /** Whether the answer is held and not given up for its silence. */
   private boolean isKeptThoughSilent() {
     return passable && !hasLength && (state == State.HEAD || state == State.PROGRESS)
-        && (!replaceable || bodyBytes > PROBABLY_LONG_BYTES);
+        && (!replaceable || hasPaused || bodyBytes > PROBABLY_LONG_BYTES);
   }
 
   /** When {@link #state} or {@link #isDueToPassOn} is to be asked again, unless something comes. */
--- a/policy/src/test/java/willowdoor/policy/AnswerLifecycleStatesTest.java
+++ b/policy/src/test/java/willowdoor/policy/AnswerLifecycleStatesTest.java
@@ -100,6 +100,18 @@
     assertTrue(answer.isDueToPassOn(1_010));
   }
 
+  /** Guards against an answer that is given up in a longer pause of a backend that has paused before. */
+  @Test
+  void aSilentAnswerWhoseBackendHasPausedBeforeIsPassedOn() {
+    answer.onHead(0, -1, true);
+    answer.onBody(10, 1);
+    answer.onBody(100, 1);
+    assertEquals(State.STALLED, answer.state(1_100), "pieces of one burst");
+    answer.onBody(400, 1);
+    assertEquals(State.PROGRESS, answer.state(2_000));
+    assertTrue(answer.isDueToPassOn(1_400));
+  }
+
   /** A head alone may be a long answer that comes late, or one that has stalled. */
   @Test
   void aHeadAloneIsWaitedForWhileAnotherAttemptHasTime() {
