--- a/policy/src/main/java/willowdoor/policy/AnswerLifecycle.java
+++ b/policy/src/main/java/willowdoor/policy/AnswerLifecycle.java
@@ -10,7 +10,8 @@
  * makes progress at the end of its time is passed on. From then on one moment decides: the latest at which
  * its client may get the last byte of a short answer. Before it the answer may be long, and no silence proves
  * a fault, as backends may pause for seconds. An answer that is still short at that moment is a short one
- * that is late, however often another piece comes, and it is given up so that its client can tell.
+ * that is late, however often another piece comes, and it is given up so that its client can tell. One that
+ * began so late that nothing can be told yet goes on while its body comes at the pace of a long answer.
  *
  * <p>An answer that is held, so that another attempt may still replace it, is given up after some silence:
  * its backend may have stalled. One that cannot be replaced, that is probably long, or whose backend has made
@@ -37,6 +38,8 @@
   private static final double RETRY_TIME_MS = 1_000;
   /** A backend that gives nothing for so long between two parts is pausing; longer than a loop is held up. */
   private static final double PAUSE_MS = 200;
+  /** An answer whose body comes at this pace is on the way to be long: 64 kB/s, with a margin. */
+  private static final double LONG_BYTES_PER_MS = 40;
   /** Without a length, an answer of which more bytes have come is probably long. */
   private static final int PROBABLY_LONG_BYTES = 16 * 1024;
   /** A final answer may come so long after the deadline of its attempt. */
@@ -54,6 +57,8 @@
   private long bodyBytes;
   private long announcedBytes;
   private double headAtMs;
+  /** When the first part of the body came. */
+  private double bodyAtMs;
   /** The backend has given a part of the body, nothing for a while, and another part. */
   private boolean hasPaused;
   /** When the backend gave something last, or its client took something last while it is held back. */
@@ -101,6 +106,7 @@
 
   /** A part of the body has come. */
   public void onBody(double nowMs, int bytes) {
+    bodyAtMs = bodyBytes == 0 ? nowMs : bodyAtMs;
     hasPaused |= state == State.PROGRESS && nowMs - progressAtMs >= PAUSE_MS;
     state = state == State.HEAD ? State.PROGRESS : state;
     bodyBytes += bytes;
@@ -184,7 +190,7 @@
 
   /** When the answer is given up unless something comes until then. */
   public double givenUpAtMs() {
-    return mayBeLate() ? latestMs() : progressAtMs + maxSilenceMs();
+    return mayBeLate() ? lateAtMs() : progressAtMs + maxSilenceMs();
   }
 
   /** Whether the answer is passed on, and is short as far as is known. */
@@ -192,9 +198,14 @@
     return state == State.PASSED_ON && !isLong() && !heldBack;
   }
 
-  /** The latest moment for the last byte of a short answer; time in which nothing was read is added. */
-  private double latestMs() {
-    return deadlineMs + MAX_LATE_MS + heldBackMs;
+  /**
+   * When the answer is late: at the latest moment for the last byte of a short one, unless its body is only
+   * about to begin, or comes at the pace of a long one. Time in which nothing was read is added.
+   */
+  private double lateAtMs() {
+    double onPaceUntilMs = bodyBytes == 0 ? headAtMs + BODY_SILENCE_MS
+        : bodyAtMs + bodyBytes / LONG_BYTES_PER_MS;
+    return Math.max(deadlineMs + MAX_LATE_MS + heldBackMs, onPaceUntilMs);
   }
 
   private double maxSilenceMs() {
--- a/policy/src/test/java/willowdoor/policy/AnswerLifecycleStatesTest.java
+++ b/policy/src/test/java/willowdoor/policy/AnswerLifecycleStatesTest.java
@@ -137,6 +137,25 @@
     assertEquals(State.LATE, answer.state(DEADLINE_MS + 450));
   }
 
+  /** Guards against a long answer that begins late and is cut off before it can be known to be long. */
+  @Test
+  void anAnswerThatBeganLateGoesOnAtThePaceOfALongOne() {
+    double headMs = DEADLINE_MS - 100;
+    answer.onHead(headMs, -1, true);
+    answer.onPassedOn();
+    assertEquals(State.PASSED_ON, answer.state(headMs + 999), "its body may come late");
+    double bodyMs = headMs + 900;
+    for (int i = 0; i < 6; i++) {
+      answer.onBody(bodyMs + 100 * i, PIECE_BYTES);
+      assertEquals(State.PASSED_ON, answer.state(bodyMs + 100 * i + 240));
+    }
+    assertEquals(State.LATE, answer.state(bodyMs + 6 * PIECE_BYTES / 40.0));
+    AnswerLifecycle headAlone = new AnswerLifecycle(DEADLINE_MS, true);
+    headAlone.onHead(headMs, -1, true);
+    headAlone.onPassedOn();
+    assertEquals(State.LATE, headAlone.state(headMs + 1_000));
+  }
+
   @Test
   void aBodyOfKnownLengthThatIsShortIsDueToo() {
     answer.onHead(0, PIECE_BYTES, true);
